--- a/src/control/command.ts
+++ b/src/control/command.ts
@@ -31,6 +31,8 @@
   /** Hash of method, path and body: another request under the same key is refused. */
   readonly fingerprint: string;
   readonly daemonId: string;
+  /** A key of format `opaque` never expires, even when it looks like a UUID version 7. */
+  readonly keyFormat?: configuration.KeyFormat;
 }
 
 /** The answer of a non-idempotent request, kept for resends. */
--- /dev/null
+++ b/src/control/configuration-store.ts
@@ -0,0 +1,84 @@
+import * as configuration from '../configuration';
+
+/** Called on each higher revision. */
+export type ConfigurationListener = (snapshot: configuration.ConfigurationSnapshot) => void;
+
+// A daemon that missed more revisions gets the whole configuration.
+const REMEMBERED_DELTAS = 500;
+
+/** The newest committed configuration of a daemon, and the deltas that lead to it. */
+export class ConfigurationStore {
+  private snapshot = configuration.EMPTY_SNAPSHOT;
+
+  /** The deltas up to the current revision, without a gap. */
+  private deltas: configuration.ConfigurationDelta[] = [];
+
+  private readonly listeners = new Set<ConfigurationListener>();
+
+  get current(): configuration.ConfigurationSnapshot {
+    return this.snapshot;
+  }
+
+  listen(listener: ConfigurationListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Takes a snapshot with a higher revision; returns whether it was taken. */
+  offerSnapshot(snapshot: configuration.ConfigurationSnapshot): boolean {
+    if (snapshot.revision <= this.snapshot.revision) {
+      return false;
+    }
+    this.deltas = [];
+    this.replace(snapshot);
+    return true;
+  }
+
+  /** Takes a delta that starts at the current revision; returns whether it was taken. */
+  offerDelta(delta: configuration.ConfigurationDelta): boolean {
+    const next = configuration.applyDelta(this.snapshot, delta);
+    if (next === this.snapshot) {
+      return false;
+    }
+    this.deltas = [...this.deltas, delta].slice(-REMEMBERED_DELTAS);
+    this.replace(next);
+    return true;
+  }
+
+  /** One delta from `revision` to the current one, or `undefined` past a gap. */
+  changesSince(revision: number): configuration.ConfigurationDelta | undefined {
+    const position = this.deltas.findIndex((delta) => delta.from === revision);
+    return position < 0 ? undefined : this.deltas.slice(position).reduce(merge);
+  }
+
+  private replace(snapshot: configuration.ConfigurationSnapshot): void {
+    this.snapshot = snapshot;
+    this.listeners.forEach((listener) => listener(snapshot));
+  }
+}
+
+/** Two deltas in a row as one: a later change of a document takes the place of an earlier one. */
+function merge(
+  first: configuration.ConfigurationDelta,
+  second: configuration.ConfigurationDelta,
+): configuration.ConfigurationDelta {
+  const upserts = new Map(
+    first.upserts.map((document) => [configuration.documentKey(document), document]),
+  );
+  const removals = new Set(first.removals);
+  second.removals.forEach((key) => {
+    upserts.delete(key);
+    removals.add(key);
+  });
+  second.upserts.forEach((document) => {
+    const key = configuration.documentKey(document);
+    upserts.set(key, document);
+    removals.delete(key);
+  });
+  return {
+    from: first.from,
+    to: second.to,
+    upserts: [...upserts.values()],
+    removals: [...removals],
+  };
+}
--- /dev/null
+++ b/src/control/control-node.ts
@@ -0,0 +1,428 @@
+import * as results from 'ts-results';
+import * as clock from '../clock';
+import * as configuration from '../configuration';
+import * as lifecycle from '../lifecycle';
+import * as logging from '../logging';
+import * as replica from '../replica';
+import * as storage from '../storage';
+import * as wire from '../wire';
+import type * as command from './command';
+import * as configurationStore from './configuration-store';
+import * as controlPlane from './control-plane';
+import * as peerDirectory from './peer-directory';
+import * as peerMessage from './peer-message';
+import * as proposalForwarder from './proposal-forwarder';
+import * as replicaTask from './replica-task';
+
+/** Everything a control node needs to know. */
+export interface ControlNodeOptions {
+  readonly daemonId: string;
+  readonly zone: string;
+  readonly listenHost: string;
+  /** 0 lets the operating system choose. */
+  readonly listenPort: number;
+  /** `host:port` that peers use; by default the listening address. */
+  readonly advertisedAddress?: string;
+  /** Addresses of all daemons; the own one may be among them. */
+  readonly peers: readonly string[];
+  /** Addresses of the initial replicas, a subset of the peers. */
+  readonly replicas: readonly string[];
+  readonly preSharedKey: string;
+  /** Without a data folder the daemon hosts no replica. */
+  readonly dataFolder?: string;
+  readonly clock: clock.Clock;
+  readonly random: clock.RandomSource;
+  readonly lifecycle: lifecycle.LifecycleManager;
+  /** Replaces the operating system's files in tests. */
+  readonly fileSystem?: storage.FileSystem;
+  readonly parameters?: Partial<replica.Parameters>;
+}
+
+type BroadcastListener = (payload: unknown, fromDaemonId: string) => void;
+
+/** The `ControlPlane` of a daemon: its links to the peers and, with a data folder, its replica. */
+export class ControlNode extends controlPlane.ControlPlane {
+  private readonly network: wire.PeerNetwork;
+
+  private readonly store = new configurationStore.ConfigurationStore();
+
+  private readonly directory: peerDirectory.PeerDirectory;
+
+  private readonly forwarder: proposalForwarder.ProposalForwarder;
+
+  private readonly broadcastListeners = new Map<controlPlane.PeerTopic, Set<BroadcastListener>>();
+
+  private replicaTask: replicaTask.ReplicaTask | undefined;
+
+  /** The leader of the highest term that a peer told about. */
+  private heardLeader: peerMessage.KnownLeader | undefined;
+
+  private leaderAddress: string | undefined;
+
+  private requestedAt = Number.NEGATIVE_INFINITY;
+
+  private startedAt: number;
+
+  private closing: Promise<void> | undefined;
+
+  constructor(private readonly options: ControlNodeOptions) {
+    super();
+    const { clock: time } = options;
+    this.startedAt = time.monotonic();
+    this.directory = new peerDirectory.PeerDirectory(time);
+    this.network = new wire.PeerNetwork(
+      { ...options, heartbeat: () => this.heartbeat() },
+      {
+        onMessage: (peer, message) => this.receive(peer, message),
+        onPeerReady: (peer) => this.directory.connected(peer),
+        onPeerLost: (peer) => this.peerLost(peer),
+      },
+    );
+    this.forwarder = new proposalForwarder.ProposalForwarder(time, (address, message) =>
+      this.network.send(address, message),
+    );
+  }
+
+  /**
+   * Listens, opens the data folder and connects to the peers.
+   *
+   * @example
+   * const node = await ControlNode.start(options);
+   * await node.ready();
+   */
+  static async start(options: ControlNodeOptions): Promise<ControlNode> {
+    const node = new ControlNode(options);
+    await node.listen();
+    await node.join(options.peers, options.replicas);
+    return node;
+  }
+
+  /** First half of `start`: resolves with the address that peers use. Rejects when the port is taken. */
+  async listen(): Promise<string> {
+    const address = await this.network.listen();
+    this.options.lifecycle.own('control node', () => this.close());
+    return address;
+  }
+
+  /** Second half of `start`, for callers that know the peers only after every port was chosen. */
+  async join(peers: readonly string[], replicas: readonly string[]): Promise<void> {
+    this.startedAt = this.options.clock.monotonic();
+    if (this.options.dataFolder !== undefined) {
+      await this.openReplica(this.options.dataFolder, replicas);
+    }
+    this.network.connect([...peers, ...replicas]);
+  }
+
+  override async propose(
+    proposal: command.Command,
+    timeoutMilliseconds: number,
+  ): Promise<replicaTask.ProposalResult> {
+    const { clock: time, random } = this.options;
+    const deadline = time.monotonic() + timeoutMilliseconds;
+    let failure = controlPlane.ProposalFailure.NoLeader;
+    for (let left = timeoutMilliseconds; left > 0; left = deadline - time.monotonic()) {
+      if (this.closing !== undefined) {
+        return results.Err(controlPlane.ProposalFailure.Closed);
+      }
+      const outcome = await this.attempt(proposal, Math.min(left, ATTEMPT_MILLISECONDS));
+      if (outcome.ok) {
+        return outcome;
+      }
+      // Once an attempt may have reached the log, the proposal may be committed later.
+      failure = outcome.val === controlPlane.ProposalFailure.NoLeader ? failure : outcome.val;
+      await time.sleep(RETRY_MILLISECONDS * (0.5 + random.uniform()));
+    }
+    return results.Err(failure);
+  }
+
+  override configuration(): configuration.ConfigurationSnapshot {
+    return this.store.current;
+  }
+
+  override onConfiguration(
+    listener: (snapshot: configuration.ConfigurationSnapshot) => void,
+  ): () => void {
+    return this.store.listen(listener);
+  }
+
+  override broadcast(topic: controlPlane.PeerTopic, payload: unknown): void {
+    this.network.broadcast({
+      kind: peerMessage.PeerMessageKind.Broadcast,
+      topic,
+      payload,
+    } as wire.WireMessage);
+  }
+
+  override onBroadcast(topic: controlPlane.PeerTopic, listener: BroadcastListener): () => void {
+    const listeners = this.broadcastListeners.get(topic) ?? new Set();
+    this.broadcastListeners.set(topic, listeners);
+    listeners.add(listener);
+    return () => listeners.delete(listener);
+  }
+
+  override status(): controlPlane.ControlStatus {
+    const { daemonId, zone } = this.options;
+    const state = this.replicaTask?.current;
+    const leader = this.knownLeader();
+    return {
+      daemonId,
+      zone,
+      role: state === undefined ? controlPlane.ReplicaRole.None : ROLES[state.role],
+      replicaId: state?.self.replicaId,
+      leaderReplicaId: leader?.replicaId,
+      term: Math.max(state?.term ?? 0, leader?.term ?? 0),
+      commitIndex: state?.commitIndex ?? 0,
+      voters: state === undefined ? [] : replica.voters(state).map((voter) => voter.replicaId),
+      revision: this.store.current.revision,
+      peers: this.directory.status(),
+    };
+  }
+
+  override async ready(): Promise<void> {
+    const { clock: time } = this.options;
+    while (!this.isCurrent() && time.monotonic() - this.startedAt < READY_MILLISECONDS) {
+      await time.sleep(READY_POLL_MILLISECONDS);
+    }
+  }
+
+  override close(): Promise<void> {
+    this.closing ??= this.closeAll();
+    return this.closing;
+  }
+
+  private async closeAll(): Promise<void> {
+    await this.replicaTask?.close();
+    await this.network.close();
+    this.forwarder.leaderChanged(undefined);
+  }
+
+  private async openReplica(dataFolder: string, replicas: readonly string[]): Promise<void> {
+    const { clock: time, random, parameters } = this.options;
+    const fileSystem = this.options.fileSystem ?? new storage.NodeFileSystem();
+    const { address } = this.network;
+    const opened = await replicaTask.ReplicaTask.open(
+      { address, replicas, dataFolder, fileSystem, clock: time, random, parameters },
+      {
+        send: (message) => this.sendReplicaMessage(message),
+        onDelta: (delta) => this.changed(this.store.offerDelta(delta)),
+        onSnapshot: (snapshot) => this.changed(this.store.offerSnapshot(snapshot)),
+        onLeaderChange: () => this.leaderMayHaveChanged(),
+      },
+    );
+    if (opened.err) {
+      logger.error('data folder cannot be used; the daemon goes on without a replica', {
+        reason: opened.val.message,
+      });
+      return;
+    }
+    this.replicaTask = opened.val;
+  }
+
+  private attempt(
+    proposal: command.Command,
+    timeoutMilliseconds: number,
+  ): Promise<replicaTask.ProposalResult> {
+    if (this.replicaTask?.isLeader === true) {
+      return this.proposeHere(proposal, timeoutMilliseconds);
+    }
+    const leader = this.knownLeader();
+    return leader === undefined || leader.address === this.network.address
+      ? Promise.resolve(results.Err(controlPlane.ProposalFailure.NoLeader))
+      : this.forwarder.forward(leader.address, proposal, timeoutMilliseconds);
+  }
+
+  private proposeHere(
+    proposal: command.Command,
+    timeoutMilliseconds: number,
+  ): Promise<replicaTask.ProposalResult> {
+    const task = this.replicaTask;
+    if (task === undefined) {
+      return Promise.resolve(results.Err(controlPlane.ProposalFailure.NoLeader));
+    }
+    return new Promise((resolve) => {
+      const timer = this.options.clock.setTimer(timeoutMilliseconds, () =>
+        resolve(results.Err(controlPlane.ProposalFailure.Timeout)),
+      );
+      task.propose(proposal).then((result) => {
+        timer.cancel();
+        resolve(result);
+      });
+    });
+  }
+
+  /** The leader of the highest known term. */
+  private knownLeader(): peerMessage.KnownLeader | undefined {
+    const state = this.replicaTask?.current;
+    const own = state?.leader === undefined ? undefined : { ...state.leader, term: state.term };
+    const heard = this.heardLeader;
+    return own !== undefined && own.term >= (heard?.term ?? 0) ? own : heard;
+  }
+
+  private heartbeat(): object {
+    return { revision: this.store.current.revision, leader: this.knownLeader() };
+  }
+
+  private sendReplicaMessage(message: replica.Message): void {
+    const wrapped = { kind: peerMessage.PeerMessageKind.Replica, message };
+    this.network.send(message.toAddress, wrapped as unknown as wire.WireMessage);
+  }
+
+  private receive(peer: wire.PeerIdentity, raw: wire.WireMessage): void {
+    const message = peerMessage.peerMessageSchema.parse(raw);
+    this.directory.heard(peer);
+    switch (message.kind) {
+      case peerMessage.PeerMessageKind.Heartbeat:
+        this.receiveHeartbeat(peer, message.revision, message.leader);
+        break;
+      case peerMessage.PeerMessageKind.Replica:
+        this.replicaTask?.receive(message.message);
+        break;
+      case peerMessage.PeerMessageKind.Propose:
+        this.answerProposal(peer, message.requestId, message.command, message.timeoutMilliseconds);
+        break;
+      case peerMessage.PeerMessageKind.ProposeResult:
+        this.forwarder.settle(message.requestId, toResult(message.result, message.failure));
+        break;
+      case peerMessage.PeerMessageKind.ConfigurationRequest:
+        this.sendConfiguration(peer, message.revision);
+        break;
+      case peerMessage.PeerMessageKind.ConfigurationDelta:
+        this.changed(this.store.offerDelta(message));
+        break;
+      case peerMessage.PeerMessageKind.ConfigurationSnapshot:
+        this.changed(this.store.offerSnapshot(toSnapshot(message.revision, message.documents)));
+        break;
+      default:
+        this.broadcastListeners
+          .get(message.topic)
+          ?.forEach((listener) => listener(message.payload, peer.daemonId));
+    }
+  }
+
+  private receiveHeartbeat(
+    peer: wire.PeerIdentity,
+    revision: number,
+    leader: peerMessage.KnownLeader | undefined,
+  ): void {
+    this.directory.reported(peer, revision);
+    if (leader !== undefined && leader.term > (this.heardLeader?.term ?? 0)) {
+      this.heardLeader = leader;
+      this.leaderMayHaveChanged();
+    }
+    const now = this.options.clock.monotonic();
+    const isWaiting = now - this.requestedAt < REQUEST_MILLISECONDS;
+    if (revision > this.store.current.revision && !isWaiting) {
+      this.requestedAt = now;
+      this.network.send(peer.address, {
+        kind: peerMessage.PeerMessageKind.ConfigurationRequest,
+        revision: this.store.current.revision,
+      } as unknown as wire.WireMessage);
+    }
+  }
+
+  private sendConfiguration(peer: wire.PeerIdentity, revision: number): void {
+    const { current } = this.store;
+    if (revision >= current.revision) {
+      return;
+    }
+    const delta = this.store.changesSince(revision);
+    const message =
+      delta === undefined
+        ? {
+            kind: peerMessage.PeerMessageKind.ConfigurationSnapshot,
+            revision: current.revision,
+            documents: [...current.documents.values()],
+          }
+        : { kind: peerMessage.PeerMessageKind.ConfigurationDelta, ...delta };
+    if (!this.network.send(peer.address, message as unknown as wire.WireMessage)) {
+      logger.warning('configuration could not be sent', { peer: peer.address });
+    }
+  }
+
+  private async answerProposal(
+    peer: wire.PeerIdentity,
+    requestId: string,
+    proposal: command.Command,
+    timeoutMilliseconds: number,
+  ): Promise<void> {
+    const outcome = await this.proposeHere(proposal, timeoutMilliseconds);
+    const answer = outcome.ok ? { result: outcome.val } : { failure: outcome.val };
+    this.network.send(peer.address, {
+      kind: peerMessage.PeerMessageKind.ProposeResult,
+      requestId,
+      ...answer,
+    } as unknown as wire.WireMessage);
+  }
+
+  /** Tells the peers about a new revision at once. */
+  private changed(isNew: boolean): void {
+    if (isNew) {
+      this.requestedAt = Number.NEGATIVE_INFINITY;
+      this.network.announce();
+    }
+  }
+
+  private leaderMayHaveChanged(): void {
+    const address = this.knownLeader()?.address;
+    if (address !== this.leaderAddress) {
+      this.leaderAddress = address;
+      this.forwarder.leaderChanged(address);
+      this.network.announce();
+    }
+  }
+
+  private peerLost(peer: wire.PeerIdentity): void {
+    this.directory.lost(peer);
+    this.forwarder.peerLost(peer.address);
+  }
+
+  /** Whether every peer was tried and none of the reachable ones has a higher revision. */
+  private isCurrent(): boolean {
+    return (
+      this.network.everyPeerTried && this.directory.highestRevision() <= this.store.current.revision
+    );
+  }
+}
+
+const logger = new logging.Logger('control');
+
+// A leader that does not answer within this time is frozen or cut off; another one is found meanwhile.
+const ATTEMPT_MILLISECONDS = 1_000;
+
+const RETRY_MILLISECONDS = 40;
+
+// A peer that does not answer a request for the configuration is not waited for any longer than this.
+const REQUEST_MILLISECONDS = 250;
+
+// A restarted router has to serve within 1 s; half of it may be spent on the configuration.
+const READY_MILLISECONDS = 500;
+
+const READY_POLL_MILLISECONDS = 10;
+
+const ROLES: Record<replica.Role, controlPlane.ReplicaRole> = {
+  [replica.Role.Learner]: controlPlane.ReplicaRole.Learner,
+  [replica.Role.Follower]: controlPlane.ReplicaRole.Follower,
+  [replica.Role.PreCandidate]: controlPlane.ReplicaRole.Candidate,
+  [replica.Role.Candidate]: controlPlane.ReplicaRole.Candidate,
+  [replica.Role.Leader]: controlPlane.ReplicaRole.Leader,
+  [replica.Role.Stopped]: controlPlane.ReplicaRole.None,
+};
+
+function toResult(
+  result: command.CommandResult | undefined,
+  failure: controlPlane.ProposalFailure | undefined,
+): replicaTask.ProposalResult {
+  return result === undefined
+    ? results.Err(failure ?? controlPlane.ProposalFailure.Timeout)
+    : results.Ok(result);
+}
+
+function toSnapshot(
+  revision: number,
+  documents: readonly configuration.ConfigurationDocument[],
+): configuration.ConfigurationSnapshot {
+  const byKey = new Map(
+    documents.map((document) => [configuration.documentKey(document), document]),
+  );
+  return { revision, documents: byKey };
+}
--- /dev/null
+++ b/src/control/peer-message.ts
@@ -0,0 +1,190 @@
+import * as zod from 'zod';
+import * as configuration from '../configuration';
+import * as replica from '../replica';
+import * as wire from '../wire';
+import * as command from './command';
+import * as controlPlane from './control-plane';
+
+/** Kinds of the frames between daemons, besides those of the link itself. */
+export enum PeerMessageKind {
+  Heartbeat = wire.LinkMessageKind.Heartbeat,
+  Replica = 'replica',
+  Propose = 'propose',
+  ProposeResult = 'propose-result',
+  ConfigurationRequest = 'configuration-request',
+  ConfigurationDelta = 'configuration-delta',
+  ConfigurationSnapshot = 'configuration-snapshot',
+  Broadcast = 'broadcast',
+}
+
+const counter = zod.int().min(0);
+const bytes = zod.instanceof(Uint8Array);
+const member = zod.object({ replicaId: zod.string(), address: zod.string() });
+const group = zod.object({ voters: zod.array(member) });
+const envelope = {
+  from: member,
+  toAddress: zod.string(),
+  toId: zod.string().optional(),
+  term: counter,
+};
+const entry = zod.object({
+  index: counter,
+  term: counter,
+  timestamp: zod.number(),
+  kind: zod.enum(replica.EntryKind),
+  data: bytes.optional(),
+  group: group.optional(),
+});
+const position = { lastIndex: counter, lastTerm: counter };
+
+const replicaMessage = zod.discriminatedUnion('kind', [
+  zod.object({ ...envelope, ...position, kind: zod.literal(replica.MessageKind.PreVote) }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.PreVoteReply),
+    proposedTerm: counter,
+    granted: zod.boolean(),
+  }),
+  zod.object({ ...envelope, ...position, kind: zod.literal(replica.MessageKind.Vote) }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.VoteReply),
+    granted: zod.boolean(),
+  }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.Append),
+    previousIndex: counter,
+    previousTerm: counter,
+    entries: zod.array(entry),
+    commitIndex: counter,
+  }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.AppendReply),
+    success: zod.boolean(),
+    matchIndex: counter,
+    heartbeat: zod.boolean(),
+  }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.Snapshot),
+    index: counter,
+    snapshotTerm: counter,
+    timestamp: zod.number(),
+    group,
+    offset: counter,
+    totalBytes: counter,
+    data: bytes,
+  }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.SnapshotReply),
+    index: counter,
+    receivedBytes: counter,
+    installed: zod.boolean(),
+  }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.Discover),
+    replicas: zod.array(zod.string()),
+  }),
+  zod.object({
+    ...envelope,
+    kind: zod.literal(replica.MessageKind.DiscoverReply),
+    empty: zod.boolean(),
+    sameReplicas: zod.boolean(),
+  }),
+  zod.object({ ...envelope, kind: zod.literal(replica.MessageKind.Join) }),
+  zod.object({ ...envelope, kind: zod.literal(replica.MessageKind.ElectNow) }),
+]);
+
+const leader = zod.object({ ...member.shape, term: counter });
+
+/** The leader that a daemon knows of. */
+export type KnownLeader = zod.infer<typeof leader>;
+
+// Documents were validated where they were published; a daemon with an older schema must still spread them.
+const document = zod.custom<configuration.ConfigurationDocument>(
+  (value) => zod.looseObject({ kind: zod.string(), name: zod.string() }).safeParse(value).success,
+);
+
+const key = { team: zod.string(), key: zod.string(), attemptId: zod.string() };
+
+const commandSchema = zod.discriminatedUnion('kind', [
+  zod.object({
+    kind: zod.literal(command.CommandKind.Publish),
+    publishId: zod.string(),
+    author: zod.string(),
+    baseRevision: counter,
+    upserts: zod.array(document),
+    removals: zod.array(zod.string()),
+  }),
+  zod.object({
+    ...key,
+    kind: zod.literal(command.CommandKind.Claim),
+    fingerprint: zod.string(),
+    daemonId: zod.string(),
+    keyFormat: zod.enum(configuration.KeyFormat).optional(),
+  }),
+  zod.object({
+    ...key,
+    kind: zod.literal(command.CommandKind.CompleteClaim),
+    answer: zod
+      .object({
+        status: zod.int(),
+        headers: zod.record(zod.string(), zod.string()),
+        body: bytes,
+      })
+      .optional(),
+  }),
+  zod.object({ ...key, kind: zod.literal(command.CommandKind.AbandonClaim) }),
+  zod.object({ kind: zod.literal(command.CommandKind.NoOperation) }),
+]);
+
+const commandResult = zod.custom<command.CommandResult>(
+  (value) =>
+    zod.looseObject({ kind: zod.enum(command.CommandResultKind) }).safeParse(value).success,
+);
+
+/** Every message that a daemon accepts from an authenticated peer. */
+export const peerMessageSchema = zod.discriminatedUnion('kind', [
+  zod.object({
+    kind: zod.literal(PeerMessageKind.Heartbeat),
+    revision: counter,
+    leader: leader.optional(),
+  }),
+  zod.object({ kind: zod.literal(PeerMessageKind.Replica), message: replicaMessage }),
+  zod.object({
+    kind: zod.literal(PeerMessageKind.Propose),
+    requestId: zod.string(),
+    command: commandSchema,
+    timeoutMilliseconds: zod.number().min(0).max(600_000),
+  }),
+  zod.object({
+    kind: zod.literal(PeerMessageKind.ProposeResult),
+    requestId: zod.string(),
+    result: commandResult.optional(),
+    failure: zod.enum(controlPlane.ProposalFailure).optional(),
+  }),
+  zod.object({ kind: zod.literal(PeerMessageKind.ConfigurationRequest), revision: counter }),
+  zod.object({
+    kind: zod.literal(PeerMessageKind.ConfigurationDelta),
+    from: counter,
+    to: counter,
+    upserts: zod.array(document),
+    removals: zod.array(zod.string()),
+  }),
+  zod.object({
+    kind: zod.literal(PeerMessageKind.ConfigurationSnapshot),
+    revision: counter,
+    documents: zod.array(document),
+  }),
+  zod.object({
+    kind: zod.literal(PeerMessageKind.Broadcast),
+    topic: zod.enum(controlPlane.PeerTopic),
+    payload: zod.unknown(),
+  }),
+]);
+
+export type PeerMessage = zod.infer<typeof peerMessageSchema>;
--- /dev/null
+++ b/src/control/proposal-forwarder.ts
@@ -0,0 +1,74 @@
+import * as crypto from 'node:crypto';
+import * as results from 'ts-results';
+import * as clock from '../clock';
+import type * as command from './command';
+import * as controlPlane from './control-plane';
+import * as peerMessage from './peer-message';
+import type * as replicaTask from './replica-task';
+
+interface Forward {
+  readonly leaderAddress: string;
+  readonly resolve: (result: replicaTask.ProposalResult) => void;
+}
+
+/** Sends proposals to the leader's daemon and matches the answers. */
+export class ProposalForwarder {
+  private readonly waiting = new Map<string, Forward>();
+
+  constructor(
+    private readonly time: clock.Clock,
+    private readonly send: (address: string, message: peerMessage.PeerMessage) => boolean,
+  ) {}
+
+  forward(
+    leaderAddress: string,
+    entry: command.Command,
+    timeoutMilliseconds: number,
+  ): Promise<replicaTask.ProposalResult> {
+    const requestId = crypto.randomUUID();
+    const message: peerMessage.PeerMessage = {
+      kind: peerMessage.PeerMessageKind.Propose,
+      requestId,
+      // The schema's type has mutable arrays; the content is the same.
+      command: entry as never,
+      timeoutMilliseconds,
+    };
+    if (!this.send(leaderAddress, message)) {
+      return Promise.resolve(results.Err(controlPlane.ProposalFailure.NoLeader));
+    }
+    return new Promise((resolve) => {
+      const timer = this.time.setTimer(timeoutMilliseconds, () =>
+        this.settle(requestId, results.Err(controlPlane.ProposalFailure.Timeout)),
+      );
+      const settle = (result: replicaTask.ProposalResult) => {
+        timer.cancel();
+        resolve(result);
+      };
+      this.waiting.set(requestId, { leaderAddress, resolve: settle });
+    });
+  }
+
+  settle(requestId: string, result: replicaTask.ProposalResult): void {
+    const forward = this.waiting.get(requestId);
+    this.waiting.delete(requestId);
+    forward?.resolve(result);
+  }
+
+  /** Gives up waiting for every daemon except the current leader's. */
+  leaderChanged(leaderAddress: string | undefined): void {
+    [...this.waiting]
+      .filter(([, forward]) => forward.leaderAddress !== leaderAddress)
+      .forEach(([requestId]) =>
+        this.settle(requestId, results.Err(controlPlane.ProposalFailure.Timeout)),
+      );
+  }
+
+  /** Gives up waiting for a daemon whose link was lost, together with any answer on it. */
+  peerLost(address: string): void {
+    [...this.waiting]
+      .filter(([, forward]) => forward.leaderAddress === address)
+      .forEach(([requestId]) =>
+        this.settle(requestId, results.Err(controlPlane.ProposalFailure.Timeout)),
+      );
+  }
+}
--- /dev/null
+++ b/src/control/replica-task.ts
@@ -0,0 +1,339 @@
+import * as results from 'ts-results';
+import * as clock from '../clock';
+import * as configuration from '../configuration';
+import * as logging from '../logging';
+import * as replica from '../replica';
+import * as storage from '../storage';
+import * as wire from '../wire';
+import * as command from './command';
+import * as controlPlane from './control-plane';
+import * as stateMachine from './state-machine';
+
+/** What a replica task needs from its daemon. */
+export interface ReplicaTaskOptions {
+  readonly address: string;
+  /** Addresses of the initial replicas. */
+  readonly replicas: readonly string[];
+  readonly dataFolder: string;
+  readonly fileSystem: storage.FileSystem;
+  readonly clock: clock.Clock;
+  readonly random: clock.RandomSource;
+  readonly parameters?: Partial<replica.Parameters>;
+}
+
+/** How a replica task reports to its daemon. */
+export interface ReplicaTaskHandlers {
+  readonly send: (message: replica.Message) => void;
+  readonly onDelta: (delta: configuration.ConfigurationDelta) => void;
+  readonly onSnapshot: (snapshot: configuration.ConfigurationSnapshot) => void;
+  readonly onLeaderChange: () => void;
+}
+
+/** The outcome of one attempt to write a command. */
+export type ProposalResult = results.Result<command.CommandResult, controlPlane.ProposalFailure>;
+
+interface PendingProposal {
+  readonly proposalId: string;
+  readonly data: Uint8Array;
+  readonly resolve: (result: ProposalResult) => void;
+  term?: number;
+}
+
+const TICK_MILLISECONDS = 25;
+
+const MAXIMUM_PROPOSALS_PER_WRITE = 256;
+
+/**
+ * Drives one replica: feeds events to the core one at a time, carries out its effects in order, and applies
+ * committed entries to the control state.
+ */
+export class ReplicaTask {
+  private state: replica.ReplicaState;
+
+  private control = stateMachine.EMPTY_CONTROL_STATE;
+
+  private readonly events: replica.ReplicaEvent[] = [];
+
+  private readonly proposals: PendingProposal[] = [];
+
+  /** Accepted proposals by log index. */
+  private readonly accepted = new Map<number, PendingProposal>();
+
+  private submitted = new Map<string, PendingProposal>();
+
+  private appliedIndex = 0;
+
+  private bytesSinceSnapshot = 0;
+
+  private isTickQueued = false;
+
+  private timer: clock.Timer | undefined;
+
+  private wake: (() => void) | undefined;
+
+  private closed = false;
+
+  private readonly running: Promise<void>;
+
+  private nextProposal = 0;
+
+  private constructor(
+    private readonly options: ReplicaTaskOptions,
+    private readonly handlers: ReplicaTaskHandlers,
+    private readonly disk: storage.Storage,
+    stored: storage.StoredReplica,
+  ) {
+    const { clock: time, random, address, replicas, parameters } = options;
+    this.state = replica.restore({
+      self: { replicaId: stored.replicaId, address },
+      replicas,
+      durable: stored.durable,
+      now: time.monotonic(),
+      random: random.uniform(),
+      parameters,
+    });
+    if (stored.durable.snapshot !== undefined) {
+      this.restoreSnapshot(stored.durable.snapshot);
+    }
+    this.tick();
+    this.running = this.run();
+  }
+
+  /** Opens the data folder and starts the replica. */
+  static async open(
+    options: ReplicaTaskOptions,
+    handlers: ReplicaTaskHandlers,
+  ): Promise<results.Result<ReplicaTask, storage.StorageFailure>> {
+    const disk = new storage.Storage(options.fileSystem, options.dataFolder);
+    const stored = await disk.open();
+    if (stored.err) {
+      return stored;
+    }
+    if (stored.val.tornBytes > 0) {
+      logger.warning('dropped an incomplete record at the end of the log file', {
+        bytes: stored.val.tornBytes,
+      });
+    }
+    return results.Ok(new ReplicaTask(options, handlers, disk, stored.val));
+  }
+
+  get current(): replica.ReplicaState {
+    return this.state;
+  }
+
+  get isLeader(): boolean {
+    return this.state.role === replica.Role.Leader;
+  }
+
+  /** The state that the applied entries add up to. */
+  get controlState(): stateMachine.ControlState {
+    return this.control;
+  }
+
+  receive(message: replica.Message): void {
+    this.enqueue({ kind: replica.EventKind.Receive, message, ...this.context() });
+  }
+
+  /** Writes a command if this replica is the leader. `Err` leaves open whether it will be committed. */
+  propose(entry: command.Command): Promise<ProposalResult> {
+    if (!this.isLeader || this.closed) {
+      return Promise.resolve(results.Err(controlPlane.ProposalFailure.NoLeader));
+    }
+    this.nextProposal += 1;
+    const proposalId = String(this.nextProposal);
+    return new Promise((resolve) => {
+      this.proposals.push({ proposalId, data: wire.encode(entry), resolve });
+      this.wake?.();
+    });
+  }
+
+  /** Hands over the leadership, then stops and closes the data folder. */
+  async close(): Promise<void> {
+    this.enqueue({ kind: replica.EventKind.Resign, ...this.context() });
+    this.closed = true;
+    this.timer?.cancel();
+    this.wake?.();
+    await this.running;
+    this.failPending();
+    await this.disk.close();
+  }
+
+  private tick(): void {
+    this.timer = this.options.clock.setTimer(TICK_MILLISECONDS, () => this.tick());
+    if (!this.isTickQueued) {
+      this.isTickQueued = true;
+      this.enqueue({ kind: replica.EventKind.Tick, ...this.context() });
+    }
+  }
+
+  private context(): replica.EventContext {
+    const { clock: time, random } = this.options;
+    return { now: time.monotonic(), wallClock: time.now(), random: random.uniform() };
+  }
+
+  private enqueue(event: replica.ReplicaEvent): void {
+    this.events.push(event);
+    this.wake?.();
+  }
+
+  private async run(): Promise<void> {
+    for (let event = this.next(); event !== undefined || !this.closed; event = this.next()) {
+      if (event === undefined) {
+        await new Promise<void>((resolve) => {
+          this.wake = resolve;
+        });
+      } else {
+        await this.process(event);
+      }
+    }
+  }
+
+  /** Waiting proposals share one event, and so one write to the disk. */
+  private next(): replica.ReplicaEvent | undefined {
+    const waiting = this.proposals.splice(0, MAXIMUM_PROPOSALS_PER_WRITE);
+    if (waiting.length > 0) {
+      this.submitted = new Map(waiting.map((proposal) => [proposal.proposalId, proposal]));
+      const proposals = waiting.map(({ proposalId, data }) => ({ proposalId, data }));
+      return { kind: replica.EventKind.Propose, proposals, ...this.context() };
+    }
+    const event = this.events.shift();
+    if (event?.kind === replica.EventKind.Tick) {
+      this.isTickQueued = false;
+    }
+    // What counts is the time at which an event is handled, not when it was queued behind a slow write.
+    return event === undefined ? undefined : { ...event, ...this.context() };
+  }
+
+  private async process(event: replica.ReplicaEvent): Promise<void> {
+    const { startState, state, effects } = replica.update(this.state, event);
+    this.state = state;
+    for (const effect of effects) {
+      if (!(await this.carryOut(effect))) {
+        await this.process({ kind: replica.EventKind.StorageFailed, ...this.context() });
+        return;
+      }
+    }
+    const wasLeader = startState.role === replica.Role.Leader;
+    if (wasLeader && !this.isLeader) {
+      this.failPending();
+    }
+    const isSameLeader = startState.leader?.replicaId === state.leader?.replicaId;
+    if (!isSameLeader || startState.term !== state.term) {
+      this.handlers.onLeaderChange();
+    }
+  }
+
+  /** Returns false when the disk failed; the effects after that must not be carried out. */
+  private async carryOut(effect: replica.ReplicaEffect): Promise<boolean> {
+    switch (effect.kind) {
+      case replica.EffectKind.Persist:
+        return this.persist(effect);
+      case replica.EffectKind.Send:
+        this.handlers.send(effect.message);
+        return true;
+      case replica.EffectKind.Restore:
+        this.restoreSnapshot(effect.snapshot);
+        return true;
+      case replica.EffectKind.Apply:
+        effect.entries.forEach((entry) => this.apply(entry));
+        this.takeSnapshotWhenDue();
+        return true;
+      case replica.EffectKind.Accept:
+        this.accept(effect);
+        return true;
+      case replica.EffectKind.Reject:
+        this.reject(effect.proposalId);
+        return true;
+      default:
+        logger.information(effect.notice, { term: effect.term, detail: effect.detail });
+        return true;
+    }
+  }
+
+  private async persist(effect: replica.Persist): Promise<boolean> {
+    const written = await this.disk.persist(effect);
+    if (written.err) {
+      logger.error('data folder failed; the replica no longer votes, the daemon goes on', {
+        reason: written.val.message,
+      });
+    }
+    return written.ok;
+  }
+
+  private accept(effect: replica.Accept): void {
+    const pending = this.submitted.get(effect.proposalId);
+    if (pending !== undefined) {
+      pending.term = effect.term;
+      this.accepted.set(effect.index, pending);
+      this.submitted.delete(effect.proposalId);
+    }
+  }
+
+  private reject(proposalId: string): void {
+    const pending = this.submitted.get(proposalId);
+    this.submitted.delete(proposalId);
+    pending?.resolve(results.Err(controlPlane.ProposalFailure.NoLeader));
+  }
+
+  private apply(entry: replica.Entry): void {
+    this.appliedIndex = entry.index;
+    this.bytesSinceSnapshot += entry.data?.length ?? 0;
+    const result = this.applyCommand(entry);
+    const pending = this.accepted.get(entry.index);
+    this.accepted.delete(entry.index);
+    const isOwn = pending?.term === entry.term && result !== undefined;
+    pending?.resolve(
+      isOwn ? results.Ok(result) : results.Err(controlPlane.ProposalFailure.Timeout),
+    );
+  }
+
+  private applyCommand(entry: replica.Entry): command.CommandResult | undefined {
+    if (entry.data === undefined) {
+      return undefined;
+    }
+    const decoded = wire.decode(entry.data) as command.Command;
+    const applied = stateMachine.apply(this.control, decoded, entry.timestamp);
+    this.control = applied.state;
+    if (applied.delta !== undefined) {
+      this.handlers.onDelta(applied.delta);
+      this.handlers.onSnapshot(this.control.revisions.snapshot);
+    }
+    return applied.result;
+  }
+
+  private restoreSnapshot(snapshot: replica.Snapshot): void {
+    this.control = stateMachine.decodeState(snapshot.data);
+    this.appliedIndex = snapshot.index;
+    this.bytesSinceSnapshot = 0;
+    this.handlers.onSnapshot(this.control.revisions.snapshot);
+  }
+
+  /** The log may grow to the size of the last snapshot, so that writing snapshots costs no more than it. */
+  private takeSnapshotWhenDue(): void {
+    const { snapshot } = this.state;
+    const entries = this.appliedIndex - (snapshot?.index ?? 0);
+    if (entries < SNAPSHOT_ENTRIES || this.bytesSinceSnapshot < (snapshot?.data.length ?? 0)) {
+      return;
+    }
+    this.bytesSinceSnapshot = 0;
+    this.enqueue({
+      kind: replica.EventKind.SnapshotTaken,
+      index: this.appliedIndex,
+      data: stateMachine.encodeState(this.control),
+      ...this.context(),
+    });
+  }
+
+  private failPending(): void {
+    const pending = [...this.accepted.values(), ...this.submitted.values(), ...this.proposals];
+    this.accepted.clear();
+    this.submitted.clear();
+    this.proposals.length = 0;
+    pending.forEach(({ resolve }) => resolve(results.Err(controlPlane.ProposalFailure.Timeout)));
+  }
+}
+
+const logger = new logging.Logger('replica');
+
+// A restart replays at most this many entries, or as many bytes as the snapshot has.
+const SNAPSHOT_ENTRIES = 500;
--- /dev/null
+++ b/src/control/state-machine.ts
@@ -0,0 +1,98 @@
+import * as immutable from 'immutable';
+import * as configuration from '../configuration';
+import * as wire from '../wire';
+import * as claims from './claims';
+import * as command from './command';
+import * as revisions from './revisions';
+
+/** What the replicated log adds up to. */
+export interface ControlState {
+  readonly revisions: revisions.RevisionState;
+  readonly claims: claims.ClaimState;
+}
+
+export const EMPTY_CONTROL_STATE: ControlState = {
+  revisions: revisions.EMPTY_REVISIONS,
+  claims: claims.EMPTY_CLAIMS,
+};
+
+/** The state after a command, and what its proposer is told. */
+export interface Applied {
+  readonly state: ControlState;
+  readonly result: command.CommandResult;
+  /** Set when the command made a new revision. */
+  readonly delta?: configuration.ConfigurationDelta;
+}
+
+/**
+ * Applies one committed command. The result depends on nothing but the arguments, so that every replica
+ * comes to the same state.
+ *
+ * @param timestamp the leader's time stamp of the entry, in milliseconds since the Unix epoch
+ * @example
+ * const { state, result } = apply(EMPTY_CONTROL_STATE, claimCommand, entry.timestamp);
+ */
+export function apply(state: ControlState, entry: command.Command, timestamp: number): Applied {
+  const pruned: ControlState = {
+    revisions: revisions.prune(state.revisions, timestamp),
+    claims: claims.prune(state.claims, timestamp),
+  };
+  switch (entry.kind) {
+    case command.CommandKind.Publish: {
+      const published = revisions.publish(pruned.revisions, entry, timestamp);
+      return { ...published, state: { ...pruned, revisions: published.state } };
+    }
+    case command.CommandKind.Claim:
+      return withClaims(pruned, claims.claim(pruned.claims, entry, timestamp));
+    case command.CommandKind.CompleteClaim:
+      return withClaims(pruned, claims.complete(pruned.claims, entry));
+    case command.CommandKind.AbandonClaim:
+      return withClaims(pruned, claims.abandon(pruned.claims, entry, timestamp));
+    default:
+      return { state: pruned, result: { kind: command.CommandResultKind.Done } };
+  }
+}
+
+/** Serialises the state for a snapshot of the log. */
+export function encodeState(state: ControlState): Uint8Array {
+  return wire.encode({
+    documents: [...state.revisions.snapshot.documents.values()],
+    revision: state.revisions.snapshot.revision,
+    publishes: [...state.revisions.publishes.entries()],
+    publishOrder: [...state.revisions.publishOrder],
+    winners: [...state.revisions.winners.entries()],
+    claims: [...state.claims.claims.entries()],
+    abandoned: [...state.claims.abandoned.entries()],
+  });
+}
+
+/** The inverse of `encodeState`. */
+export function decodeState(bytes: Uint8Array): ControlState {
+  const value = wire.decode(bytes) as EncodedState;
+  const documents = new Map(
+    value.documents.map((document) => [configuration.documentKey(document), document]),
+  );
+  return {
+    revisions: {
+      snapshot: { revision: value.revision, documents },
+      publishes: immutable.Map(value.publishes),
+      publishOrder: immutable.List(value.publishOrder),
+      winners: immutable.Map(value.winners),
+    },
+    claims: claims.restore(value.claims, value.abandoned),
+  };
+}
+
+interface EncodedState {
+  readonly documents: readonly configuration.ConfigurationDocument[];
+  readonly revision: number;
+  readonly publishes: readonly [string, command.CommandResult][];
+  readonly publishOrder: readonly revisions.PublishTime[];
+  readonly winners: readonly [number, revisions.Winner][];
+  readonly claims: readonly [string, claims.Claim][];
+  readonly abandoned: readonly [string, number][];
+}
+
+function withClaims(state: ControlState, outcome: claims.ClaimOutcome): Applied {
+  return { state: { ...state, claims: outcome.state }, result: outcome.result };
+}
--- /dev/null
+++ b/src/replica/discovery.ts
@@ -0,0 +1,114 @@
+import * as immutable from 'immutable';
+import * as effects from './effect';
+import * as entry from './entry';
+import * as message from './message';
+import * as roles from './role';
+import * as states from './state';
+import * as steps from './step';
+
+// A group is formed only from answers that are fresh, so that none of them predates a lost disk by long.
+const ANSWER_LIFETIME_MILLISECONDS = 2_000;
+
+/** A replica that is not a voter and hears no leader asks the initial replicas for a group. */
+export function onTick(step: steps.Step): steps.Step {
+  const { state, context } = step;
+  const { discoverMilliseconds, electionTimeoutMilliseconds } = state.parameters;
+  const isFollowing = context.now - state.leaderHeardAt < electionTimeoutMilliseconds;
+  if (state.role !== states.Role.Learner || isFollowing || context.now < state.nextDiscoverAt) {
+    return step;
+  }
+  const next = steps.withState(step, { nextDiscoverAt: context.now + discoverMilliseconds });
+  const asked = knownAddresses(state).reduce(ask, next);
+  return tryToForm(asked);
+}
+
+export function onDiscover(step: steps.Step, request: message.Discover): steps.Step {
+  const sameReplicas = isSame(request.replicas, step.state.replicas);
+  const reported = sameReplicas
+    ? step
+    : steps.report(step, effects.Notice.ReplicasDiffer, request.from.address);
+  return steps.send(reported, request.from, {
+    kind: message.MessageKind.DiscoverReply,
+    empty: states.isEmpty(step.state),
+    sameReplicas,
+  });
+}
+
+export function onDiscoverReply(step: steps.Step, reply: message.DiscoverReply): steps.Step {
+  const { state, context } = step;
+  const answer = {
+    member: reply.from,
+    empty: reply.empty,
+    sameReplicas: reply.sameReplicas,
+    heardAt: context.now,
+  };
+  const answers = state.answers.set(reply.from.address, answer);
+  return tryToForm(steps.withState(step, { answers }));
+}
+
+/**
+ * Forms the group when every initial replica has just said that it never heard of one and this replica has
+ * the lowest address. A single replica that does not answer may be a survivor, so it prevents this.
+ */
+function tryToForm(step: steps.Step): steps.Step {
+  const { state, context } = step;
+  const { self, replicas } = state;
+  if (
+    !states.isEmpty(state) ||
+    state.role !== states.Role.Learner ||
+    replicas[0] !== self.address
+  ) {
+    return step;
+  }
+  const others = replicas.filter((address) => address !== self.address);
+  const answers = others.map((address) => state.answers.get(address));
+  const isAgreed = answers.every(
+    (answer) =>
+      answer !== undefined &&
+      answer.empty &&
+      answer.sameReplicas &&
+      context.now - answer.heardAt < ANSWER_LIFETIME_MILLISECONDS,
+  );
+  return isAgreed ? form(step, [self, ...answers.map((answer) => answer!.member)]) : step;
+}
+
+function form(step: steps.Step, voters: readonly entry.Member[]): steps.Step {
+  const { context } = step;
+  const first = {
+    index: 1,
+    term: 1,
+    timestamp: context.wallClock,
+    kind: entry.EntryKind.Group,
+    group: { voters },
+  };
+  const formed = steps.withState(steps.replaceLog(step, 0, [first]), {
+    term: 1,
+    answers: immutable.Map(),
+    // Nobody else can be a candidate, so there is nothing to wait for.
+    electionDeadline: context.now,
+  });
+  const list = voters.map((voter) => voter.address).join(', ');
+  return steps.report(roles.refreshRole(formed), effects.Notice.GroupFormed, list);
+}
+
+function ask(step: steps.Step, address: string): steps.Step {
+  const joined = steps.sendToAddress(step, address, { kind: message.MessageKind.Join });
+  const { state } = joined;
+  return states.isEmpty(state) && state.replicas.includes(address)
+    ? steps.sendToAddress(joined, address, {
+        kind: message.MessageKind.Discover,
+        replicas: state.replicas,
+      })
+    : joined;
+}
+
+function knownAddresses(state: states.ReplicaState): string[] {
+  const members = states.voters(state).map((voter) => voter.address);
+  return [...new Set([...state.replicas, ...members])].filter(
+    (address) => address !== state.self.address,
+  );
+}
+
+function isSame(left: readonly string[], right: readonly string[]): boolean {
+  return left.length === right.length && left.every((value, index) => value === right[index]);
+}
--- /dev/null
+++ b/src/replica/effect.ts
@@ -0,0 +1,75 @@
+import type * as entry from './entry';
+import type * as message from './message';
+
+export enum EffectKind {
+  Persist = 'persist',
+  Send = 'send',
+  Restore = 'restore',
+  Apply = 'apply',
+  Accept = 'accept',
+  Reject = 'reject',
+  Report = 'report',
+}
+
+/** Everything in one effect must be synced before any later effect is carried out. */
+export interface Persist {
+  readonly kind: EffectKind.Persist;
+  readonly hardState?: entry.HardState;
+  /** Entries above this index are dropped before `entries` are appended. */
+  readonly truncateAfter?: number;
+  readonly entries: readonly entry.Entry[];
+  readonly snapshot?: entry.Snapshot;
+  /** Entries up to this index need not be kept any longer. */
+  readonly compactTo?: number;
+}
+
+export interface Send {
+  readonly kind: EffectKind.Send;
+  readonly message: message.Message;
+}
+
+/** Replaces the state machine's state. */
+export interface Restore {
+  readonly kind: EffectKind.Restore;
+  readonly snapshot: entry.Snapshot;
+}
+
+/** Entries that are committed; given in order, each once. */
+export interface Apply {
+  readonly kind: EffectKind.Apply;
+  readonly entries: readonly entry.Entry[];
+}
+
+/** A proposal got a place in the log; it is committed if the entry there is applied with this term. */
+export interface Accept {
+  readonly kind: EffectKind.Accept;
+  readonly proposalId: string;
+  readonly index: number;
+  readonly term: number;
+}
+
+/** A proposal was not taken because this replica is not the leader. */
+export interface Reject {
+  readonly kind: EffectKind.Reject;
+  readonly proposalId: string;
+}
+
+export enum Notice {
+  BecameLeader = 'became leader',
+  SteppedDown = 'stepped down',
+  QuorumLost = 'stepped down: no majority heard within an election timeout',
+  GroupFormed = 'formed the replica group',
+  GroupChanged = 'voters change',
+  ReplicasDiffer = 'another daemon has other initial replica addresses; no group is formed',
+  CommittedConflict = 'leader contradicts a committed entry; replica stopped',
+}
+
+/** Something for the log. */
+export interface Report {
+  readonly kind: EffectKind.Report;
+  readonly notice: Notice;
+  readonly term: number;
+  readonly detail?: string;
+}
+
+export type ReplicaEffect = Persist | Send | Restore | Apply | Accept | Reject | Report;
--- /dev/null
+++ b/src/replica/event.ts
@@ -0,0 +1,58 @@
+import type * as message from './message';
+
+export enum EventKind {
+  Tick = 'tick',
+  Receive = 'receive',
+  Propose = 'propose',
+  SnapshotTaken = 'snapshot-taken',
+  Resign = 'resign',
+  StorageFailed = 'storage-failed',
+}
+
+/** Time and chance of one event. */
+export interface EventContext {
+  /** Monotonic milliseconds, for timeouts. */
+  readonly now: number;
+  /** Milliseconds since the Unix epoch, for the time stamps of entries. */
+  readonly wallClock: number;
+  /** Uniform from 0 (included) to 1 (excluded), for election timeouts. */
+  readonly random: number;
+}
+
+export interface Tick extends EventContext {
+  readonly kind: EventKind.Tick;
+}
+
+export interface Receive extends EventContext {
+  readonly kind: EventKind.Receive;
+  readonly message: message.Message;
+}
+
+export interface Proposal {
+  readonly proposalId: string;
+  readonly data: Uint8Array;
+}
+
+export interface Propose extends EventContext {
+  readonly kind: EventKind.Propose;
+  readonly proposals: readonly Proposal[];
+}
+
+/** The adapter has serialised the state machine after it applied the entry at `index`. */
+export interface SnapshotTaken extends EventContext {
+  readonly kind: EventKind.SnapshotTaken;
+  readonly index: number;
+  readonly data: Uint8Array;
+}
+
+/** The daemon is about to stop. */
+export interface Resign extends EventContext {
+  readonly kind: EventKind.Resign;
+}
+
+/** Something could not be made durable; the replica takes no further part. */
+export interface StorageFailed extends EventContext {
+  readonly kind: EventKind.StorageFailed;
+}
+
+export type ReplicaEvent = Tick | Receive | Propose | SnapshotTaken | Resign | StorageFailed;
--- /dev/null
+++ b/src/replica/message.ts
@@ -0,0 +1,135 @@
+import type * as entry from './entry';
+
+export enum MessageKind {
+  PreVote = 'pre-vote',
+  PreVoteReply = 'pre-vote-reply',
+  Vote = 'vote',
+  VoteReply = 'vote-reply',
+  Append = 'append',
+  AppendReply = 'append-reply',
+  Snapshot = 'snapshot',
+  SnapshotReply = 'snapshot-reply',
+  Discover = 'discover',
+  DiscoverReply = 'discover-reply',
+  Join = 'join',
+  ElectNow = 'elect-now',
+}
+
+/** What every message carries. */
+export interface Envelope {
+  readonly from: entry.Member;
+  readonly toAddress: string;
+  /**
+   * The replica the message is meant for. A replica with another id at the same address ignores it: it
+   * does not have the log that the sender knows of. Absent when the id is not known yet.
+   */
+  readonly toId?: string;
+  readonly term: number;
+}
+
+/** Asks whether an election in `term` could be won; changes no durable state. */
+export interface PreVote extends Envelope {
+  readonly kind: MessageKind.PreVote;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+export interface PreVoteReply extends Envelope {
+  readonly kind: MessageKind.PreVoteReply;
+  /** The term that was asked for. */
+  readonly proposedTerm: number;
+  readonly granted: boolean;
+}
+
+export interface Vote extends Envelope {
+  readonly kind: MessageKind.Vote;
+  readonly lastIndex: number;
+  readonly lastTerm: number;
+}
+
+export interface VoteReply extends Envelope {
+  readonly kind: MessageKind.VoteReply;
+  readonly granted: boolean;
+}
+
+/** Entries after `previousIndex`; without entries, a heartbeat. */
+export interface Append extends Envelope {
+  readonly kind: MessageKind.Append;
+  readonly previousIndex: number;
+  readonly previousTerm: number;
+  readonly entries: readonly entry.Entry[];
+  readonly commitIndex: number;
+}
+
+export interface AppendReply extends Envelope {
+  readonly kind: MessageKind.AppendReply;
+  readonly success: boolean;
+  /** On success the last index known to be equal; otherwise where the leader should try next. */
+  readonly matchIndex: number;
+  readonly heartbeat: boolean;
+}
+
+/** One piece of a snapshot; the whole may be longer than a frame. */
+export interface SnapshotChunk extends Envelope {
+  readonly kind: MessageKind.Snapshot;
+  readonly index: number;
+  readonly snapshotTerm: number;
+  readonly timestamp: number;
+  readonly group: entry.Group;
+  readonly offset: number;
+  readonly totalBytes: number;
+  readonly data: Uint8Array;
+}
+
+export interface SnapshotReply extends Envelope {
+  readonly kind: MessageKind.SnapshotReply;
+  readonly index: number;
+  readonly receivedBytes: number;
+  /** The snapshot is on disk, or its entries were committed here already. */
+  readonly installed: boolean;
+}
+
+/** A replica without a group asks what the others know. */
+export interface Discover extends Envelope {
+  readonly kind: MessageKind.Discover;
+  /** Sorted addresses of the initial replicas; both sides must have the same. */
+  readonly replicas: readonly string[];
+}
+
+export interface DiscoverReply extends Envelope {
+  readonly kind: MessageKind.DiscoverReply;
+  /** The replica has never heard of a group. */
+  readonly empty: boolean;
+  readonly sameReplicas: boolean;
+}
+
+/** A replica that is not a voter asks the leader for the log. */
+export interface Join extends Envelope {
+  readonly kind: MessageKind.Join;
+}
+
+/** A leader that is about to stop asks its best follower to take over. */
+export interface ElectNow extends Envelope {
+  readonly kind: MessageKind.ElectNow;
+}
+
+export type Message =
+  | PreVote
+  | PreVoteReply
+  | Vote
+  | VoteReply
+  | Append
+  | AppendReply
+  | SnapshotChunk
+  | SnapshotReply
+  | Discover
+  | DiscoverReply
+  | Join
+  | ElectNow;
+
+/** A message without the fields that the sender fills in. */
+export type Body = Message extends infer Single
+  ? Single extends Message
+    ? Omit<Single, keyof Envelope>
+    : never
+  : never;
--- /dev/null
+++ b/src/replica/replication.ts
@@ -0,0 +1,196 @@
+import * as immutable from 'immutable';
+import * as effects from './effect';
+import * as entry from './entry';
+import type * as events from './event';
+import * as logs from './log';
+import * as message from './message';
+import * as progresses from './progress';
+import * as roles from './role';
+import * as sending from './sending';
+import * as states from './state';
+import * as steps from './step';
+
+/** Takes over the group: every voter is probed from the end of the own log. */
+export function becomeLeader(step: steps.Step): steps.Step {
+  const { state, context } = step;
+  const progress = immutable.Map(
+    states
+      .voters(state)
+      .map((member) => [member.replicaId, progresses.newProgress(state, member, context)]),
+  );
+  const leading = steps.withState(step, {
+    role: states.Role.Leader,
+    leader: state.self,
+    grants: immutable.Set(),
+    progress,
+    nextHeartbeatAt: context.now + state.parameters.heartbeatMilliseconds,
+  });
+  const reported = steps.report(leading, effects.Notice.BecameLeader);
+  return appendOwn(reported, [{ kind: entry.EntryKind.NoOperation }]);
+}
+
+/** Gives proposals a place in the log, or rejects them when this replica is not the leader. */
+export function onPropose(step: steps.Step, request: events.Propose): steps.Step {
+  const { state } = step;
+  if (state.role !== states.Role.Leader) {
+    return request.proposals.reduce(
+      (rejected, { proposalId }) =>
+        steps.emit(rejected, { kind: effects.EffectKind.Reject, proposalId }),
+      step,
+    );
+  }
+  const first = logs.lastIndex(state.log) + 1;
+  const accepted = request.proposals.reduce(
+    (next, { proposalId }, position) =>
+      steps.emit(next, {
+        kind: effects.EffectKind.Accept,
+        proposalId,
+        index: first + position,
+        term: state.term,
+      }),
+    step,
+  );
+  const contents = request.proposals.map(({ data }) => ({ kind: entry.EntryKind.Command, data }));
+  return appendOwn(accepted, contents);
+}
+
+/** Appends entries of the leader's own term, sends them and commits what can be committed. */
+export function appendOwn(
+  step: steps.Step,
+  contents: readonly Pick<entry.Entry, 'kind' | 'data' | 'group'>[],
+): steps.Step {
+  const { state, context } = step;
+  const last = logs.lastIndex(state.log);
+  const timestamp = Math.max(context.wallClock, logs.lastTimestamp(state.log));
+  const entries = contents.map((content, position) => ({
+    ...content,
+    index: last + 1 + position,
+    term: state.term,
+    timestamp,
+  }));
+  return advanceCommit(sending.sendToAll(steps.replaceLog(step, last, entries)));
+}
+
+/** Heartbeats, and steps down when no majority was heard for an election timeout. */
+export function onTick(step: steps.Step): steps.Step {
+  const { state, context } = step;
+  if (state.role !== states.Role.Leader) {
+    return step;
+  }
+  const { electionTimeoutMilliseconds, heartbeatMilliseconds } = state.parameters;
+  const isHeard = (replicaId: string) =>
+    replicaId === state.self.replicaId ||
+    progresses.isRecent(step, replicaId, electionTimeoutMilliseconds);
+  if (!states.isMajority(state, isHeard)) {
+    return steps.report(roles.stepDown(step), effects.Notice.QuorumLost);
+  }
+  if (context.now < state.nextHeartbeatAt) {
+    return step;
+  }
+  const next = steps.withState(step, { nextHeartbeatAt: context.now + heartbeatMilliseconds });
+  return state.progress.reduce(
+    (sent, target) =>
+      sending.sendNext(sending.sendHeartbeat(sent, target), target.member.replicaId),
+    next,
+  );
+}
+
+/** Follows the leader of the current term. Conflicting entries that are not committed are replaced. */
+export function onAppend(step: steps.Step, request: message.Append): steps.Step {
+  if (request.term < step.state.term) {
+    return reply(step, request, false, 0);
+  }
+  const followed = roles.follow(step, request.from);
+  const { state } = followed;
+  const last = logs.lastIndex(state.log);
+  const previousTerm = logs.termAt(state.log, request.previousIndex);
+  // Entries at or below the base are covered by a snapshot and so committed: they cannot differ.
+  const isCovered = request.previousIndex < state.log.baseIndex;
+  if (!isCovered && previousTerm !== request.previousTerm) {
+    const hint =
+      request.previousIndex > last
+        ? last
+        : logs.firstIndexOfTerm(state.log, request.previousIndex) - 1;
+    return reply(followed, request, false, Math.max(hint, state.commitIndex));
+  }
+  const match = request.previousIndex + request.entries.length;
+  const appended = appendMissing(followed, request.entries);
+  if (appended.state.role === states.Role.Stopped) {
+    return appended;
+  }
+  const commitIndex = Math.max(state.commitIndex, Math.min(request.commitIndex, match));
+  return reply(steps.withState(appended, { commitIndex }), request, true, match);
+}
+
+export function onAppendReply(step: steps.Step, answer: message.AppendReply): steps.Step {
+  const { state, context } = step;
+  const known = state.progress.get(answer.from.replicaId);
+  if (state.role !== states.Role.Leader || answer.term !== state.term || known === undefined) {
+    return step;
+  }
+  const matchIndex = answer.success
+    ? Math.max(known.matchIndex, answer.matchIndex)
+    : known.matchIndex;
+  const retryIndex = Math.max(answer.matchIndex, known.matchIndex) + 1;
+  const nextIndex = answer.success ? Math.max(known.nextIndex, matchIndex + 1) : retryIndex;
+  const progress: states.Progress = {
+    ...known,
+    matchIndex,
+    nextIndex: Math.min(nextIndex, logs.lastIndex(state.log) + 1),
+    heardAt: context.now,
+    sentAt: answer.heartbeat && answer.success ? known.sentAt : undefined,
+  };
+  const updated = progresses.withProgress(step, progress);
+  return sending.sendNext(advanceCommit(updated), known.member.replicaId);
+}
+
+/**
+ * Commits the highest index of the current term that a majority has on disk (Ongaro and Ousterhout, "In
+ * Search of an Understandable Consensus Algorithm", section 5.4.2: entries of earlier terms are committed
+ * only through a later entry of the own term).
+ */
+function advanceCommit(step: steps.Step): steps.Step {
+  const { state } = step;
+  const own = logs.lastIndex(state.log);
+  const matches = states
+    .voters(state)
+    .map(({ replicaId }) =>
+      replicaId === state.self.replicaId ? own : (state.progress.get(replicaId)?.matchIndex ?? 0),
+    )
+    .sort((left, right) => right - left);
+  const index = matches[Math.floor(matches.length / 2)] ?? 0;
+  const isCommitted = index > state.commitIndex && logs.termAt(state.log, index) === state.term;
+  return isCommitted ? steps.withState(step, { commitIndex: index }) : step;
+}
+
+function appendMissing(step: steps.Step, entries: readonly entry.Entry[]): steps.Step {
+  const { state } = step;
+  const position = entries.findIndex(
+    (candidate) =>
+      candidate.index > state.log.baseIndex &&
+      logs.termAt(state.log, candidate.index) !== candidate.term,
+  );
+  if (position < 0) {
+    return step;
+  }
+  const previousIndex = entries[position].index - 1;
+  if (previousIndex < state.commitIndex) {
+    const stopped = steps.withState(step, { role: states.Role.Stopped });
+    return steps.report(stopped, effects.Notice.CommittedConflict);
+  }
+  return roles.refreshRole(steps.replaceLog(step, previousIndex, entries.slice(position)));
+}
+
+function reply(
+  step: steps.Step,
+  request: message.Append,
+  success: boolean,
+  matchIndex: number,
+): steps.Step {
+  return steps.send(step, request.from, {
+    kind: message.MessageKind.AppendReply,
+    success,
+    matchIndex,
+    heartbeat: request.entries.length === 0,
+  });
+}
--- /dev/null
+++ b/src/replica/snapshotting.ts
@@ -0,0 +1,121 @@
+import * as immutable from 'immutable';
+import type * as events from './event';
+import * as logs from './log';
+import * as message from './message';
+import * as progresses from './progress';
+import * as roles from './role';
+import * as sending from './sending';
+import * as states from './state';
+import * as steps from './step';
+
+/** Stores the adapter's snapshot and drops old entries except a few that slow followers may need. */
+export function onSnapshotTaken(step: steps.Step, taken: events.SnapshotTaken): steps.Step {
+  const { state } = step;
+  const base = logs.at(state.log, taken.index);
+  const inForce = state.groups.filter((known) => known.index <= taken.index).last();
+  const isUsable =
+    base !== undefined &&
+    taken.index <= state.commitIndex &&
+    taken.index > (state.snapshot?.index ?? 0);
+  if (!isUsable || inForce === undefined) {
+    return step;
+  }
+  const { index, term, timestamp } = base;
+  const snapshot = { index, term, timestamp, group: inForce.group, data: taken.data };
+  const compactTo = Math.max(state.log.baseIndex, index - state.parameters.trailingEntries);
+  return steps.withState(step, { snapshot, log: logs.compact(state.log, compactTo) });
+}
+
+/** Collects chunks; the last one replaces the log and the state machine's state. */
+export function onChunk(step: steps.Step, chunk: message.SnapshotChunk): steps.Step {
+  if (chunk.term < step.state.term) {
+    return step;
+  }
+  const followed = roles.follow(step, chunk.from);
+  const { state } = followed;
+  if (chunk.index <= state.commitIndex) {
+    return answer(followed, chunk, chunk.totalBytes, true);
+  }
+  const collected = collect(state.incoming, chunk);
+  const received = collected.receivedBytes;
+  if (received < chunk.totalBytes) {
+    return answer(steps.withState(followed, { incoming: collected }), chunk, received, false);
+  }
+  return answer(install(followed, chunk, collected), chunk, received, true);
+}
+
+export function onChunkReply(step: steps.Step, reply: message.SnapshotReply): steps.Step {
+  const { state, context } = step;
+  const known = state.progress.get(reply.from.replicaId);
+  if (state.role !== states.Role.Leader || reply.term !== state.term || known === undefined) {
+    return step;
+  }
+  const heard = { ...known, heardAt: context.now, sentAt: undefined };
+  const matchIndex = reply.installed ? Math.max(known.matchIndex, reply.index) : known.matchIndex;
+  const next = {
+    ...heard,
+    matchIndex,
+    nextIndex: Math.max(known.nextIndex, matchIndex + 1),
+    snapshotOffset: reply.index === known.snapshotIndex ? reply.receivedBytes : 0,
+  };
+  return sending.sendNext(progresses.withProgress(step, next), known.member.replicaId);
+}
+
+function collect(
+  incoming: states.IncomingSnapshot | undefined,
+  chunk: message.SnapshotChunk,
+): states.IncomingSnapshot {
+  const { index, snapshotTerm: term } = chunk;
+  const isContinued = incoming?.index === index && incoming.term === term;
+  const base = isContinued
+    ? incoming
+    : { index, term, chunks: immutable.List<Uint8Array>(), receivedBytes: 0 };
+  if (chunk.offset !== base.receivedBytes) {
+    return base;
+  }
+  return {
+    ...base,
+    chunks: base.chunks.push(chunk.data),
+    receivedBytes: base.receivedBytes + chunk.data.length,
+  };
+}
+
+function install(
+  step: steps.Step,
+  chunk: message.SnapshotChunk,
+  collected: states.IncomingSnapshot,
+): steps.Step {
+  const { state } = step;
+  const { index, snapshotTerm: term, timestamp, group } = chunk;
+  const data = Buffer.concat([...collected.chunks]);
+  const snapshot = { index, term, timestamp, group, data };
+  // Entries after the snapshot are kept when the log agrees with it.
+  const isAgreed = logs.termAt(state.log, index) === term;
+  const log = isAgreed
+    ? logs.compact(state.log, index)
+    : { baseIndex: index, baseTerm: term, baseTimestamp: timestamp, entries: immutable.List() };
+  const later = logs.slice(log as logs.Log, index + 1, logs.lastIndex(log as logs.Log));
+  const groups = states.groupsAfter(immutable.List([{ index, group }]), index, later);
+  const installed = steps.withState(step, {
+    snapshot,
+    log: log as logs.Log,
+    groups,
+    commitIndex: index,
+    incoming: undefined,
+  });
+  return roles.refreshRole({ ...installed, isRestored: true });
+}
+
+function answer(
+  step: steps.Step,
+  chunk: message.SnapshotChunk,
+  receivedBytes: number,
+  installed: boolean,
+): steps.Step {
+  return steps.send(step, chunk.from, {
+    kind: message.MessageKind.SnapshotReply,
+    index: chunk.index,
+    receivedBytes,
+    installed,
+  });
+}
--- /dev/null
+++ b/src/replica/state.ts
@@ -0,0 +1,228 @@
+import * as immutable from 'immutable';
+import type * as entry from './entry';
+import * as logs from './log';
+
+export enum Role {
+  /** Not a voter: receives the log or looks for a group. */
+  Learner = 'learner',
+  Follower = 'follower',
+  /** Asks whether an election could be won. */
+  PreCandidate = 'pre-candidate',
+  Candidate = 'candidate',
+  Leader = 'leader',
+  /** The storage failed; the replica neither votes nor acknowledges. */
+  Stopped = 'stopped',
+}
+
+/** Times and sizes of a replica. */
+export interface Parameters {
+  /** Election timeouts are chosen between this and twice this. */
+  readonly electionTimeoutMilliseconds: number;
+  readonly heartbeatMilliseconds: number;
+  /** How often a replica without a leader asks for a group. */
+  readonly discoverMilliseconds: number;
+  readonly maximumAppendEntries: number;
+  readonly maximumAppendBytes: number;
+  readonly snapshotChunkBytes: number;
+  /** Entries kept before a snapshot, so that a replica that lags a little needs no snapshot. */
+  readonly trailingEntries: number;
+}
+
+/**
+ * With one-way delays up to 8 ms between regions and a few milliseconds for a sync, 500 ms is far above
+ * an undisturbed round, and a new leader is found about 1 s after the old one stopped.
+ */
+export const DEFAULT_PARAMETERS: Parameters = {
+  electionTimeoutMilliseconds: 500,
+  heartbeatMilliseconds: 100,
+  discoverMilliseconds: 250,
+  maximumAppendEntries: 256,
+  maximumAppendBytes: 1_024 * 1_024,
+  snapshotChunkBytes: 1_024 * 1_024,
+  trailingEntries: 200,
+};
+
+/** What a leader knows about one replica. */
+export interface Progress {
+  readonly member: entry.Member;
+  readonly nextIndex: number;
+  readonly matchIndex: number;
+  readonly heardAt: number;
+  /** When entries or a snapshot chunk were sent that are not answered yet. */
+  readonly sentAt?: number;
+  readonly snapshotIndex?: number;
+  readonly snapshotOffset: number;
+}
+
+/** A snapshot that arrives in chunks. */
+export interface IncomingSnapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly chunks: immutable.List<Uint8Array>;
+  readonly receivedBytes: number;
+}
+
+/** What a replica without a group was told by an initial replica address. */
+export interface DiscoverAnswer {
+  readonly member: entry.Member;
+  readonly empty: boolean;
+  readonly sameReplicas: boolean;
+  readonly heardAt: number;
+}
+
+/** The group in force from `index` on. */
+export interface GroupAt {
+  readonly index: number;
+  readonly group: entry.Group;
+}
+
+/** The state of one replica. */
+export interface ReplicaState {
+  readonly self: entry.Member;
+  readonly parameters: Parameters;
+  /** Sorted addresses of the initial replicas. */
+  readonly replicas: readonly string[];
+  readonly role: Role;
+  readonly term: number;
+  readonly votedFor?: string;
+  readonly leader?: entry.Member;
+  readonly log: logs.Log;
+  readonly snapshot?: entry.Snapshot;
+  /** Groups in the log and in the snapshot, the one in force last. */
+  readonly groups: immutable.List<GroupAt>;
+  readonly commitIndex: number;
+  readonly leaderHeardAt: number;
+  readonly electionDeadline: number;
+  readonly nextHeartbeatAt: number;
+  readonly nextDiscoverAt: number;
+  /** Ids of the voters that granted the current pre-vote or vote. */
+  readonly grants: immutable.Set<string>;
+  /** Only filled at the leader; learners included. */
+  readonly progress: immutable.Map<string, Progress>;
+  readonly answers: immutable.Map<string, DiscoverAnswer>;
+  readonly incoming?: IncomingSnapshot;
+}
+
+/** What a replica finds on its disk. */
+export interface DurableState {
+  readonly hardState: entry.HardState;
+  readonly snapshot?: entry.Snapshot;
+  readonly entries: readonly entry.Entry[];
+}
+
+export const EMPTY_DURABLE_STATE: DurableState = { hardState: { term: 0 }, entries: [] };
+
+/** Input of `restore`. */
+export interface RestoreOptions {
+  readonly self: entry.Member;
+  readonly replicas: readonly string[];
+  readonly durable: DurableState;
+  readonly now: number;
+  readonly random: number;
+  readonly parameters?: Partial<Parameters>;
+}
+
+/**
+ * The state of a replica after a start.
+ *
+ * @example
+ * const state = restore({ self, replicas, durable: EMPTY_DURABLE_STATE, now: 0, random: 0.5 });
+ */
+export function restore(options: RestoreOptions): ReplicaState {
+  const { self, durable, now } = options;
+  const { snapshot, hardState } = durable;
+  const parameters = { ...DEFAULT_PARAMETERS, ...options.parameters };
+  const log = restoreLog(durable);
+  const groups = restoreGroups(snapshot, log);
+  const isMember = groups.last()?.group.voters.some((voter) => voter.replicaId === self.replicaId);
+  return {
+    self,
+    parameters,
+    replicas: [...options.replicas].sort(),
+    role: isMember === true ? Role.Follower : Role.Learner,
+    term: hardState.term,
+    votedFor: hardState.votedFor,
+    log,
+    snapshot,
+    groups,
+    commitIndex: snapshot?.index ?? 0,
+    leaderHeardAt: Number.NEGATIVE_INFINITY,
+    electionDeadline: now + parameters.electionTimeoutMilliseconds * (1 + options.random),
+    nextHeartbeatAt: now,
+    nextDiscoverAt: now,
+    grants: immutable.Set(),
+    progress: immutable.Map(),
+    answers: immutable.Map(),
+  };
+}
+
+/** The voters in force: those of the latest group entry, committed or not. */
+export function voters(state: ReplicaState): readonly entry.Member[] {
+  return state.groups.last()?.group.voters ?? [];
+}
+
+export function isVoter(state: ReplicaState, replicaId: string): boolean {
+  return voters(state).some((voter) => voter.replicaId === replicaId);
+}
+
+/** Whether the replicas for which `holds` is true are a majority of the voters. */
+export function isMajority(state: ReplicaState, holds: (replicaId: string) => boolean): boolean {
+  const members = voters(state);
+  const count = members.filter((voter) => holds(voter.replicaId)).length;
+  return count * 2 > members.length;
+}
+
+/** Whether the replica has never heard of a group. A term above 0 shows that one has been formed. */
+export function isEmpty(state: ReplicaState): boolean {
+  return state.term === 0 && logs.lastIndex(state.log) === 0;
+}
+
+/** The group history after entries up to `index` remain and `added` follow. */
+export function groupsAfter(
+  groups: immutable.List<GroupAt>,
+  index: number,
+  added: readonly entry.Entry[],
+): immutable.List<GroupAt> {
+  const kept = groups.filter((known) => known.index <= index);
+  const fresh = added.flatMap((next) =>
+    next.group === undefined ? [] : [{ index: next.index, group: next.group }],
+  );
+  return kept.concat(fresh);
+}
+
+function restoreLog(durable: DurableState): logs.Log {
+  const { snapshot, entries } = durable;
+  if (snapshot === undefined) {
+    return logs.append(logs.EMPTY_LOG, entries);
+  }
+  const base: logs.Log = {
+    baseIndex: snapshot.index,
+    baseTerm: snapshot.term,
+    baseTimestamp: snapshot.timestamp,
+    entries: immutable.List(),
+  };
+  // After a crash between writing a snapshot and shortening the log, the log may contradict the snapshot.
+  const isContinued = entries.some(
+    (known) =>
+      (known.index === snapshot.index && known.term === snapshot.term) ||
+      (known.index === snapshot.index + 1 && entries[0] === known),
+  );
+  return isContinued
+    ? logs.append(
+        base,
+        entries.filter((known) => known.index > snapshot.index),
+      )
+    : base;
+}
+
+function restoreGroups(
+  snapshot: entry.Snapshot | undefined,
+  log: logs.Log,
+): immutable.List<GroupAt> {
+  const start =
+    snapshot === undefined
+      ? immutable.List<GroupAt>()
+      : immutable.List([{ index: snapshot.index, group: snapshot.group }]);
+  const after = log.entries.filter((next) => next.index > (snapshot?.index ?? 0));
+  return groupsAfter(start, snapshot?.index ?? 0, after.toArray());
+}
--- /dev/null
+++ b/src/replica/step.ts
@@ -0,0 +1,112 @@
+import * as transaction from '../transaction';
+import * as effects from './effect';
+import type * as entry from './entry';
+import type * as events from './event';
+import * as logs from './log';
+import type * as message from './message';
+import * as states from './state';
+
+/** One event in progress: the state so far and what has to be sent. */
+export interface Step {
+  readonly context: events.EventContext;
+  readonly state: states.ReplicaState;
+  /** Sends, answers to proposals and reports, in order. */
+  readonly output: readonly effects.ReplicaEffect[];
+  /** Lowest index at which the log was replaced or extended. */
+  readonly changedFrom?: number;
+  /** The state machine has to start again from `state.snapshot`. */
+  readonly isRestored?: boolean;
+}
+
+export function start(state: states.ReplicaState, context: events.EventContext): Step {
+  return { context, state, output: [] };
+}
+
+/** Replaces fields of the state. */
+export function withState(step: Step, changes: Partial<states.ReplicaState>): Step {
+  return { ...step, state: { ...step.state, ...changes } };
+}
+
+/** Sends a message to a known replica. */
+export function send(step: Step, to: entry.Member, body: message.Body): Step {
+  return sendEnvelope(step, body, to.address, to.replicaId);
+}
+
+/** Sends a message to whichever replica is at an address. */
+export function sendToAddress(step: Step, toAddress: string, body: message.Body): Step {
+  return sendEnvelope(step, body, toAddress);
+}
+
+/** Writes something to the daemon's log. */
+export function report(step: Step, notice: effects.Notice, detail?: string): Step {
+  const { term } = step.state;
+  return emit(step, { kind: effects.EffectKind.Report, notice, term, detail });
+}
+
+export function emit(step: Step, effect: effects.ReplicaEffect): Step {
+  return { ...step, output: [...step.output, effect] };
+}
+
+/** Drops entries after `previousIndex` and appends others in their place. */
+export function replaceLog(step: Step, previousIndex: number, added: readonly entry.Entry[]): Step {
+  const { state } = step;
+  const log = logs.append(logs.truncateAfter(state.log, previousIndex), added);
+  const groups = states.groupsAfter(state.groups, previousIndex, added);
+  const first = previousIndex + 1;
+  return {
+    ...withState(step, { log, groups }),
+    changedFrom: Math.min(step.changedFrom ?? first, first),
+  };
+}
+
+/**
+ * Ends an event. What has changed in the durable part of the state becomes one `Persist` effect that comes
+ * before every message, so that nothing is acknowledged before it is on disk.
+ */
+export function finish(
+  startState: states.ReplicaState,
+  step: Step,
+): transaction.Transaction<states.ReplicaState, effects.ReplicaEffect> {
+  const { state } = step;
+  const list: effects.ReplicaEffect[] = [];
+  const persist = persistence(startState, step);
+  if (persist !== undefined) {
+    list.push(persist);
+  }
+  if (step.isRestored === true && state.snapshot !== undefined) {
+    list.push({ kind: effects.EffectKind.Restore, snapshot: state.snapshot });
+  }
+  list.push(...step.output);
+  const applied = step.isRestored === true ? state.snapshot!.index : startState.commitIndex;
+  if (state.commitIndex > applied) {
+    const entries = logs.slice(state.log, applied + 1, state.commitIndex);
+    list.push({ kind: effects.EffectKind.Apply, entries });
+  }
+  return transaction.create(startState, state, list);
+}
+
+function persistence(startState: states.ReplicaState, step: Step): effects.Persist | undefined {
+  const { state, changedFrom } = step;
+  const isHardStateNew = state.term !== startState.term || state.votedFor !== startState.votedFor;
+  const isSnapshotNew = state.snapshot !== startState.snapshot;
+  if (!isHardStateNew && !isSnapshotNew && changedFrom === undefined) {
+    return undefined;
+  }
+  const { term, votedFor } = state;
+  const isTruncating = changedFrom !== undefined && changedFrom <= logs.lastIndex(startState.log);
+  const last = logs.lastIndex(state.log);
+  return {
+    kind: effects.EffectKind.Persist,
+    hardState: isHardStateNew ? { term, votedFor } : undefined,
+    truncateAfter: isTruncating ? changedFrom - 1 : undefined,
+    entries: changedFrom === undefined ? [] : logs.slice(state.log, changedFrom, last),
+    snapshot: isSnapshotNew ? state.snapshot : undefined,
+    compactTo: isSnapshotNew ? state.log.baseIndex : undefined,
+  };
+}
+
+function sendEnvelope(step: Step, body: message.Body, toAddress: string, toId?: string): Step {
+  const { self, term } = step.state;
+  const full = { ...body, from: self, toAddress, toId, term } as message.Message;
+  return emit(step, { kind: effects.EffectKind.Send, message: full });
+}
--- /dev/null
+++ b/src/storage/storage.ts
@@ -0,0 +1,240 @@
+import * as crypto from 'node:crypto';
+import * as path from 'node:path';
+import * as results from 'ts-results';
+import type * as replica from '../replica';
+import type * as fileSystem from './file-system';
+import * as record from './record';
+import type * as writableFile from './writable-file';
+
+/** Why the data folder cannot be used. */
+export interface StorageFailure {
+  readonly message: string;
+}
+
+/** What a data folder holds. */
+export interface StoredReplica {
+  /** Random identity, created with the folder. */
+  readonly replicaId: string;
+  readonly durable: replica.DurableState;
+  /** Bytes of an unacknowledged write that a crash cut off. */
+  readonly tornBytes: number;
+}
+
+enum RecordKind {
+  Identity = 'identity',
+  Write = 'write',
+  Snapshot = 'snapshot',
+}
+
+interface IdentityRecord {
+  readonly kind: RecordKind.Identity;
+  readonly replicaId: string;
+}
+
+interface WriteRecord {
+  readonly kind: RecordKind.Write;
+  readonly hardState?: replica.HardState;
+  readonly truncateAfter?: number;
+  readonly entries: readonly replica.Entry[];
+}
+
+interface SnapshotRecord {
+  readonly kind: RecordKind.Snapshot;
+  readonly replicaId: string;
+  readonly snapshot: replica.Snapshot;
+}
+
+interface LogFile {
+  readonly replicaId: string;
+  readonly hardState: replica.HardState;
+  readonly entries: readonly replica.Entry[];
+  readonly tornBytes: number;
+}
+
+/**
+ * The durable state of one replica in one folder: `log` starts with the identity and holds term, vote and
+ * entries; `snapshot` holds the last snapshot. Identity, term and vote share a file with the entries, so
+ * that a lost disk always loses them together.
+ */
+export class Storage {
+  private hardState: replica.HardState = { term: 0 };
+
+  private entries: replica.Entry[] = [];
+
+  private snapshot: replica.Snapshot | undefined;
+
+  private replicaId = '';
+
+  private file: writableFile.WritableFile | undefined;
+
+  /** After a failed write or sync nobody knows what is on disk, so no later write may succeed. */
+  private failure: StorageFailure | undefined;
+
+  constructor(
+    private readonly files: fileSystem.FileSystem,
+    private readonly folder: string,
+  ) {}
+
+  /**
+   * Reads the folder, creating it with a new identity when it is empty. The log is rewritten, which drops
+   * a torn tail; it also makes sure that what was read is on disk and not only in the page cache, where
+   * pages stay after a failed sync.
+   */
+  async open(): Promise<results.Result<StoredReplica, StorageFailure>> {
+    return this.guard('data folder cannot be opened', async () => {
+      await this.files.makeFolder(this.folder);
+      const snapshot = await this.readSnapshot();
+      const log = await this.readLog();
+      if (snapshot !== undefined && snapshot.replicaId !== log?.replicaId) {
+        throw new Error('the snapshot does not belong to the log');
+      }
+      this.replicaId = log?.replicaId ?? crypto.randomUUID();
+      this.hardState = log?.hardState ?? { term: 0 };
+      this.entries = [...(log?.entries ?? [])];
+      this.snapshot = snapshot?.snapshot;
+      await this.rewriteLog();
+      const { hardState, entries, replicaId } = this;
+      const durable = { hardState, entries: [...entries], snapshot: this.snapshot };
+      return { replicaId, durable, tornBytes: log?.tornBytes ?? 0 };
+    });
+  }
+
+  /** Makes an effect durable. Once this has failed, it fails for ever. */
+  async persist(effect: replica.Persist): Promise<results.Result<void, StorageFailure>> {
+    return this.guard('replica state cannot be written', async () => {
+      this.merge(effect);
+      if (effect.snapshot !== undefined) {
+        this.snapshot = effect.snapshot;
+        await this.writeSnapshot(effect.snapshot);
+        this.entries = this.entries.filter((kept) => kept.index > (effect.compactTo ?? 0));
+        await this.rewriteLog();
+        return;
+      }
+      const { hardState, truncateAfter, entries } = effect;
+      const write: WriteRecord = { kind: RecordKind.Write, hardState, truncateAfter, entries };
+      await this.file!.append(record.encodeRecord(write));
+      await this.file!.sync();
+    });
+  }
+
+  async close(): Promise<void> {
+    const { file } = this;
+    this.file = undefined;
+    this.failure ??= { message: 'the data folder is closed' };
+    await file?.close();
+  }
+
+  private merge(effect: replica.Persist): void {
+    const { hardState, truncateAfter } = effect;
+    this.hardState = hardState ?? this.hardState;
+    this.entries = mergeEntries(this.entries, truncateAfter, effect.entries);
+  }
+
+  private async guard<Value>(
+    what: string,
+    work: () => Promise<Value>,
+  ): Promise<results.Result<Value, StorageFailure>> {
+    if (this.failure !== undefined) {
+      return results.Err(this.failure);
+    }
+    try {
+      return results.Ok(await work());
+    } catch (error) {
+      this.failure = { message: `${what}: ${(error as Error).message}` };
+      return results.Err(this.failure);
+    }
+  }
+
+  private async rewriteLog(): Promise<void> {
+    const { hardState, entries, replicaId } = this;
+    const identity: IdentityRecord = { kind: RecordKind.Identity, replicaId };
+    const write: WriteRecord = { kind: RecordKind.Write, hardState, entries };
+    const before = this.file;
+    this.file = await this.replaceFile(LOG_NAME, [identity, write]);
+    await before?.close();
+  }
+
+  private async writeSnapshot(snapshot: replica.Snapshot): Promise<void> {
+    const { replicaId } = this;
+    const value: SnapshotRecord = { kind: RecordKind.Snapshot, replicaId, snapshot };
+    const file = await this.replaceFile(SNAPSHOT_NAME, [value]);
+    await file.close();
+  }
+
+  /** Writes a new file beside the old one and renames it, so that a crash leaves one of them whole. */
+  private async replaceFile(
+    name: string,
+    values: readonly unknown[],
+  ): Promise<writableFile.WritableFile> {
+    const target = path.join(this.folder, name);
+    const temporary = `${target}.new`;
+    const file = await this.files.create(temporary);
+    await file.append(Buffer.concat(values.map(record.encodeRecord)));
+    await file.sync();
+    await this.files.rename(temporary, target);
+    await this.files.syncFolder(this.folder);
+    return file;
+  }
+
+  private async readSnapshot(): Promise<SnapshotRecord | undefined> {
+    const records = await this.readRecords(SNAPSHOT_NAME);
+    if (records === undefined) {
+      return undefined;
+    }
+    // The file was synced before it got its name, so an incomplete one is damaged.
+    if (records.tornBytes > 0 || records.values.length !== 1) {
+      throw new Error('the snapshot file is damaged');
+    }
+    return records.values[0] as SnapshotRecord;
+  }
+
+  private async readLog(): Promise<LogFile | undefined> {
+    const records = await this.readRecords(LOG_NAME);
+    if (records === undefined) {
+      return undefined;
+    }
+    const [identity, ...writes] = records.values as [IdentityRecord, ...WriteRecord[]];
+    if (identity?.kind !== RecordKind.Identity || writes.length === 0) {
+      throw new Error('the log file is damaged');
+    }
+    return writes.reduce<LogFile>(
+      (log, write) => ({
+        ...log,
+        hardState: write.hardState ?? log.hardState,
+        entries: mergeEntries(log.entries, write.truncateAfter, write.entries),
+      }),
+      {
+        replicaId: identity.replicaId,
+        hardState: { term: 0 },
+        entries: [],
+        tornBytes: records.tornBytes,
+      },
+    );
+  }
+
+  private async readRecords(name: string): Promise<record.Records | undefined> {
+    const bytes = await this.files.read(path.join(this.folder, name));
+    if (bytes === undefined) {
+      return undefined;
+    }
+    const decoded = record.decodeRecords(bytes);
+    if (decoded.err) {
+      throw new Error(`the ${name} file has a damaged record before an intact one`);
+    }
+    return decoded.val;
+  }
+}
+
+const LOG_NAME = 'log';
+
+const SNAPSHOT_NAME = 'snapshot';
+
+function mergeEntries(
+  known: readonly replica.Entry[],
+  truncateAfter: number | undefined,
+  added: readonly replica.Entry[],
+): replica.Entry[] {
+  const kept =
+    truncateAfter === undefined ? known : known.filter((entry) => entry.index <= truncateAfter);
+  return [...kept, ...added];
+}
--- /dev/null
+++ b/src/wire/link.ts
@@ -0,0 +1,212 @@
+import type * as net from 'node:net';
+import * as clock from '../clock';
+import * as frame from './frame';
+import * as handshake from './handshake';
+
+/** Why a link ended. */
+export enum LinkCloseReason {
+  Oversized = 'oversized-frame',
+  Malformed = 'malformed-frame',
+  UnexpectedFrame = 'unexpected-frame',
+  WrongVersion = 'wrong-protocol-version',
+  WrongKey = 'wrong-pre-shared-key',
+  OwnConnection = 'connected-to-itself',
+  HandshakeTimeout = 'handshake-timeout',
+  Silent = 'missed-heartbeats',
+  Backlog = 'send-backlog-too-long',
+  ConnectionError = 'connection-error',
+  EndedByPeer = 'ended-by-peer',
+  ClosedLocally = 'closed-locally',
+}
+
+/** What a link needs from its owner. */
+export interface LinkOptions {
+  readonly identity: handshake.PeerIdentity;
+  readonly preSharedKey: string;
+  readonly clock: clock.Clock;
+  /** Content of the next heartbeat. */
+  readonly heartbeat: () => object;
+}
+
+/** How a link reports to its owner. */
+export interface LinkHandlers {
+  readonly onReady: (link: Link) => void;
+  readonly onMessage: (link: Link, message: frame.WireMessage) => void;
+  readonly onClosed: (link: Link, reason: LinkCloseReason, detail: string) => void;
+}
+
+export const HANDSHAKE_TIMEOUT_MILLISECONDS = 2_000;
+
+export const HEARTBEAT_INTERVAL_MILLISECONDS = 1_000;
+
+const MISSED_HEARTBEATS = 3;
+
+// A peer that reads nothing would otherwise make the send buffer grow without bound.
+const MAXIMUM_BACKLOG_BYTES = 2 * frame.MAXIMUM_FRAME_BYTES;
+
+/**
+ * One authenticated connection between two daemons. The link owns its socket: it proves and checks the
+ * pre-shared key, sends heartbeats, and closes when the peer is silent or sends something unreadable.
+ */
+export class Link {
+  /** Time of the last received frame on the monotonic clock. */
+  heardAt: number;
+
+  private readonly reader = new frame.FrameReader();
+
+  private readonly hello: handshake.Hello;
+
+  private peerHello: handshake.Hello | undefined;
+
+  private ready = false;
+
+  private closed = false;
+
+  private timer: clock.Timer;
+
+  constructor(
+    private readonly socket: net.Socket,
+    private readonly options: LinkOptions,
+    private readonly handlers: LinkHandlers,
+  ) {
+    this.heardAt = options.clock.monotonic();
+    this.hello = handshake.createHello(options.identity);
+    this.timer = options.clock.setTimer(HANDSHAKE_TIMEOUT_MILLISECONDS, () =>
+      this.close(LinkCloseReason.HandshakeTimeout),
+    );
+    socket.setNoDelay(true);
+    socket.on('data', (chunk) => this.receive(chunk));
+    socket.on('error', (error) => this.close(LinkCloseReason.ConnectionError, error.message));
+    socket.on('close', () => this.close(LinkCloseReason.EndedByPeer));
+    if (socket.connecting) {
+      socket.once('connect', () => this.send(this.hello));
+    } else {
+      this.send(this.hello);
+    }
+  }
+
+  /** The authenticated peer; `undefined` until `onReady`. */
+  get peer(): handshake.PeerIdentity | undefined {
+    return this.ready ? this.peerHello : undefined;
+  }
+
+  get remote(): string {
+    return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
+  }
+
+  /** Queues a message. Returns false when the link is closed or the message is too long to be sent. */
+  send(message: frame.WireMessage): boolean {
+    if (this.closed) {
+      return false;
+    }
+    const encoded = frame.encodeFrame(message);
+    if (encoded.err) {
+      return false;
+    }
+    this.socket.write(encoded.val);
+    if (this.socket.writableLength > MAXIMUM_BACKLOG_BYTES) {
+      this.close(LinkCloseReason.Backlog);
+    }
+    return !this.closed;
+  }
+
+  /** Sends a heartbeat outside the regular interval. */
+  sendHeartbeat(): void {
+    if (this.ready) {
+      this.send({ ...this.options.heartbeat(), kind: handshake.LinkMessageKind.Heartbeat });
+    }
+  }
+
+  close(reason: LinkCloseReason, detail = ''): void {
+    if (this.closed) {
+      return;
+    }
+    this.closed = true;
+    this.timer.cancel();
+    this.socket.destroy();
+    this.handlers.onClosed(this, reason, detail);
+  }
+
+  private receive(chunk: Buffer): void {
+    this.reader.push(chunk);
+    while (!this.closed) {
+      const next = this.reader.next();
+      if (next.err) {
+        this.close(CLOSE_REASON_BY_FAULT[next.val]);
+        return;
+      }
+      if (next.val === undefined) {
+        return;
+      }
+      this.heardAt = this.options.clock.monotonic();
+      this.dispatch(next.val);
+    }
+  }
+
+  private dispatch(message: frame.WireMessage): void {
+    if (this.ready) {
+      this.handlers.onMessage(this, message);
+    } else if (this.peerHello === undefined) {
+      this.receiveHello(message);
+    } else {
+      this.receiveProof(message, this.peerHello);
+    }
+  }
+
+  private receiveHello(message: frame.WireMessage): void {
+    const parsed = handshake.helloSchema.safeParse(message);
+    if (!parsed.success) {
+      this.close(LinkCloseReason.UnexpectedFrame);
+      return;
+    }
+    if (parsed.data.version !== handshake.PROTOCOL_VERSION) {
+      this.close(LinkCloseReason.WrongVersion, `peer has version ${parsed.data.version}`);
+      return;
+    }
+    // Also rejects a Hello that was echoed in order to get a proof for it.
+    if (parsed.data.daemonId === this.hello.daemonId) {
+      this.close(LinkCloseReason.OwnConnection);
+      return;
+    }
+    this.peerHello = parsed.data;
+    const proof = handshake.createProof(this.options.preSharedKey, this.hello, parsed.data);
+    this.send({ kind: handshake.LinkMessageKind.Proof, proof } as frame.WireMessage);
+  }
+
+  private receiveProof(message: frame.WireMessage, peerHello: handshake.Hello): void {
+    const parsed = handshake.proofSchema.safeParse(message);
+    if (!parsed.success) {
+      this.close(LinkCloseReason.UnexpectedFrame);
+      return;
+    }
+    const { preSharedKey } = this.options;
+    if (!handshake.verifyProof(preSharedKey, peerHello, this.hello, parsed.data.proof)) {
+      this.close(LinkCloseReason.WrongKey);
+      return;
+    }
+    this.ready = true;
+    this.reader.admitLargeFrames();
+    this.timer.cancel();
+    this.heartbeatLoop();
+    this.handlers.onReady(this);
+  }
+
+  private heartbeatLoop(): void {
+    const silence = this.options.clock.monotonic() - this.heardAt;
+    if (silence > MISSED_HEARTBEATS * HEARTBEAT_INTERVAL_MILLISECONDS) {
+      this.close(LinkCloseReason.Silent, `nothing received for ${Math.round(silence)} ms`);
+      return;
+    }
+    this.sendHeartbeat();
+    if (!this.closed) {
+      this.timer = this.options.clock.setTimer(HEARTBEAT_INTERVAL_MILLISECONDS, () =>
+        this.heartbeatLoop(),
+      );
+    }
+  }
+}
+
+const CLOSE_REASON_BY_FAULT: Record<frame.FrameFault, LinkCloseReason> = {
+  [frame.FrameFault.Oversized]: LinkCloseReason.Oversized,
+  [frame.FrameFault.Malformed]: LinkCloseReason.Malformed,
+};
--- /dev/null
+++ b/src/wire/peer-network.ts
@@ -0,0 +1,245 @@
+import * as net from 'node:net';
+import * as clock from '../clock';
+import * as logging from '../logging';
+import * as addresses from './address';
+import * as backoff from './backoff';
+import * as frame from './frame';
+import * as handshake from './handshake';
+import * as link from './link';
+
+/** Where a network listens, who it is, and how it reports. */
+export interface PeerNetworkOptions {
+  readonly daemonId: string;
+  readonly zone: string;
+  readonly listenHost: string;
+  /** 0 lets the operating system choose. */
+  readonly listenPort: number;
+  /** `host:port` that peers connect to; by default the listening address. */
+  readonly advertisedAddress?: string;
+  readonly preSharedKey: string;
+  readonly clock: clock.Clock;
+  readonly random: clock.RandomSource;
+  readonly heartbeat: () => object;
+}
+
+/** How a network reports to its owner. */
+export interface PeerNetworkHandlers {
+  readonly onMessage: (peer: handshake.PeerIdentity, message: frame.WireMessage) => void;
+  readonly onPeerReady: (peer: handshake.PeerIdentity) => void;
+  readonly onPeerLost: (peer: handshake.PeerIdentity) => void;
+}
+
+interface Dialer {
+  readonly address: string;
+  failures: number;
+  timer?: clock.Timer;
+}
+
+/**
+ * All links of one daemon: accepts connections on one listening socket, keeps a link to every configured
+ * peer, and sends to a peer over the link that was heard from last.
+ */
+export class PeerNetwork {
+  private readonly server: net.Server;
+
+  private readonly links = new Set<link.Link>();
+
+  private readonly dialers = new Map<string, Dialer>();
+
+  private ownAddress = '';
+
+  private closed = false;
+
+  constructor(
+    private readonly options: PeerNetworkOptions,
+    private readonly handlers: PeerNetworkHandlers,
+  ) {
+    this.server = net.createServer((socket) => this.open(socket));
+  }
+
+  /** Starts to accept links and resolves with the address that peers use. */
+  async listen(): Promise<string> {
+    const { listenHost, listenPort } = this.options;
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(listenPort, listenHost, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+    this.server.on('error', (error) =>
+      logger.error('peer listener failed', { reason: error.message }),
+    );
+    const { port } = this.server.address() as net.AddressInfo;
+    this.ownAddress = this.options.advertisedAddress ?? addresses.formatAddress(listenHost, port);
+    return this.ownAddress;
+  }
+
+  get address(): string {
+    return this.ownAddress;
+  }
+
+  /** Keeps a link to each address; the own address is skipped. */
+  connect(peerAddresses: readonly string[]): void {
+    peerAddresses
+      .filter((address) => address !== this.ownAddress && !this.dialers.has(address))
+      .forEach((address) => {
+        const dialer = { address, failures: 0 };
+        this.dialers.set(address, dialer);
+        this.dial(dialer);
+      });
+  }
+
+  /** Sends to the daemon that listens on `address`; false when there is no link to it. */
+  send(address: string, message: frame.WireMessage): boolean {
+    return this.best(address)?.send(message) ?? false;
+  }
+
+  /** Sends to every linked daemon once. */
+  broadcast(message: frame.WireMessage): void {
+    this.linkedAddresses().forEach((address) => this.send(address, message));
+  }
+
+  /** Sends a heartbeat to every linked daemon at once instead of at the next interval. */
+  announce(): void {
+    this.linkedAddresses().forEach((address) => this.best(address)?.sendHeartbeat());
+  }
+
+  isLinked(address: string): boolean {
+    return this.best(address) !== undefined;
+  }
+
+  /** Whether every configured peer has been linked, or has refused or failed at least once. */
+  get everyPeerTried(): boolean {
+    return [...this.dialers.values()].every(
+      (dialer) => dialer.failures > 0 || this.isLinked(dialer.address),
+    );
+  }
+
+  linkedAddresses(): string[] {
+    const found = [...this.links].flatMap((entry) => entry.peer?.address ?? []);
+    return [...new Set(found)];
+  }
+
+  async close(): Promise<void> {
+    this.closed = true;
+    this.dialers.forEach((dialer) => dialer.timer?.cancel());
+    this.links.forEach((entry) => entry.close(link.LinkCloseReason.ClosedLocally));
+    await new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+  }
+
+  private best(address: string): link.Link | undefined {
+    return [...this.links]
+      .filter((entry) => entry.peer?.address === address)
+      .reduce<link.Link | undefined>(
+        (best, entry) => (best === undefined || entry.heardAt > best.heardAt ? entry : best),
+        undefined,
+      );
+  }
+
+  /** Connects unless the peer has already connected to this daemon. */
+  private dial(dialer: Dialer): void {
+    if (this.closed) {
+      return;
+    }
+    if (this.isLinked(dialer.address)) {
+      this.retryLater(dialer, RECHECK_FAILURES);
+      return;
+    }
+    const socket = net.connect(addresses.parseAddress(dialer.address));
+    this.open(socket, dialer);
+  }
+
+  private retryLater(target: Dialer, failures: number): void {
+    const dialer = target;
+    dialer.timer?.cancel();
+    const delay = backoff.reconnectDelay(failures, this.options.random);
+    dialer.timer = this.options.clock.setTimer(delay, () => this.dial(dialer));
+  }
+
+  private open(socket: net.Socket, dialer?: Dialer): void {
+    const { daemonId, zone, preSharedKey } = this.options;
+    const options = {
+      identity: { daemonId, zone, address: this.ownAddress },
+      preSharedKey,
+      clock: this.options.clock,
+      heartbeat: this.options.heartbeat,
+    };
+    const opened = new link.Link(socket, options, {
+      onReady: (ready) => this.ready(ready, dialer),
+      onMessage: (from, message) => this.receive(from, message),
+      onClosed: (ended, reason, detail) => this.ended(ended, reason, detail, dialer),
+    });
+    this.links.add(opened);
+  }
+
+  private ready(opened: link.Link, dialer?: Dialer): void {
+    if (dialer !== undefined) {
+      Object.assign(dialer, { failures: 0 });
+    }
+    if (opened.peer !== undefined) {
+      this.handlers.onPeerReady(opened.peer);
+    }
+  }
+
+  private receive(from: link.Link, message: frame.WireMessage): void {
+    try {
+      this.handlers.onMessage(from.peer!, message);
+    } catch (error) {
+      from.close(link.LinkCloseReason.Malformed, (error as Error).message);
+    }
+  }
+
+  private ended(
+    ended: link.Link,
+    reason: link.LinkCloseReason,
+    detail: string,
+    dialer?: Dialer,
+  ): void {
+    const { peer, remote } = ended;
+    this.links.delete(ended);
+    if (this.closed) {
+      return;
+    }
+    report(reason, detail, peer?.address ?? dialer?.address ?? remote, dialer);
+    if (dialer !== undefined && reason !== link.LinkCloseReason.OwnConnection) {
+      Object.assign(dialer, { failures: dialer.failures + 1 });
+      this.retryLater(dialer, dialer.failures);
+    }
+    if (peer !== undefined && !this.isLinked(peer.address)) {
+      this.handlers.onPeerLost(peer);
+    }
+  }
+}
+
+const logger = new logging.Logger('wire');
+
+// While the peer's own connection is in use, its end is noticed at the longest reconnect delay.
+const RECHECK_FAILURES = 10;
+
+const EXPECTED_REASONS = new Set([
+  link.LinkCloseReason.EndedByPeer,
+  link.LinkCloseReason.OwnConnection,
+  link.LinkCloseReason.ClosedLocally,
+]);
+
+/** One line for each lost link; repeated failures to connect to the same peer are details. */
+function report(
+  reason: link.LinkCloseReason,
+  detail: string,
+  peer: string,
+  dialer: Dialer | undefined,
+): void {
+  const fields = { peer, reason, detail };
+  const repeated =
+    reason === link.LinkCloseReason.ConnectionError && dialer !== undefined && dialer.failures > 0;
+  if (repeated) {
+    logger.debug('peer is still unreachable', fields);
+  } else if (EXPECTED_REASONS.has(reason)) {
+    logger.information('peer link ended', fields);
+  } else {
+    logger.warning('peer link closed', fields);
+  }
+}
