--- /dev/null
+++ b/src/command/index.ts
@@ -0,0 +1,2 @@
+/** The `figline` command and the operator HTTP interface that it shares with the daemon. */
+export * from './operator-api';
--- /dev/null
+++ b/src/suggestion/nearest-name.ts
@@ -0,0 +1,61 @@
+/**
+ * The known name with the smallest edit distance to `name`, or undefined when none is close enough to
+ * be a likely misspelling.
+ *
+ * @example
+ * nearestName('slotsPerRuner', ['slotsPerRunner', 'model']); // 'slotsPerRunner'
+ */
+export function nearestName(name: string, known: Iterable<string>): string | undefined {
+  const limit = Math.max(1, Math.floor(name.length * MAXIMUM_CHANGED_SHARE));
+  let best: { readonly candidate: string; readonly distance: number } | undefined;
+  for (const candidate of known) {
+    const distance = editDistance(name.toLowerCase(), candidate.toLowerCase());
+    if (distance <= limit && (best === undefined || distance < best.distance)) {
+      best = { candidate, distance };
+    }
+  }
+  return best?.candidate;
+}
+
+/**
+ * The end of an error sentence: the nearest known name, or all known names when there is none.
+ *
+ * @example
+ * suggest('sevice', ['service', 'team']); // 'did you mean service?'
+ */
+export function suggest(name: string, known: readonly string[]): string {
+  const nearest = nearestName(name, known);
+  if (nearest !== undefined) {
+    return `did you mean ${nearest}?`;
+  }
+  return known.length === 0 ? 'none is defined' : `known: ${listed(known)}`;
+}
+
+// More than two changed letters in five usually make another word, not a misspelling.
+const MAXIMUM_CHANGED_SHARE = 0.4;
+
+const MAXIMUM_LISTED_NAMES = 12;
+
+function listed(known: readonly string[]): string {
+  const shown = known.slice(0, MAXIMUM_LISTED_NAMES).join(', ');
+  const hidden = known.length - MAXIMUM_LISTED_NAMES;
+  return hidden > 0 ? `${shown} and ${hidden} more` : shown;
+}
+
+/** Levenshtein distance, computed row by row. */
+function editDistance(left: string, right: string): number {
+  let previous = Array.from({ length: right.length + 1 }, (_, column) => column);
+  for (let row = 1; row <= left.length; row += 1) {
+    const current = [row];
+    for (let column = 1; column <= right.length; column += 1) {
+      const substitution = left[row - 1] === right[column - 1] ? 0 : 1;
+      current[column] = Math.min(
+        previous[column] + 1,
+        current[column - 1] + 1,
+        previous[column - 1] + substitution,
+      );
+    }
+    previous = current;
+  }
+  return previous[right.length];
+}
