Collect, check, compare and look up configuration documents

Cause: operators' files have to become a revision only when every one of them is right, and a router needs look-ups cheap enough for each request.

Conclusion: a wrong file cannot reach a publish; two routes may nest, but not share a method and a path.

--- /dev/null
+++ b/src/configuration/check.ts
@@ -0,0 +1,189 @@
+import * as suggestion from '../suggestion';
+import * as document from './document';
+import * as lookup from './lookup';
+
+/** A contradiction between documents, or inside one, that its schema cannot express. */
+export interface DocumentProblem {
+  /** Position of the document in the list that was checked. */
+  readonly index: number;
+  /** Field inside the document, for example `['services', 0]`. */
+  readonly path: readonly (string | number)[];
+  readonly message: string;
+  /** Position of another document that the message refers to. */
+  readonly relatedIndex?: number;
+}
+
+/** A service whose document is wrong in itself: what refers to it is not reported a second time. */
+export interface FaultyService {
+  readonly name: string;
+}
+
+/**
+ * Checks a full set of documents: unique names, known services, one team for each credential, one
+ * service for each method and path. The command checks files with it, the daemon a publish.
+ *
+ * @example
+ * checkDocuments([team]).map((problem) => problem.message);
+ * // ['unknown service inspection-desk; none is defined']
+ */
+export function checkDocuments(
+  documents: readonly document.ConfigurationDocument[],
+  faultyServices: readonly FaultyService[] = [],
+): readonly DocumentProblem[] {
+  const services = new Map(
+    documents.filter(isService).map((service) => [service.name, service.type]),
+  );
+  const context = { services, faulty: new Set(faultyServices.map((service) => service.name)) };
+  return [
+    ...duplicates(documents.map(nameClaim)),
+    ...documents.flatMap((entry, index) => checkOne(entry, index, context)),
+    ...duplicates(documents.flatMap(credentialClaims)),
+    ...duplicates(documents.flatMap(routeClaims)),
+  ];
+}
+
+/** Something that only one document may hold, with the message for a second holder. */
+interface Claim {
+  readonly index: number;
+  readonly path: readonly (string | number)[];
+  readonly value: string;
+  readonly message: string;
+}
+
+interface Context {
+  readonly services: ReadonlyMap<string, document.ServiceType>;
+  readonly faulty: ReadonlySet<string>;
+}
+
+/** The SHA-256 of no bytes: the hash of a credential variable that was empty. */
+const HASH_OF_NOTHING = 'e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855';
+
+function isService(entry: document.ConfigurationDocument): entry is document.ServiceDocument {
+  return entry.kind === document.DocumentKind.Service;
+}
+
+function duplicates(claims: readonly Claim[]): DocumentProblem[] {
+  const holders = new Map<string, number>();
+  return claims.flatMap(({ index, path, value, message }) => {
+    const relatedIndex = holders.get(value);
+    if (relatedIndex === undefined) {
+      holders.set(value, index);
+      return [];
+    }
+    return [{ index, path, message, relatedIndex }];
+  });
+}
+
+function nameClaim(entry: document.ConfigurationDocument, index: number): Claim {
+  const message = `duplicate name: there is another ${entry.kind} ${entry.name}`;
+  return { index, path: ['name'], value: document.documentKey(entry), message };
+}
+
+function credentialClaims(entry: document.ConfigurationDocument, index: number): Claim[] {
+  if (entry.kind !== document.DocumentKind.Team) {
+    return [];
+  }
+  return entry.credentialHashes.map((value, position) => ({
+    index,
+    path: ['credentialHashes', position],
+    value,
+    message: 'this credential hash is listed more than once; give each team its own credential',
+  }));
+}
+
+function routeClaims(entry: document.ConfigurationDocument, index: number): Claim[] {
+  if (!isService(entry) || entry.type !== document.ServiceType.Plain) {
+    return [];
+  }
+  return entry.routes.flatMap((route, position) =>
+    route.methods.map((method, methodPosition) => ({
+      index,
+      path: ['routes', position, 'methods', methodPosition],
+      value: `${method} ${lookup.withoutTrailingSlash(route.path)}`,
+      message: `overlapping routes: ${method} ${route.path} already belongs to a route`,
+    })),
+  );
+}
+
+function checkOne(
+  entry: document.ConfigurationDocument,
+  index: number,
+  context: Context,
+): DocumentProblem[] {
+  if (entry.kind === document.DocumentKind.Team) {
+    return [...checkTeamServices(entry, index, context), ...checkHashes(entry, index)];
+  }
+  if (entry.kind === document.DocumentKind.Intent) {
+    return checkIntent(entry, index, context);
+  }
+  return entry.type === document.ServiceType.Plain ? checkPaths(entry, index) : [];
+}
+
+function checkTeamServices(
+  team: document.TeamDocument,
+  index: number,
+  context: Context,
+): DocumentProblem[] {
+  return team.services.flatMap((service, position) => {
+    const path = ['services', position];
+    if (team.services.indexOf(service) !== position) {
+      return [{ index, path, message: `service ${service} is listed twice; list it once` }];
+    }
+    return isKnown(service, context)
+      ? []
+      : [{ index, path, message: unknownService(service, [...context.services.keys()]) }];
+  });
+}
+
+function checkHashes(team: document.TeamDocument, index: number): DocumentProblem[] {
+  const position = team.credentialHashes.indexOf(HASH_OF_NOTHING);
+  if (position === -1) {
+    return [];
+  }
+  const message = 'this is the hash of an empty credential; make one with figline credential';
+  return [{ index, path: ['credentialHashes', position], message }];
+}
+
+function checkIntent(
+  intent: document.IntentDocument,
+  index: number,
+  context: Context,
+): DocumentProblem[] {
+  const path = ['service'];
+  const engines = [...context.services.entries()]
+    .filter(([, type]) => type === document.ServiceType.ModelEngine)
+    .map(([name]) => name);
+  if (!isKnown(intent.service, context)) {
+    return [{ index, path, message: unknownService(intent.service, engines) }];
+  }
+  if (context.services.get(intent.service) !== document.ServiceType.Plain) {
+    return [];
+  }
+  const hint = suggestion.suggest(intent.service, engines);
+  const message =
+    `${intent.service} is a plain service and takes no intents; ` +
+    `use a model-engine service (${hint})`;
+  return [{ index, path, message }];
+}
+
+function checkPaths(service: document.PlainServiceDocument, index: number): DocumentProblem[] {
+  return service.routes.flatMap((route, position) =>
+    lookup.isUnambiguousPath(route.path)
+      ? []
+      : [
+          {
+            index,
+            path: ['routes', position, 'path'],
+            message: `path ${route.path} has an empty or dot segment; write the plain path`,
+          },
+        ],
+  );
+}
+
+function isKnown(service: string, context: Context): boolean {
+  return context.services.has(service) || context.faulty.has(service);
+}
+
+function unknownService(service: string, known: readonly string[]): string {
+  return `unknown service ${service}; ${suggestion.suggest(service, known)}`;
+}
--- /dev/null
+++ b/src/configuration/parse.ts
@@ -0,0 +1,133 @@
+import * as yaml from 'yaml';
+import * as zod from 'zod';
+import * as document from './document';
+import * as explain from './explain';
+import * as problem from './problem';
+
+/** A valid document and where its fields are. */
+export interface LocatedDocument {
+  readonly document: document.ConfigurationDocument;
+  readonly file: string;
+  /** Position of a field, or of the nearest part of the document that exists. */
+  readonly locate: (path: readonly (string | number)[]) => Position;
+}
+
+/** Line and column, both counted from 1. */
+export interface Position {
+  readonly line: number;
+  readonly column: number;
+}
+
+/** What one file contains. */
+export interface ParsedFile {
+  readonly documents: readonly LocatedDocument[];
+  readonly problems: readonly problem.ConfigurationProblem[];
+  /** Names of services whose document has problems. */
+  readonly faultyServices: readonly string[];
+}
+
+/**
+ * Reads all YAML documents of one file and checks each against the schema of its kind.
+ *
+ * @example
+ * parseFile('desk.figline.yaml', 'kind: team\nnmae: desk\n').problems[0];
+ * // { file: 'desk.figline.yaml', line: 2, column: 1, message: 'unknown field nmae; did you mean name?' }
+ */
+export function parseFile(file: string, text: string): ParsedFile {
+  const lines = new yaml.LineCounter();
+  const parsed = yaml.parseAllDocuments(text, { lineCounter: lines, prettyErrors: false });
+  const nodes: yaml.Document[] = Array.isArray(parsed) ? parsed : [];
+  const outcomes = nodes.map((node) => parseOne(file, node, lines));
+  return {
+    documents: outcomes.flatMap((outcome) => outcome.documents),
+    problems: outcomes.flatMap((outcome) => outcome.problems),
+    faultyServices: outcomes.flatMap((outcome) => outcome.faultyServices),
+  };
+}
+
+const NOTHING: ParsedFile = { documents: [], problems: [], faultyServices: [] };
+
+function parseOne(file: string, node: yaml.Document, lines: yaml.LineCounter): ParsedFile {
+  // Later syntax errors of a document mostly follow from its first.
+  const [syntax] = [...node.errors, ...node.warnings];
+  if (syntax !== undefined) {
+    const message = `not valid YAML: ${syntax.message}`;
+    return { ...NOTHING, problems: [{ file, ...toPosition(syntax.pos[0], lines), message }] };
+  }
+  const locate = (path: readonly (string | number)[]) => locateField(node, path, lines);
+  let value: unknown;
+  try {
+    value = node.toJS({ maxAliasCount: MAXIMUM_ALIASES });
+  } catch (error) {
+    const message = `not valid YAML: ${(error as Error).message}`;
+    return { ...NOTHING, problems: [{ file, ...locate([]), message }] };
+  }
+  // Nothing but comments, for example after a final `---`.
+  return value === null || value === undefined ? NOTHING : validate(file, value, locate);
+}
+
+function validate(file: string, value: unknown, locate: LocatedDocument['locate']): ParsedFile {
+  const choice = explain.chooseSchema(value);
+  if (choice.err) {
+    const { path, message } = choice.val;
+    return {
+      ...NOTHING,
+      problems: [{ file, ...locate(path), message }],
+      faultyServices: serviceNames(value),
+    };
+  }
+  const schema: zod.ZodType = choice.val;
+  const outcome = schema.safeParse(value);
+  if (outcome.success) {
+    const entry = outcome.data as document.ConfigurationDocument;
+    return { ...NOTHING, documents: [{ document: entry, file, locate }] };
+  }
+  const problems = outcome.error.issues
+    .flatMap((issue) => explain.explainIssue(issue, schema, value))
+    .map(({ path, message }) => ({ file, ...locate(path), message }));
+  return { ...NOTHING, problems, faultyServices: serviceNames(value) };
+}
+
+/** The name of a service document that has problems elsewhere. */
+function serviceNames(value: unknown): string[] {
+  const { kind, name } = value as { kind?: unknown; name?: unknown };
+  return kind === document.DocumentKind.Service && typeof name === 'string' ? [name] : [];
+}
+
+/** Position of the key of a field, because a missing or wrong value is named by its key. */
+function locateField(
+  node: yaml.Document,
+  path: readonly (string | number)[],
+  lines: yaml.LineCounter,
+): Position {
+  const prefixes = path.map((_, depth) => path.slice(0, path.length - depth));
+  for (const prefix of prefixes) {
+    const parent = node.getIn(prefix.slice(0, -1), true);
+    const offset = childOffset(parent, prefix[prefix.length - 1]);
+    if (offset !== undefined) {
+      return toPosition(offset, lines);
+    }
+  }
+  const [start] = node.contents?.range ?? [0];
+  return toPosition(start, lines);
+}
+
+function childOffset(parent: unknown, key: string | number): number | undefined {
+  if (yaml.isMap(parent)) {
+    const keys = parent.items.map((item) => item.key);
+    return startOf(keys.find((entry) => yaml.isScalar(entry) && String(entry.value) === key));
+  }
+  return yaml.isSeq(parent) ? startOf(parent.items[Number(key)]) : undefined;
+}
+
+function startOf(node: unknown): number | undefined {
+  return yaml.isNode(node) ? node.range?.at(0) : undefined;
+}
+
+function toPosition(offset: number, lines: yaml.LineCounter): Position {
+  const { line, col } = lines.linePos(offset);
+  return { line: Math.max(line, 1), column: Math.max(col, 1) };
+}
+
+// Configuration files are short; more aliases are a mistake or an attempt to exhaust memory.
+const MAXIMUM_ALIASES = 100;
--- a/src/suggestion/nearest-name.ts
+++ b/src/suggestion/nearest-name.ts
@@ -42,19 +42,27 @@
   return hidden > 0 ? `${shown} and ${hidden} more` : shown;
 }
 
-/** Levenshtein distance, computed row by row. */
+/** Optimal string alignment distance: changed, missing and added letters, and swapped neighbours. */
 function editDistance(left: string, right: string): number {
+  let beforePrevious: number[] = [];
   let previous = Array.from({ length: right.length + 1 }, (_, column) => column);
   for (let row = 1; row <= left.length; row += 1) {
     const current = [row];
     for (let column = 1; column <= right.length; column += 1) {
       const substitution = left[row - 1] === right[column - 1] ? 0 : 1;
+      const swapped =
+        row > 1 &&
+        column > 1 &&
+        left[row - 1] === right[column - 2] &&
+        left[row - 2] === right[column - 1];
       current[column] = Math.min(
         previous[column] + 1,
         current[column - 1] + 1,
         previous[column - 1] + substitution,
+        swapped ? beforePrevious[column - 2] + 1 : Infinity,
       );
     }
+    beforePrevious = previous;
     previous = current;
   }
   return previous[right.length];
