Add the figline command

Cause: operators need to check, publish and inspect configuration from scripts, through any daemon.

Surplus arguments, which cac ignores, are refused.

--- /dev/null
+++ b/src/command/command-line.ts
@@ -0,0 +1,245 @@
+import * as cac from 'cac';
+import * as clock from '../clock';
+import * as suggestion from '../suggestion';
+import * as credential from './credential';
+import * as exitCode from './exit-code';
+import * as files from './files';
+import * as inspect from './inspect';
+import type * as operatorClient from './operator-client';
+import * as options from './options';
+import * as outcome from './outcome';
+import * as publish from './publish';
+
+/** What the command touches outside its own process memory; tests replace all of it. */
+export interface Surroundings {
+  readonly environment: Readonly<Record<string, string | undefined>>;
+  readonly time: clock.Clock;
+  readonly writeOutput: (text: string) => void;
+  readonly writeError: (text: string) => void;
+}
+
+/**
+ * Runs one `figline` command line.
+ *
+ * @param commandArguments without the program's name, for example `['check', 'services']`
+ * @returns one of the documented exit codes; never rejects
+ * @example
+ * process.exitCode = await run(process.argv.slice(2), surroundings);
+ */
+export async function run(
+  commandArguments: readonly string[],
+  surroundings: Surroundings,
+): Promise<exitCode.ExitCode> {
+  let result: outcome.Outcome;
+  let isJson = false;
+  try {
+    const cli = buildCommands(surroundings);
+    cli.parse(['node', 'figline', ...commandArguments], { run: false });
+    if (cli.options.help || (cli.options.version && cli.matchedCommand === undefined)) {
+      return exitCode.ExitCode.Success;
+    }
+    isJson = cli.options.json === true;
+    result = await runMatched(cli);
+  } catch (error) {
+    result = ofError(error as Error);
+  }
+  print(result, isJson, surroundings);
+  return result.exitCode;
+}
+
+const VERSION = '0.1.0';
+
+type Action = (parsed: options.Options, folder: string) => Promise<outcome.Outcome>;
+
+function buildCommands(surroundings: Surroundings): cac.CAC {
+  const cli = cac.cac('figline');
+  addFileCommands(cli, surroundings);
+  addReadingCommands(cli, surroundings);
+  cli
+    .command('credential', 'make a random team credential and its hash (no network)')
+    .example('  $ figline credential --json')
+    .action(withOptions(async () => credential.credential()));
+  cli.option('--json', 'print one JSON object instead of text');
+  cli.version(VERSION);
+  cli.help((sections) => [...sections, { title: 'Exit codes', body: exitCodeLines().join('\n') }]);
+  return cli;
+}
+
+function addFileCommands(cli: cac.CAC, surroundings: Surroundings): void {
+  cli
+    .command('check <folder>', 'check all configuration files under a folder (no network)')
+    .example('  $ figline check services')
+    .action(withFolder(async (_, folder) => files.check(folder)));
+  operatorCommand(cli, 'diff <folder>', 'show what a publish of a folder would change')
+    .example('  $ figline diff services --operator http://10.20.0.11:8081')
+    .action(
+      withFolder((parsed, folder) =>
+        withClient(parsed, surroundings, (client) => files.diff(folder, client)),
+      ),
+    );
+  operatorCommand(cli, 'publish <folder>', 'make the files under a folder the active configuration')
+    .option('--author <name>', 'recorded in the history (or FIGLINE_AUTHOR; default: login name)')
+    .option('--wait-seconds <n>', 'longest wait for the live daemons (default 15)')
+    .option('--allow-removals', 'remove active documents that are in no file')
+    .option('--base-revision <n>', 'publish only if this revision is still active')
+    .option('--publish-id <uuid>', 'repeat an earlier publish whose outcome is unknown')
+    .example('  $ figline publish services --author desk --base-revision 41')
+    .action(
+      withFolder((parsed, folder) =>
+        withClient(parsed, surroundings, (client) =>
+          runPublish(parsed, folder, client, surroundings),
+        ),
+      ),
+    );
+}
+
+function addReadingCommands(cli: cac.CAC, surroundings: Surroundings): void {
+  const read = (reader: (client: operatorClient.OperatorClient) => Promise<outcome.Outcome>) =>
+    withOptions((parsed) => withClient(parsed, surroundings, reader));
+  operatorCommand(cli, 'status', 'show a daemon, the control group and all daemons')
+    .example('  $ figline status --operator http://10.20.0.11:8081,http://10.20.0.12:8081')
+    .action(read(inspect.status));
+  operatorCommand(cli, 'teams', 'list the active teams')
+    .example('  $ figline teams --json')
+    .action(read(inspect.teams));
+  operatorCommand(cli, 'services', 'list the active services')
+    .example('  $ figline services')
+    .action(read(inspect.services));
+  operatorCommand(cli, 'history', 'list accepted publishes, newest first')
+    .option('--limit <n>', 'number of entries (default 20)')
+    .example('  $ figline history --limit 5')
+    .action(
+      withOptions((parsed) =>
+        withClient(parsed, surroundings, (client) => inspect.history(client, parsed.limit)),
+      ),
+    );
+}
+
+function operatorCommand(cli: cac.CAC, name: string, description: string): cac.Command {
+  return cli
+    .command(name, description)
+    .option('--operator <url,...>', 'operator listeners of daemons (or FIGLINE_OPERATOR_URL)')
+    .option(
+      '--operator-token-file <path>',
+      'file whose first line is an operator token (or FIGLINE_OPERATOR_TOKEN_FILE)',
+    );
+}
+
+function withFolder(action: Action): (folder: string, raw: unknown) => Promise<outcome.Outcome> {
+  return (folder, raw) => parseOptions(raw, (parsed) => action(parsed, folder));
+}
+
+function withOptions(
+  action: (parsed: options.Options) => Promise<outcome.Outcome>,
+): (raw: unknown) => Promise<outcome.Outcome> {
+  return (raw) => parseOptions(raw, action);
+}
+
+async function parseOptions(
+  raw: unknown,
+  action: (parsed: options.Options) => Promise<outcome.Outcome>,
+): Promise<outcome.Outcome> {
+  const parsed = options.optionsSchema.safeParse(raw);
+  if (parsed.success) {
+    return action(parsed.data);
+  }
+  return usage(
+    parsed.error.issues.map((issue) => `${flagOf(String(issue.path[0]))}: ${issue.message}`),
+  );
+}
+
+async function withClient(
+  parsed: options.Options,
+  surroundings: Surroundings,
+  action: (client: operatorClient.OperatorClient) => Promise<outcome.Outcome>,
+): Promise<outcome.Outcome> {
+  const client = options.openClient(parsed, surroundings.environment);
+  return client.ok ? action(client.val) : usage(client.val);
+}
+
+function runPublish(
+  parsed: options.Options,
+  folder: string,
+  client: operatorClient.OperatorClient,
+  surroundings: Surroundings,
+): Promise<outcome.Outcome> {
+  const { allowRemovals, baseRevision, publishId } = parsed;
+  const author = options.authorOf(parsed, surroundings.environment);
+  const waitMilliseconds = parsed.waitSeconds * 1_000;
+  return publish.publish(
+    { folder, author, waitMilliseconds, allowRemovals, baseRevision, publishId },
+    {
+      client,
+      time: surroundings.time,
+      announce: (message) => surroundings.writeError(`${message}\n`),
+    },
+  );
+}
+
+async function runMatched(cli: cac.CAC): Promise<outcome.Outcome> {
+  const command = cli.matchedCommand;
+  if (command === undefined) {
+    const known = cli.commands.map((entry) => entry.name);
+    const [name] = cli.args;
+    return usage([
+      name === undefined
+        ? `a command is missing; known: ${known.join(', ')}`
+        : `unknown command ${name}; ${suggestion.suggest(name, known)}`,
+    ]);
+  }
+  const faults = [...unknownFlags(cli, command), ...surplusArguments(cli, command)];
+  if (faults.length > 0) {
+    return usage(faults);
+  }
+  return (await cli.runMatchedCommand()) as outcome.Outcome;
+}
+
+function unknownFlags(cli: cac.CAC, command: cac.Command): string[] {
+  const known = [...command.options, ...cli.globalCommand.options].flatMap((entry) => entry.names);
+  return Object.keys(cli.options)
+    .filter((name) => name !== '--' && !known.includes(name))
+    .map((name) => {
+      const flags = known.filter((entry) => entry.length > 1).map(flagOf);
+      return `unknown flag ${flagOf(name)}; ${suggestion.suggest(flagOf(name), flags)}`;
+    });
+}
+
+/** `cac` ignores surplus arguments, so that a shell pattern would publish only its first folder. */
+function surplusArguments(cli: cac.CAC, command: cac.Command): string[] {
+  return cli.args
+    .slice(command.args.length)
+    .map(
+      (argument) => `unexpected argument ${argument}; ${command.name} takes ${command.args.length}`,
+    );
+}
+
+function usage(messages: readonly string[]): outcome.Outcome {
+  return outcome.failure(exitCode.ExitCode.Usage, [...messages, 'see figline --help']);
+}
+
+function flagOf(name: string): string {
+  return `--${name.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`;
+}
+
+/** `cac` throws its own error class for a missing argument or value. */
+function ofError(error: Error): outcome.Outcome {
+  return error.name === 'CACError'
+    ? usage([error.message])
+    : outcome.failure(exitCode.ExitCode.InternalError, [`internal error: ${error.message}`]);
+}
+
+function exitCodeLines(): string[] {
+  return Object.entries(exitCode.EXIT_CODE_MEANINGS).map(
+    ([code, meaning]) => `  ${code.padStart(2)}  ${meaning}`,
+  );
+}
+
+function print(result: outcome.Outcome, isJson: boolean, surroundings: Surroundings): void {
+  if (isJson) {
+    const { exitCode: code, errors, data } = result;
+    surroundings.writeOutput(`${JSON.stringify({ exitCode: code, ...data, errors })}\n`);
+    return;
+  }
+  result.lines.forEach((line) => surroundings.writeOutput(`${line}\n`));
+  result.errors.forEach((line) => surroundings.writeError(`figline: ${line}\n`));
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -3,4 +3,5 @@
 export * from './definition';
 export * from './table';
 export * from './load';
+export { readSecrets } from './secret-file';
 export { MachineListSource, type MachineListLocation } from './parsers';
--- /dev/null
+++ b/test/command/jumping-clock.ts
@@ -0,0 +1,22 @@
+import * as clock from '../../src/clock';
+
+/** A clock on which every timer fires at once and time moves by its delay. */
+export class JumpingClock extends clock.Clock {
+  private time = 0;
+
+  override now(): number {
+    return this.time;
+  }
+
+  override monotonic(): number {
+    return this.time;
+  }
+
+  override setTimer(delayMilliseconds: number, callback: () => void): clock.Timer {
+    const handle = setImmediate(() => {
+      this.time += delayMilliseconds;
+      callback();
+    });
+    return { cancel: () => clearImmediate(handle) };
+  }
+}
