--- a/src/decision/index.ts
+++ b/src/decision/index.ts
@@ -1,3 +1,6 @@
 /** The decisions about requests: admission, placement, retry, resume, hedging and quarantine. */
 export * from './effect';
 export * from './event';
+export * from './options';
+export * from './state';
+export * from './update';
--- /dev/null
+++ b/test/decision/builder.ts
@@ -0,0 +1,120 @@
+import * as backend from '../../src/backend';
+import * as configuration from '../../src/configuration';
+import * as decision from '../../src/decision';
+import * as verdict from '../../src/verdict';
+
+const SERVICE = 'inspection-desk';
+
+/** Drives one decision core and collects its effects. */
+export class Desk {
+  state = decision.initialState({ seed: 1, zone: 'pl-caudan', region: 'pl' });
+
+  private effects: decision.DecisionEffect[] = [];
+
+  constructor(public at = 0) {}
+
+  apply(event: decision.DecisionEvent): this {
+    const { state, effects } = decision.update(this.state, event);
+    this.state = state;
+    this.effects.push(...effects);
+    return this;
+  }
+
+  arrive(requestId: string, changes: Partial<decision.RequestProfile> = {}): this {
+    return this.apply({
+      kind: decision.DecisionEventKind.RequestArrived,
+      at: this.at,
+      profile: { ...profile(requestId, this.at), ...changes },
+    });
+  }
+
+  piece(dispatch: decision.Dispatch, nextPiece: number): this {
+    const { requestId, attemptId } = dispatch;
+    const kind = decision.DecisionEventKind.PieceReceived;
+    return this.apply({ kind, at: this.at, requestId, attemptId, nextPiece });
+  }
+
+  finish(dispatch: decision.Dispatch): this {
+    const { requestId, attemptId } = dispatch;
+    const kind = decision.DecisionEventKind.AttemptFinished;
+    return this.apply({ kind, at: this.at, requestId, attemptId });
+  }
+
+  lose(dispatch: decision.Dispatch, outcome: verdict.Verdict): this {
+    const { requestId, attemptId } = dispatch;
+    const kind = decision.DecisionEventKind.AttemptFailed;
+    const reason = verdict.FailureReason.ConnectionLost;
+    const failure = verdict.failure(reason, outcome, 'The connection was lost.');
+    return this.apply({ kind, at: this.at, requestId, attemptId, failure });
+  }
+
+  /** Lets time pass and sends the tick that ends it. */
+  wait(milliseconds: number): this {
+    this.at += milliseconds;
+    return this.apply({ kind: decision.DecisionEventKind.Tick, at: this.at });
+  }
+
+  /** Removes and returns the collected effects of one kind. */
+  take<Kind extends decision.DecisionEffectKind>(
+    kind: Kind,
+  ): Extract<decision.DecisionEffect, { kind: Kind }>[] {
+    type Wanted = Extract<decision.DecisionEffect, { kind: Kind }>;
+    const taken = this.effects.filter((effect): effect is Wanted => effect.kind === kind);
+    this.effects = this.effects.filter((effect) => effect.kind !== kind);
+    return taken;
+  }
+}
+
+/** A core that knows one model service with some servers. */
+export function desk(servers: number, slotsPerRunner = 8): Desk {
+  const documents = [
+    configuration.modelServiceSchema.parse({
+      kind: configuration.DocumentKind.Service,
+      type: configuration.ServiceType.ModelEngine,
+      name: SERVICE,
+      model: 'sack-model',
+      weightsVersion: 'v1',
+      slotsPerRunner,
+    }),
+  ];
+  const snapshot = {
+    revision: 1,
+    documents: new Map(documents.map((entry) => [configuration.documentKey(entry), entry])),
+  };
+  return new Desk()
+    .apply({ kind: decision.DecisionEventKind.ConfigurationChanged, at: 0, snapshot })
+    .apply({ kind: decision.DecisionEventKind.ServersChanged, at: 0, servers: list(servers) });
+}
+
+/** The first `count` servers of the test service. */
+export function list(count: number) {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `runner-${index}`,
+    host: '127.0.0.1',
+    port: 9_000 + index,
+    zone: 'pl-caudan',
+    region: 'pl',
+    service: SERVICE,
+    kind: backend.BackendKind.ModelEngine,
+    phase: backend.MachinePhase.Live,
+    incarnation: 'first',
+    suspected: false,
+  }));
+}
+
+/** An idempotent short request without a long prompt. */
+export function profile(requestId: string, at: number): decision.RequestProfile {
+  return {
+    requestId,
+    team: 'depot',
+    service: SERVICE,
+    class: configuration.RequestClass.Short,
+    prefixChain: ['preamble', `history-${requestId}`],
+    promptTokens: 2_000,
+    expectedOutputTokens: 40,
+    idempotent: true,
+    priority: 5,
+    firstTokenDeadline: at + 10_000,
+    fingerprint: `fingerprint-${requestId}`,
+  };
+}
