Compose the decision core from placement, admission and health

Placement adds up the costs of rules over a learned prefix index, rendezvous order and load that counts own work before reports. Admission has fair shares, lanes for short and long work, and refuses what cannot meet its deadline. Stragglers are found from own timings; fingerprints in flight at two crashes are refused. Property tests guard the promises of the core.

--- /dev/null
+++ b/src/decision/arrival.ts
@@ -0,0 +1,121 @@
+import * as admission from '../admission';
+import * as configuration from '../configuration';
+import * as health from '../health';
+import * as placement from '../placement';
+import * as verdict from '../verdict';
+import * as arrivalCheck from './arrival-check';
+import * as ending from './ending';
+import type * as event from './event';
+import type * as state from './state';
+import * as orphans from './orphans';
+import * as standardChecks from './standard-checks';
+import type * as steps from './step';
+
+/** Queues a new request, or refuses it when a check finds that it must not or cannot be served. */
+export function applyArrival(step: steps.Step, given: event.RequestArrived): void {
+  const { profile } = given;
+  if (step.state.requests.has(profile.requestId)) {
+    return;
+  }
+  earnBudgets(step);
+  const request = newRequest(step, profile);
+  const refusal = arrivalCheck.firstRefusal(standardChecks.STANDARD_CHECKS, step, request);
+  if (refusal !== undefined) {
+    ending.fail(step, request, refusal);
+    return;
+  }
+  recordHeat(step, request);
+  enqueue(step, request);
+}
+
+/**
+ * Puts a request into the queue of its service. A request that was dispatched before goes to the front.
+ * One whose fingerprint may not run at present is parked until it may.
+ */
+export function enqueue(step: steps.Step, request: state.RequestState): void {
+  const { profile } = request;
+  const standing = health.standing(step.state.quarantine, profile.fingerprint, step.at);
+  if (standing === health.Standing.Refused) {
+    ending.fail(step, request, health.refusal());
+    return;
+  }
+  if (!orphans.isServed(step, profile.service)) {
+    ending.fail(step, request, orphans.unserved());
+    return;
+  }
+  if (standing === health.Standing.Held) {
+    park(step, request);
+    return;
+  }
+  const entry = entryOf(step, request);
+  const add = request.attemptCount > 0 ? admission.pushFront : admission.push;
+  step.setRequest({ ...request, entry, parked: false });
+  step.setQueue(profile.service, add(step.queue(profile.service), entry));
+}
+
+/** Takes a request out of the queue until its quarantine allows a dispatch. */
+export function park(step: steps.Step, request: state.RequestState): void {
+  step.setRequest({ ...request, entry: undefined, parked: true });
+  step.change({ parked: step.state.parked.add(request.profile.requestId) });
+}
+
+/** The estimated time that a request occupies a slot, before the learned stretch. */
+export function costOf(
+  service: configuration.ServiceDocument | undefined,
+  profile: event.RequestProfile,
+): number {
+  if (service?.type !== configuration.ServiceType.ModelEngine) {
+    return PLAIN_CALL_MILLISECONDS;
+  }
+  const uncached = profile.promptTokens * UNCACHED_FRACTION;
+  const prefill = uncached / service.prefillTokensPerSecond;
+  const decode = profile.expectedOutputTokens / service.decodeTokensPerSecond;
+  return (prefill + decode) * 1_000;
+}
+
+function newRequest(step: steps.Step, profile: event.RequestProfile): state.RequestState {
+  const cost = costOf(step.state.services.get(profile.service), profile);
+  return {
+    profile,
+    lane: admission.laneOf(profile.class, cost),
+    arrivedAt: step.at,
+    parked: false,
+    attempts: [],
+    attemptCount: 0,
+    verdict: verdict.Verdict.NotRun,
+    nextPiece: 0,
+    failedServers: [],
+  };
+}
+
+function entryOf(step: steps.Step, request: state.RequestState): admission.QueueEntry {
+  const { profile, lane } = request;
+  return {
+    requestId: profile.requestId,
+    team: profile.team,
+    lane,
+    priority: profile.priority,
+    costMilliseconds: costOf(step.state.services.get(profile.service), profile),
+    share: step.state.shares.get(profile.team, 1),
+  };
+}
+
+function earnBudgets(step: steps.Step): void {
+  step.change({
+    retryBudget: admission.earn(step.state.retryBudget),
+    hedgeBudget: admission.earn(step.state.hedgeBudget),
+    probeBudget: admission.earn(step.state.probeBudget),
+  });
+}
+
+function recordHeat(step: steps.Step, request: state.RequestState): void {
+  const anchor = placement.anchorOf(request.profile.prefixChain);
+  if (anchor !== '') {
+    const cost = costOf(step.state.services.get(request.profile.service), request.profile);
+    step.change({ heat: placement.addHeat(step.state.heat, anchor, cost, step.at) });
+  }
+}
+
+/** Most of a prompt is cached when placement works; the learned stretch corrects the rest. */
+const UNCACHED_FRACTION = 0.2;
+const PLAIN_CALL_MILLISECONDS = 20;
--- /dev/null
+++ b/src/decision/candidate-filter.ts
@@ -0,0 +1,16 @@
+import type * as state from './state';
+
+/** A request and a server that might get it. */
+export interface Pairing {
+  readonly request: state.RequestState;
+  readonly server: state.ServerState;
+  /** Requests that the server executes at the same time. */
+  readonly slots: number;
+  /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
+  readonly suspect: boolean;
+}
+
+/** A condition that a server must meet to get a request; all filters must admit it. */
+export abstract class CandidateFilter {
+  abstract admits(pairing: Pairing): boolean;
+}
--- /dev/null
+++ b/src/decision/dispatching.ts
@@ -0,0 +1,90 @@
+import * as admission from '../admission';
+import * as health from '../health';
+import * as choosing from './choosing';
+import * as arrival from './arrival';
+import * as effect from './effect';
+import * as ending from './ending';
+import * as slots from './slots';
+import type * as state from './state';
+import type * as steps from './step';
+
+/** Sends queued requests to servers while there are free slots; short work first. */
+export function dispatchQueued(step: steps.Step): void {
+  step.state.queues.forEach((queue, service) => {
+    if (!queue.lanes.isEmpty()) {
+      LANES.forEach((lane) => dispatchLane(step, service, lane));
+    }
+  });
+}
+
+/** Starts an attempt at the chosen server. */
+export function dispatch(
+  step: steps.Step,
+  request: state.RequestState,
+  choice: choosing.Choice,
+  hedge: boolean,
+): void {
+  const { requestId } = request.profile;
+  const serverId = choice.server.record.id;
+  const attempt: state.AttemptState = {
+    attemptId: `${requestId}/${request.attemptCount}`,
+    serverId,
+    incarnation: choice.server.incarnation,
+    dispatchedAt: step.at,
+    hedge,
+    suspect: choosing.isSuspect(step, request),
+    expectedMilliseconds: choice.expectedMilliseconds,
+    prefillTokens: Math.max(0, request.profile.promptTokens - choice.cachedTokens),
+    nextPiece: request.nextPiece,
+  };
+  slots.occupy(step, request, attempt);
+  step.setRequest({
+    ...request,
+    entry: undefined,
+    attempts: [...request.attempts, attempt],
+    attemptCount: request.attemptCount + 1,
+  });
+  step.emit({
+    kind: effect.DecisionEffectKind.Dispatch,
+    requestId,
+    attemptId: attempt.attemptId,
+    serverId,
+    resumeFrom: request.nextPiece,
+    hedge,
+    queuedMilliseconds: step.at - request.arrivedAt,
+    expectedCachedTokens: choice.cachedTokens,
+  });
+}
+
+function dispatchLane(step: steps.Step, service: string, lane: admission.Lane): void {
+  let progressed = true;
+  while (progressed) {
+    progressed = admission
+      .heads(step.queue(service), lane)
+      .some((entry) => dispatchEntry(step, service, entry));
+  }
+}
+
+/** Returns whether the head left the queue, so that the next one may be tried. */
+function dispatchEntry(step: steps.Step, service: string, entry: admission.QueueEntry): boolean {
+  const request = step.state.requests.get(entry.requestId)!;
+  const standing = health.standing(step.state.quarantine, request.profile.fingerprint, step.at);
+  if (standing === health.Standing.Refused) {
+    ending.fail(step, request, health.refusal());
+    return true;
+  }
+  if (standing === health.Standing.Held) {
+    step.setQueue(service, admission.remove(step.queue(service), entry));
+    arrival.park(step, request);
+    return true;
+  }
+  const choice = choosing.choose(step, request);
+  if (choice === undefined) {
+    return false;
+  }
+  step.setQueue(service, admission.take(step.queue(service), entry));
+  dispatch(step, request, choice, false);
+  return true;
+}
+
+const LANES = [admission.Lane.Short, admission.Lane.Long];
--- /dev/null
+++ b/src/decision/eligible-filter.ts
@@ -0,0 +1,12 @@
+import * as candidateFilter from './candidate-filter';
+
+/** Admits servers of the service that may get new work, each for one attempt of a request at a time. */
+export class EligibleFilter extends candidateFilter.CandidateFilter {
+  override admits({ request, server }: candidateFilter.Pairing): boolean {
+    return (
+      server.eligible &&
+      server.record.service === request.profile.service &&
+      request.attempts.every((attempt) => attempt.serverId !== server.record.id)
+    );
+  }
+}
--- /dev/null
+++ b/src/decision/ending.ts
@@ -0,0 +1,54 @@
+import * as admission from '../admission';
+import * as verdict from '../verdict';
+import * as effect from './effect';
+import * as slots from './slots';
+import type * as state from './state';
+import type * as steps from './step';
+
+/** Ends a request with a failure whose verdict covers every attempt, also those still running. */
+export function fail(
+  step: steps.Step,
+  request: state.RequestState,
+  failure: verdict.RequestFailure,
+): void {
+  const { requestId } = request.profile;
+  const running = request.attempts.length > 0 ? verdict.Verdict.MayHaveRun : verdict.Verdict.NotRun;
+  const combined = [request.verdict, running].reduce(verdict.combine, failure.verdict);
+  remove(step, requestId);
+  step.emit({
+    kind: effect.DecisionEffectKind.Fail,
+    requestId,
+    failure: { ...failure, verdict: combined },
+  });
+}
+
+/** Forgets a request, after cancelling what still runs of it. */
+export function remove(step: steps.Step, requestId: string): void {
+  const request = step.state.requests.get(requestId);
+  if (request === undefined) {
+    return;
+  }
+  request.attempts.forEach((attempt) => cancel(step, request, attempt));
+  if (request.entry !== undefined) {
+    const { service } = request.profile;
+    step.setQueue(service, admission.remove(step.queue(service), request.entry));
+  }
+  step.change({
+    requests: step.state.requests.delete(requestId),
+    parked: step.state.parked.delete(requestId),
+  });
+}
+
+/** Aborts one attempt and frees its slot; the caller updates the request. */
+export function cancel(
+  step: steps.Step,
+  request: state.RequestState,
+  attempt: state.AttemptState,
+): void {
+  slots.release(step, request, attempt);
+  step.emit({
+    kind: effect.DecisionEffectKind.CancelAttempt,
+    requestId: request.profile.requestId,
+    attemptId: attempt.attemptId,
+  });
+}
--- /dev/null
+++ b/src/decision/failing.ts
@@ -0,0 +1,80 @@
+import * as admission from '../admission';
+import * as health from '../health';
+import * as verdict from '../verdict';
+import * as arrival from './arrival';
+import * as ending from './ending';
+import type * as event from './event';
+import * as progress from './progress';
+import * as slots from './slots';
+import type * as state from './state';
+import type * as steps from './step';
+
+/** Retries, resumes or fails a request after one of its attempts failed. */
+export function applyFailure(step: steps.Step, given: event.AttemptFailed): void {
+  const found = progress.findAttempt(step, given.requestId, given.attemptId);
+  if (found === undefined) {
+    return;
+  }
+  slots.release(step, found.request, found.attempt);
+  attemptEnded(step, found.request, found.attempt, given.failure);
+}
+
+/** Goes on after an attempt whose slot is already released. */
+export function attemptEnded(
+  step: steps.Step,
+  request: state.RequestState,
+  attempt: state.AttemptState,
+  failure: verdict.RequestFailure,
+): void {
+  recordLoss(step, request, attempt, failure);
+  const failed: state.RequestState = {
+    ...request,
+    attempts: request.attempts.filter((other) => other !== attempt),
+    verdict: verdict.combine(request.verdict, failure.verdict),
+    failedServers: [...request.failedServers, attempt.serverId],
+  };
+  step.setRequest(failed);
+  if (failed.attempts.length > 0) {
+    return;
+  }
+  if (mayRetry(step, failed)) {
+    step.change({ retryBudget: admission.spend(step.state.retryBudget) });
+    arrival.enqueue(step, failed);
+  } else {
+    ending.fail(step, failed, failure);
+  }
+}
+
+function mayRetry(step: steps.Step, request: state.RequestState): boolean {
+  return (
+    verdict.mayRetry(request.verdict, request.profile.idempotent) &&
+    request.attemptCount < MAXIMUM_ATTEMPTS &&
+    admission.affordable(step.state.retryBudget)
+  );
+}
+
+/** A broken connection may be the first sign of a crash that a probe confirms later. */
+function recordLoss(
+  step: steps.Step,
+  request: state.RequestState,
+  attempt: state.AttemptState,
+  failure: verdict.RequestFailure,
+): void {
+  if (failure.verdict === verdict.Verdict.MayHaveRun && CRASH_SIGNS.has(failure.reason)) {
+    const crashId = health.crashIdOf(attempt.serverId, attempt.incarnation ?? UNKNOWN_INCARNATION);
+    const { fingerprint } = request.profile;
+    step.change({
+      quarantine: health.recordLoss(step.state.quarantine, fingerprint, crashId, step.at),
+    });
+  }
+}
+
+/** Stands in a crash identifier for an incarnation that was never learned. */
+export const UNKNOWN_INCARNATION = 'unknown';
+
+/** More attempts would keep a broken request alive beyond any useful deadline. */
+const MAXIMUM_ATTEMPTS = 5;
+const CRASH_SIGNS: ReadonlySet<verdict.FailureReason> = new Set([
+  verdict.FailureReason.ConnectionLost,
+  verdict.FailureReason.StreamBroken,
+]);
--- /dev/null
+++ b/src/decision/hedging.ts
@@ -0,0 +1,48 @@
+import * as admission from '../admission';
+import * as choosing from './choosing';
+import * as dispatching from './dispatching';
+import type * as state from './state';
+import type * as steps from './step';
+
+/** Starts a second attempt of idempotent requests whose first token is late, the latest first. */
+export function hedgeLate(step: steps.Step): void {
+  if (!admission.affordable(step.state.hedgeBudget)) {
+    return;
+  }
+  const late = [...step.state.requests.values()]
+    .filter((request) => isLate(step, request))
+    .sort((left, right) => left.attempts[0].dispatchedAt - right.attempts[0].dispatchedAt);
+  late.forEach((request) => hedge(step, request));
+}
+
+function isLate(step: steps.Step, request: state.RequestState): boolean {
+  const [attempt] = request.attempts;
+  return (
+    request.attempts.length === 1 &&
+    attempt.lastPieceAt === undefined &&
+    request.profile.idempotent &&
+    !attempt.suspect &&
+    step.at - attempt.dispatchedAt > patience(step, attempt)
+  );
+}
+
+/** How long a first token may take; a server known to be slow gets less time. */
+function patience(step: steps.Step, attempt: state.AttemptState): number {
+  const factor = step.state.slowdowns.has(attempt.serverId) ? 1 : PATIENCE_FACTOR;
+  return attempt.expectedMilliseconds * factor + PATIENCE_MILLISECONDS;
+}
+
+function hedge(step: steps.Step, request: state.RequestState): void {
+  if (!admission.affordable(step.state.hedgeBudget)) {
+    return;
+  }
+  const choice = choosing.choose(step, request);
+  if (choice === undefined || step.state.slowdowns.has(choice.server.record.id)) {
+    return;
+  }
+  step.change({ hedgeBudget: admission.spend(step.state.hedgeBudget) });
+  dispatching.dispatch(step, request, choice, true);
+}
+
+const PATIENCE_FACTOR = 2;
+const PATIENCE_MILLISECONDS = 400;
--- /dev/null
+++ b/src/decision/orphans.ts
@@ -0,0 +1,28 @@
+import * as verdict from '../verdict';
+import * as ending from './ending';
+import type * as steps from './step';
+
+/** Fails queued requests whose service has no server that may get work; waiting would not help them. */
+export function failOrphans(step: steps.Step): void {
+  const orphans = [...step.state.requests.values()].filter(
+    (request) => request.attempts.length === 0 && !isServed(step, request.profile.service),
+  );
+  orphans.forEach((request) => ending.fail(step, request, unserved()));
+}
+
+/** Whether a service is configured and has a server that may get work. */
+export function isServed(step: steps.Step, service: string): boolean {
+  return step.state.services.has(service) && step.pool(service).some((server) => server.eligible);
+}
+
+/** The failure of a request that no server can take. */
+export function unserved(): verdict.RequestFailure {
+  return verdict.failure(
+    verdict.FailureReason.NoBackendServer,
+    verdict.Verdict.NotRun,
+    'No backend server of this service may get work at present.',
+    { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
+  );
+}
+
+const RETRY_AFTER_MILLISECONDS = 1_000;
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -1,6 +1,9 @@
 import * as immutable from 'immutable';
+import * as admission from '../admission';
 import * as configuration from '../configuration';
+import * as health from '../health';
 import * as membership from '../membership';
+import * as placement from '../placement';
 import * as verdict from '../verdict';
 import type * as event from './event';
 import type * as options from './options';
@@ -9,16 +12,31 @@
 export interface AttemptState {
   readonly attemptId: string;
   readonly serverId: string;
+  /** Incarnation of the server at the dispatch, if it was known. */
+  readonly incarnation?: string;
   readonly dispatchedAt: number;
   readonly hedge: boolean;
+  /** Whether the fingerprint was suspected at the dispatch. */
+  readonly suspect: boolean;
+  /** Time to the first piece that was expected at the dispatch, corrected by the head of the answer. */
+  readonly expectedMilliseconds: number;
+  /** Prompt tokens counted as waiting for prefill at the server; 0 after the first piece. */
+  readonly prefillTokens: number;
   /** When the last piece arrived. */
   readonly lastPieceAt?: number;
+  /** Number of the next piece of this attempt. */
+  readonly nextPiece: number;
 }
 
-/** A request from its arrival to its end; `attempts` is empty while it is queued. */
+/** A request from its arrival to its end. */
 export interface RequestState {
   readonly profile: event.RequestProfile;
+  readonly lane: admission.Lane;
   readonly arrivedAt: number;
+  /** Present while the request is queued. */
+  readonly entry?: admission.QueueEntry;
+  /** True while the request waits outside the queue for its quarantine to allow a dispatch. */
+  readonly parked: boolean;
   readonly attempts: readonly AttemptState[];
   readonly attemptCount: number;
   /** Combined over all attempts that have ended. */
@@ -29,22 +47,54 @@
   readonly failedServers: readonly string[];
 }
 
-/** A backend server and this daemon's own work on it. */
+/** A backend server as the decision core sees it. */
 export interface ServerState {
   readonly record: membership.EligibleServer;
+  /** False for a server that may get no new work but still has some. */
   readonly eligible: boolean;
-  readonly inFlight: number;
+  readonly incarnation?: string;
+  /** Earlier incarnations, newest last; what still arrives from them is ignored. */
+  readonly deadIncarnations: readonly string[];
+  readonly load: placement.ServerLoad;
+  /** Own attempts in flight whose fingerprints are suspected. */
+  readonly suspects: number;
+  readonly probedAt: number;
+}
+
+/** Smoothed observations of one service. */
+export interface ServiceTiming {
+  /** Time from a dispatch to the first piece. */
+  readonly firstPieceMilliseconds: number;
+  /** Time that a request occupied a slot, divided by its estimated cost. */
+  readonly stretch: number;
 }
 
 /** The whole state of the decision core of one daemon. */
 export interface DecisionState {
   readonly options: options.DecisionOptions;
+  /** Seed of the next random choice. */
   readonly randomSeed: number;
   readonly services: immutable.Map<string, configuration.ServiceDocument>;
+  /** Weight of each team in fair sharing. */
+  readonly shares: immutable.Map<string, number>;
   readonly servers: immutable.Map<string, ServerState>;
+  /** Identifiers of the servers of each service, in alphabetical order. */
+  readonly pools: immutable.Map<string, readonly string[]>;
   readonly requests: immutable.Map<string, RequestState>;
-  /** Identifiers of queued requests by service, in order of arrival. */
-  readonly queues: immutable.Map<string, immutable.List<string>>;
+  readonly queues: immutable.Map<string, admission.ServiceQueue>;
+  readonly parked: immutable.OrderedSet<string>;
+  readonly index: placement.PrefixIndex;
+  readonly heat: placement.Heat;
+  readonly timings: health.Timings;
+  /** Servers slower than their peers, with how many times. */
+  readonly slowdowns: immutable.Map<string, number>;
+  readonly serviceTimings: immutable.Map<string, ServiceTiming>;
+  readonly quarantine: health.Quarantine;
+  readonly retryBudget: admission.Budget;
+  readonly hedgeBudget: admission.Budget;
+  readonly probeBudget: admission.Budget;
+  readonly checkedAt: number;
+  readonly prunedAt: number;
 }
 
 /**
@@ -57,9 +107,23 @@
   return {
     options: given,
     randomSeed: given.seed,
-    services: immutable.Map(),
-    servers: immutable.Map(),
-    requests: immutable.Map(),
-    queues: immutable.Map(),
+    services: immutable.Map<string, configuration.ServiceDocument>(),
+    shares: immutable.Map<string, number>(),
+    servers: immutable.Map<string, ServerState>(),
+    pools: immutable.Map<string, readonly string[]>(),
+    requests: immutable.Map<string, RequestState>(),
+    queues: immutable.Map<string, admission.ServiceQueue>(),
+    parked: immutable.OrderedSet<string>(),
+    index: placement.EMPTY_INDEX,
+    heat: placement.EMPTY_HEAT,
+    timings: health.EMPTY_TIMINGS,
+    slowdowns: immutable.Map<string, number>(),
+    serviceTimings: immutable.Map<string, ServiceTiming>(),
+    quarantine: health.EMPTY_QUARANTINE,
+    retryBudget: admission.RETRY_BUDGET,
+    hedgeBudget: admission.HEDGE_BUDGET,
+    probeBudget: admission.PROBE_BUDGET,
+    checkedAt: 0,
+    prunedAt: 0,
   };
 }
--- a/src/decision/step.ts
+++ b/src/decision/step.ts
@@ -1,3 +1,5 @@
+import * as admission from '../admission';
+import * as clock from '../clock';
 import * as transaction from '../transaction';
 import type * as effect from './effect';
 import type * as state from './state';
@@ -24,7 +26,40 @@
     this.effects.push(given);
   }
 
+  setRequest(request: state.RequestState): void {
+    const { requestId } = request.profile;
+    this.change({ requests: this.state.requests.set(requestId, request) });
+  }
+
+  setServer(server: state.ServerState): void {
+    this.change({ servers: this.state.servers.set(server.record.id, server) });
+  }
+
+  queue(service: string): admission.ServiceQueue {
+    return this.state.queues.get(service, admission.EMPTY_QUEUE);
+  }
+
+  setQueue(service: string, queue: admission.ServiceQueue): void {
+    this.change({ queues: this.state.queues.set(service, queue) });
+  }
+
+  /** The servers of a service, also those that may get no new work. */
+  pool(service: string): state.ServerState[] {
+    const serverIds = this.state.pools.get(service) ?? [];
+    return serverIds.map((serverId) => this.state.servers.get(serverId)!);
+  }
+
+  /** A uniform number from 0 to 1 from the seed in the state. */
+  random(): number {
+    const source = new clock.SeededRandomSource(this.state.randomSeed);
+    const value = source.uniform();
+    this.change({ randomSeed: source.integer(0, SEED_LIMIT) });
+    return value;
+  }
+
   transaction(): transaction.Transaction<state.DecisionState, effect.DecisionEffect> {
     return transaction.create(this.startState, this.state, this.effects);
   }
 }
+
+const SEED_LIMIT = 2 ** 32;
--- /dev/null
+++ b/src/decision/upkeep.ts
@@ -0,0 +1,76 @@
+import * as health from '../health';
+import * as placement from '../placement';
+import * as verdict from '../verdict';
+import * as arrival from './arrival';
+import * as deadlineCheck from './deadline-check';
+import * as ending from './ending';
+import * as hedging from './hedging';
+import * as stragglers from './stragglers';
+import type * as steps from './step';
+
+/** What has to be done as time passes. */
+export function applyTick(step: steps.Step): void {
+  expireQueued(step);
+  releaseParked(step);
+  if (step.at - step.state.checkedAt >= CHECK_INTERVAL_MILLISECONDS) {
+    step.change({ checkedAt: step.at });
+    stragglers.refresh(step);
+    hedging.hedgeLate(step);
+  }
+  if (step.at - step.state.prunedAt >= PRUNE_INTERVAL_MILLISECONDS) {
+    step.change({
+      prunedAt: step.at,
+      index: placement.pruneIndex(step.state.index, step.at),
+      heat: placement.pruneHeat(step.state.heat, step.at),
+      quarantine: health.prune(step.state.quarantine, step.at),
+    });
+  }
+}
+
+/** Ends requests that waited until their deadline, unless their stream has started already. */
+function expireQueued(step: steps.Step): void {
+  const waiting = step.state.queues
+    .valueSeq()
+    .flatMap((queue) => queue.lanes.valueSeq())
+    .flatMap((teams) => teams.valueSeq())
+    .flatMap((team) => team.entries)
+    .map((entry) => entry.requestId);
+  expire(step, [...waiting, ...step.state.parked]);
+}
+
+function expire(step: steps.Step, requestIds: readonly string[]): void {
+  requestIds.forEach((requestId) => {
+    const request = step.state.requests.get(requestId);
+    if (
+      request !== undefined &&
+      request.nextPiece === 0 &&
+      step.at >= request.profile.firstTokenDeadline
+    ) {
+      ending.fail(
+        step,
+        request,
+        verdict.failure(
+          verdict.FailureReason.DeadlineUnreachable,
+          verdict.Verdict.NotRun,
+          'The request waited until the deadline of its first token.',
+          { retryAfterMilliseconds: deadlineCheck.retryAfter(step.at - request.arrivedAt) },
+        ),
+      );
+    }
+  });
+}
+
+function releaseParked(step: steps.Step): void {
+  step.state.parked.forEach((requestId) => {
+    const request = step.state.requests.get(requestId)!;
+    const { fingerprint } = request.profile;
+    if (health.standing(step.state.quarantine, fingerprint, step.at) !== health.Standing.Held) {
+      step.change({ parked: step.state.parked.delete(requestId) });
+      arrival.enqueue(step, request);
+    }
+  });
+}
+
+/** Stragglers and late first tokens are looked for this often; both are much slower than this. */
+const CHECK_INTERVAL_MILLISECONDS = 100;
+const PRUNE_INTERVAL_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/health/index.ts
@@ -0,0 +1,3 @@
+/** Which servers are slow at present, and which requests crash servers. */
+export * from './quarantine';
+export * from './timing';
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,8 @@
+/** Where a request should run: learned prefix index, rendezvous hashing, load and added-up costs. */
+export * from './anchor';
+export * from './cost-rule';
+export * from './heat';
+export * from './prefix-index';
+export * from './rendezvous';
+export * from './server-load';
+export * from './standard-rules';
--- /dev/null
+++ b/src/placement/server-load.ts
@@ -0,0 +1,91 @@
+import * as immutable from 'immutable';
+
+/** Work at one moment. */
+export interface Work {
+  readonly requests: number;
+  /** Uncached prompt tokens whose prefill has not ended. */
+  readonly prefillTokens: number;
+}
+
+interface Sample extends Work {
+  readonly at: number;
+}
+
+/**
+ * Load of one server: the daemon's own work, which is exact, and the work of other daemons, which is
+ * what a lagging report says beyond the daemon's own work at the time of the measurement.
+ */
+export interface ServerLoad {
+  readonly own: Work;
+  /** Own requests of the class for long work. */
+  readonly ownLong: number;
+  readonly others: Work;
+  /** Own work after each change, oldest first. */
+  readonly samples: immutable.List<Sample>;
+}
+
+/** A report of an engine, with the time at which it was measured. */
+export interface Measurement extends Work {
+  readonly measuredAt: number;
+}
+
+const NO_WORK: Work = { requests: 0, prefillTokens: 0 };
+
+export const IDLE: ServerLoad = {
+  own: NO_WORK,
+  ownLong: 0,
+  others: NO_WORK,
+  samples: immutable.List<Sample>(),
+};
+
+/**
+ * Adds own work (negative numbers remove it).
+ *
+ * @example
+ * changeOwn(load, { requests: 1, prefillTokens: 3_000 }, false, at);
+ */
+export function changeOwn(load: ServerLoad, delta: Work, long: boolean, at: number): ServerLoad {
+  const own = {
+    requests: load.own.requests + delta.requests,
+    prefillTokens: Math.max(0, load.own.prefillTokens + delta.prefillTokens),
+  };
+  const recent = load.samples.skipWhile(
+    (sample, position) => sample.at < at - HISTORY_MILLISECONDS && position < load.samples.size - 1,
+  );
+  return {
+    ...load,
+    own,
+    ownLong: load.ownLong + (long ? delta.requests : 0),
+    samples: recent.push({ ...own, at }),
+  };
+}
+
+/**
+ * Takes over a load report. Own work of the time of the measurement is subtracted, so that a request
+ * dispatched after it counts once and a request that ended after it does not count.
+ */
+export function applyMeasurement(load: ServerLoad, measurement: Measurement): ServerLoad {
+  const then = ownAt(load, measurement.measuredAt);
+  return {
+    ...load,
+    others: {
+      requests: Math.max(0, measurement.requests - then.requests),
+      prefillTokens: Math.max(0, measurement.prefillTokens - then.prefillTokens),
+    },
+  };
+}
+
+/** The estimate of all work at the server now. */
+export function totalWork(load: ServerLoad): Work {
+  return {
+    requests: load.own.requests + load.others.requests,
+    prefillTokens: load.own.prefillTokens + load.others.prefillTokens,
+  };
+}
+
+function ownAt(load: ServerLoad, at: number): Work {
+  return load.samples.findLast((sample) => sample.at <= at) ?? load.samples.first() ?? NO_WORK;
+}
+
+/** Reports are up to 2 s late; work older than this needs no history. */
+const HISTORY_MILLISECONDS = 4_000;
--- /dev/null
+++ b/test/decision/observer.ts
@@ -0,0 +1,305 @@
+import * as configuration from '../../src/configuration';
+import * as decision from '../../src/decision';
+import * as verdict from '../../src/verdict';
+import * as builder from './builder';
+
+/** What a random history can do next. */
+export enum ActionKind {
+  Arrive = 'arrive',
+  Answer = 'answer',
+  Piece = 'piece',
+  Finish = 'finish',
+  Fail = 'fail',
+  Cancel = 'cancel',
+  Crash = 'crash',
+  Servers = 'servers',
+  Load = 'load',
+  Report = 'report',
+  Wait = 'wait',
+}
+
+export const ACTIONS = [
+  ...Object.values(ActionKind),
+  // Most histories should have something running.
+  ActionKind.Arrive,
+  ActionKind.Arrive,
+  ActionKind.Wait,
+  ActionKind.Fail,
+];
+
+export interface Action {
+  readonly kind: ActionKind;
+  readonly pick: number;
+  readonly detail: number;
+}
+
+interface Watched {
+  readonly profile: decision.RequestProfile;
+  mayHaveRun: boolean;
+  ends: number;
+}
+
+const SLOTS = 4;
+const SERVERS = 4;
+const FINGERPRINTS = 6;
+
+/** Plays the adapter of a decision core at random, and notes every broken promise. */
+export class Observer {
+  readonly desk = builder.desk(SERVERS, SLOTS);
+
+  readonly effects: decision.DecisionEffect[] = [];
+
+  readonly secondRuns: string[] = [];
+
+  readonly endedTwice: string[] = [];
+
+  readonly falseNotRun: string[] = [];
+
+  readonly ineligible: string[] = [];
+
+  readonly overfull: string[] = [];
+
+  readonly quarantineBroken: string[] = [];
+
+  private readonly requests = new Map<string, Watched>();
+
+  private readonly live = new Map<string, decision.Dispatch>();
+
+  private readonly crashes = new Map<string, Set<string>>();
+
+  private listed = builder.list(SERVERS);
+
+  private incarnations = 0;
+
+  act({ kind, pick, detail }: Action): void {
+    const attempts = [...this.live.values()];
+    const attempt = attempts[pick % Math.max(1, attempts.length)];
+    const server = builder.list(SERVERS)[pick % SERVERS];
+    switch (kind) {
+      case ActionKind.Arrive:
+        return this.arrive(detail);
+      case ActionKind.Crash:
+        return this.send({
+          kind: decision.DecisionEventKind.ServerCrashed,
+          at: this.desk.at,
+          serverId: server.id,
+        });
+      case ActionKind.Servers:
+        return this.changeServers(pick, detail);
+      case ActionKind.Load:
+        return this.load(server.id, detail);
+      case ActionKind.Report:
+        return this.report(pick, detail);
+      case ActionKind.Wait:
+        return this.wait(1 + detail * 2);
+      case ActionKind.Cancel:
+        return this.cancel(pick);
+      default:
+        return attempt === undefined ? undefined : this.answer(kind, attempt, detail);
+    }
+  }
+
+  /** Requests without an end. */
+  open(): string[] {
+    return [...this.requests].filter(([, request]) => request.ends === 0).map(([id]) => id);
+  }
+
+  running(serverId: string): number {
+    return [...this.live.values()].filter((dispatch) => dispatch.serverId === serverId).length;
+  }
+
+  /** Finishes every running attempt and lets time pass until nothing is left. */
+  drain(): void {
+    for (let round = 0; round < 200 && this.open().length > 0; round += 1) {
+      [...this.live.values()].forEach((attempt) => this.answer(ActionKind.Finish, attempt, 0));
+      this.wait(500);
+    }
+  }
+
+  private arrive(detail: number): void {
+    const requestId = `request-${this.requests.size}`;
+    const profile: decision.RequestProfile = {
+      ...builder.profile(requestId, this.desk.at),
+      idempotent: detail % 3 !== 0,
+      team: `team-${detail % 2}`,
+      class: detail % 5 === 0 ? configuration.RequestClass.Long : configuration.RequestClass.Short,
+      fingerprint: `fingerprint-${detail % FINGERPRINTS}`,
+      firstTokenDeadline: this.desk.at + (detail % 7) * 800,
+    };
+    this.requests.set(requestId, { profile, mayHaveRun: false, ends: 0 });
+    this.send({ kind: decision.DecisionEventKind.RequestArrived, at: this.desk.at, profile });
+  }
+
+  private answer(kind: ActionKind, attempt: decision.Dispatch, detail: number): void {
+    const { requestId, attemptId } = attempt;
+    const base = { at: this.desk.at, requestId, attemptId };
+    const request = this.requests.get(requestId)!;
+    switch (kind) {
+      case ActionKind.Answer:
+        return this.send({
+          ...base,
+          kind: decision.DecisionEventKind.AnswerStarted,
+          incarnation: this.listed.find(({ id }) => id === attempt.serverId)?.incarnation ?? 'gone',
+          weightsVersion: 'v1',
+          cachedTokens: detail,
+          promptTokens: 2_000,
+        });
+      case ActionKind.Piece:
+        return this.send({
+          ...base,
+          kind: decision.DecisionEventKind.PieceReceived,
+          nextPiece: attempt.resumeFrom + 1 + (detail % 9),
+        });
+      case ActionKind.Finish:
+        this.live.delete(attemptId);
+        request.ends += 1;
+        this.noteFullRun(request.profile.fingerprint);
+        return this.send({ ...base, kind: decision.DecisionEventKind.AttemptFinished });
+      default:
+        return this.fail(attempt, detail);
+    }
+  }
+
+  private fail(attempt: decision.Dispatch, detail: number): void {
+    const { requestId, attemptId } = attempt;
+    const outcome = detail % 2 === 0 ? verdict.Verdict.MayHaveRun : verdict.Verdict.NotRun;
+    const request = this.requests.get(requestId)!;
+    request.mayHaveRun ||= outcome === verdict.Verdict.MayHaveRun;
+    this.live.delete(attemptId);
+    this.send({
+      kind: decision.DecisionEventKind.AttemptFailed,
+      at: this.desk.at,
+      requestId,
+      attemptId,
+      failure: verdict.failure(verdict.FailureReason.ConnectionLost, outcome, 'Lost.'),
+    });
+  }
+
+  private cancel(pick: number): void {
+    const open = this.open();
+    if (open.length > 0) {
+      const requestId = open[pick % open.length];
+      this.requests.get(requestId)!.ends += 1;
+      const kind = decision.DecisionEventKind.RequestCancelled;
+      this.send({ kind, at: this.desk.at, requestId });
+    }
+  }
+
+  private changeServers(pick: number, detail: number): void {
+    this.incarnations += 1;
+    this.listed = builder
+      .list(SERVERS)
+      .filter((_, index) => Math.floor(pick / 2 ** index) % 2 === 0)
+      .map((server, index) => ({
+        ...server,
+        incarnation: index === detail % 9 ? `restart-${this.incarnations}` : 'first',
+      }));
+    const kind = decision.DecisionEventKind.ServersChanged;
+    this.send({ kind, at: this.desk.at, servers: this.listed });
+  }
+
+  private load(serverId: string, detail: number): void {
+    this.send({
+      kind: decision.DecisionEventKind.LoadReported,
+      at: this.desk.at,
+      serverId,
+      incarnation: 'first',
+      weightsVersion: 'v1',
+      ageMilliseconds: detail,
+      runningRequests: detail % 5,
+      queuedRequests: 0,
+      queuedPrefillTokens: 0,
+    });
+  }
+
+  private report(pick: number, detail: number): void {
+    const crashId = `peer-crash-${detail % 3}`;
+    const fingerprints = [`fingerprint-${pick % FINGERPRINTS}`];
+    const kind = decision.DecisionEventKind.QuarantineReported;
+    this.noteCrash(crashId, fingerprints);
+    this.send({ kind, at: this.desk.at, crashId, serverId: 'elsewhere', fingerprints });
+  }
+
+  private wait(milliseconds: number): void {
+    this.desk.at += milliseconds;
+    this.send({ kind: decision.DecisionEventKind.Tick, at: this.desk.at });
+  }
+
+  private noteCrash(crashId: string, fingerprints: readonly string[]): void {
+    fingerprints.forEach((fingerprint) => {
+      const known = this.crashes.get(fingerprint) ?? new Set();
+      this.crashes.set(fingerprint, known.add(crashId));
+    });
+  }
+
+  /** A full run shows that a suspect was only in bad company; a refused fingerprint stays refused. */
+  private noteFullRun(fingerprint: string): void {
+    if ((this.crashes.get(fingerprint)?.size ?? 0) < 2) {
+      this.crashes.delete(fingerprint);
+    }
+  }
+
+  private send(event: decision.DecisionEvent): void {
+    const { state, effects } = decision.update(this.desk.state, event);
+    this.desk.state = state;
+    effects.forEach((effect) => this.watch(effect));
+  }
+
+  private watch(effect: decision.DecisionEffect): void {
+    this.effects.push(effect);
+    switch (effect.kind) {
+      case decision.DecisionEffectKind.Dispatch:
+        return this.watchDispatch(effect);
+      case decision.DecisionEffectKind.CancelAttempt:
+        this.requests.get(effect.requestId)!.mayHaveRun = true;
+        this.live.delete(effect.attemptId);
+        return undefined;
+      case decision.DecisionEffectKind.Fail:
+        return this.watchFail(effect);
+      default:
+        return this.noteCrash(effect.crashId, effect.fingerprints);
+    }
+  }
+
+  private watchDispatch(dispatch: decision.Dispatch): void {
+    const { profile, mayHaveRun, ends } = this.requests.get(dispatch.requestId)!;
+    const beside = [...this.live.values()].some((other) => other.requestId === dispatch.requestId);
+    if (!profile.idempotent && (mayHaveRun || beside)) {
+      this.secondRuns.push(dispatch.attemptId);
+    }
+    if (ends > 0) {
+      this.endedTwice.push(dispatch.attemptId);
+    }
+    if (!this.listed.some((server) => server.id === dispatch.serverId)) {
+      this.ineligible.push(dispatch.attemptId);
+    }
+    if ((this.crashes.get(profile.fingerprint)?.size ?? 0) >= 2) {
+      this.quarantineBroken.push(dispatch.attemptId);
+    }
+    this.live.set(dispatch.attemptId, dispatch);
+    this.watchSlots(dispatch);
+  }
+
+  private watchSlots({ serverId, attemptId }: decision.Dispatch): void {
+    const running = [...this.live.values()].filter((dispatch) => dispatch.serverId === serverId);
+    const long = running.filter(
+      ({ requestId }) =>
+        this.requests.get(requestId)!.profile.class === configuration.RequestClass.Long,
+    );
+    if (running.length > SLOTS || long.length > SLOTS - 1) {
+      this.overfull.push(attemptId);
+    }
+  }
+
+  private watchFail({ requestId, failure }: decision.Fail): void {
+    const request = this.requests.get(requestId)!;
+    request.ends += 1;
+    if (request.ends > 1) {
+      this.endedTwice.push(requestId);
+    }
+    const attempted = [...this.live.values()].some((dispatch) => dispatch.requestId === requestId);
+    if (failure.verdict === verdict.Verdict.NotRun && (request.mayHaveRun || attempted)) {
+      this.falseNotRun.push(requestId);
+    }
+  }
+}
