--- /dev/null
+++ b/src/decision/update.ts
@@ -0,0 +1,60 @@
+import * as transaction from '../transaction';
+import * as arrival from './arrival';
+import * as crash from './crash';
+import * as dispatching from './dispatching';
+import type * as effect from './effect';
+import * as ending from './ending';
+import * as event from './event';
+import * as failing from './failing';
+import * as fleet from './fleet';
+import * as progress from './progress';
+import type * as state from './state';
+import * as steps from './step';
+import * as upkeep from './upkeep';
+
+/**
+ * Decides what follows from an event. Pure: the same state and event give the same transaction.
+ *
+ * @example
+ * const { state, effects } = update(initialState(options), { kind: DecisionEventKind.Tick, at: 20 });
+ */
+export function update(
+  start: state.DecisionState,
+  given: event.DecisionEvent,
+): transaction.Transaction<state.DecisionState, effect.DecisionEffect> {
+  const step = new steps.Step(start, given.at);
+  apply(step, given);
+  dispatching.dispatchQueued(step);
+  return step.transaction();
+}
+
+function apply(step: steps.Step, given: event.DecisionEvent): void {
+  switch (given.kind) {
+    case event.DecisionEventKind.ConfigurationChanged:
+      return fleet.applyConfiguration(step, given);
+    case event.DecisionEventKind.ServersChanged:
+      return fleet.applyServers(step, given);
+    case event.DecisionEventKind.LoadReported:
+      return fleet.applyLoadReport(step, given);
+    case event.DecisionEventKind.CacheEvicted:
+      return fleet.applyEviction(step, given);
+    case event.DecisionEventKind.ServerCrashed:
+      return crash.applyCrash(step, given);
+    case event.DecisionEventKind.QuarantineReported:
+      return crash.applyReport(step, given);
+    case event.DecisionEventKind.RequestArrived:
+      return arrival.applyArrival(step, given);
+    case event.DecisionEventKind.AnswerStarted:
+      return progress.applyAnswerStart(step, given);
+    case event.DecisionEventKind.PieceReceived:
+      return progress.applyPiece(step, given);
+    case event.DecisionEventKind.AttemptFinished:
+      return progress.applyFinish(step, given);
+    case event.DecisionEventKind.AttemptFailed:
+      return failing.applyFailure(step, given);
+    case event.DecisionEventKind.RequestCancelled:
+      return ending.remove(step, given.requestId);
+    default:
+      return upkeep.applyTick(step);
+  }
+}
