Refuse routes on figline's own paths and VM lists that cannot be read

Cause: a plain route under /v1, /healthz or /readyz would never get a request, because the caller listener answers these paths itself. The VM list adapter reads GET /machines over plain HTTP from an IP address, so any other URL would fail only after the start.

Change: checkDocuments refuses such routes, and --vm-list such URLs.

Seen: the two tests that list wrong files and wrong VM lists.

Conclusion: both faults are found before anything is published or started.

--- a/src/configuration/check.ts
+++ b/src/configuration/check.ts
@@ -58,6 +58,9 @@
 /** The SHA-256 of no bytes: the hash of a credential variable that was empty. */
 const HASH_OF_NOTHING = 'e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855';
 
+/** First path segments of the caller listener's own endpoints. */
+const RESERVED_SEGMENTS = ['v1', 'healthz', 'readyz'];
+
 function isService(entry: document.ConfigurationDocument): entry is document.ServiceDocument {
   return entry.kind === document.DocumentKind.Service;
 }
@@ -167,17 +170,20 @@
 }
 
 function checkPaths(service: document.PlainServiceDocument, index: number): DocumentProblem[] {
-  return service.routes.flatMap((route, position) =>
-    lookup.isUnambiguousPath(route.path)
-      ? []
-      : [
-          {
-            index,
-            path: ['routes', position, 'path'],
-            message: `path ${route.path} has an empty or dot segment; write the plain path`,
-          },
-        ],
-  );
+  return service.routes.flatMap((route, position) => {
+    const message = pathFault(route.path);
+    return message === undefined ? [] : [{ index, path: ['routes', position, 'path'], message }];
+  });
+}
+
+function pathFault(path: string): string | undefined {
+  if (!lookup.isUnambiguousPath(path)) {
+    return `path ${path} has an empty or dot segment; write the plain path`;
+  }
+  const [, first] = path.split('/');
+  return RESERVED_SEGMENTS.includes(first)
+    ? `path ${path} begins with /${first}, which figline answers itself; use another path`
+    : undefined;
 }
 
 function isKnown(service: string, context: Context): boolean {
--- a/src/settings/parsers.ts
+++ b/src/settings/parsers.ts
@@ -61,7 +61,7 @@
     : results.Err('use an absolute path');
 }
 
-/** Reads `file:/path` or `http://host:port/path`. */
+/** Reads `file:/path` or `http://IP:PORT/machines`. */
 export function parseMachineList(text: string): results.Result<MachineListLocation, string> {
   if (text.startsWith(FILE_PREFIX)) {
     return parseFolder(text.slice(FILE_PREFIX.length)).map((location) => ({
@@ -69,10 +69,10 @@
       location,
     }));
   }
-  const isHttp = URL.canParse(text) && ['http:', 'https:'].includes(new URL(text).protocol);
-  return isHttp
+  const [, socketAddress] = MACHINE_LIST_URL_PATTERN.exec(text) ?? [];
+  return socketAddress !== undefined && address.parseAddress(socketAddress).ok
     ? results.Ok({ source: MachineListSource.Http, location: text })
-    : results.Err('use file:/absolute/path or http://HOST:PORT/path');
+    : results.Err('use file:/absolute/path or http://IP:PORT/machines');
 }
 
 /** A parser of whole numbers between two bounds, both included. */
@@ -101,3 +101,4 @@
 const NAME_PATTERN = /^[a-z][a-z0-9-]{0,62}$/;
 const WILDCARD_HOSTS = ['0.0.0.0', '::'];
 const FILE_PREFIX = 'file:';
+const MACHINE_LIST_URL_PATTERN = /^http:\/\/([^/]+)\/machines$/;
--- a/src/settings/table.ts
+++ b/src/settings/table.ts
@@ -95,7 +95,7 @@
     flag: 'vm-list',
     group: Platform,
     placeholder: 'file:PATH|http:URL',
-    description: "the platform's VM list",
+    description: "the platform's VM list: file:/absolute/path or http://IP:PORT/machines",
     parse: parsers.parseMachineList,
   }),
   machineListIntervalMilliseconds: withDefault({
@@ -130,12 +130,23 @@
     fallback: '30000',
     parse: parsers.integerBetween(0, 3_600_000),
   }),
+  loadBalancerDelayMilliseconds: withDefault({
+    flag: 'load-balancer-delay-ms',
+    group: Limits,
+    placeholder: 'N',
+    description:
+      'time that a stopping daemon still takes requests until the load balancer avoids it',
+    // Two health checks a second apart, and one on its way.
+    fallback: '3000',
+    parse: parsers.integerBetween(0, 60_000),
+  }),
   maximumBodyBytes: withDefault({
     flag: 'max-body-bytes',
     group: Limits,
     placeholder: 'N',
     description: 'largest request body of a caller, in bytes',
-    fallback: '8388608',
+    // A history of 200,000 tokens is about 1 MB of text; images in messages make requests larger.
+    fallback: '16777216',
     parse: parsers.integerBetween(1_024, 268_435_456),
   }),
   maximumQueuedRequests: withDefault({
--- a/test/configuration/collect.test.ts
+++ b/test/configuration/collect.test.ts
@@ -57,7 +57,8 @@
       'kind: intent\nname: charge\nservice: sack-ledger\n---\n' +
       'kind: service\nname: second-ledger\ntype: plain\nroutes:\n' +
       '  - {path: /ledger/charges/, methods: [PUT, POST], idempotent: false}\n' +
-      '  - {path: /ledger/../x, methods: [PUT], idempotent: false}\n',
+      '  - {path: /ledger/../x, methods: [PUT], idempotent: false}\n' +
+      '  - {path: /v1/completions, methods: [PUT], idempotent: false}\n',
   });
   assert.equal(found, [
     'b.figline.yaml:2:1: duplicate name: there is another team market-roasters (the other is team market-roasters at a.figline.yaml:23)',
@@ -67,6 +68,7 @@
     'b.figline.yaml:8:1: sack-ledger is a plain service and takes no intents; use a model-engine service (known: inspection-desk)',
     'b.figline.yaml:14:45: overlapping routes: POST /ledger/charges/ already belongs to a route (the other is service sack-ledger at a.figline.yaml:8)',
     'b.figline.yaml:15:6: path /ledger/../x has an empty or dot segment; write the plain path',
+    'b.figline.yaml:16:6: path /v1/completions begins with /v1, which figline answers itself; use another path',
   ]);
 });
 
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -103,6 +103,17 @@
   assert.match(wildcard[0], 'not a wildcard address');
 });
 
+suite('a VM list that could not be read as it is given is refused at start', () => {
+  [
+    'https://127.0.0.1:1/machines',
+    'http://lists:1/machines',
+    'http://127.0.0.1:1',
+    'file:vms',
+  ].forEach((location) => assert.is(faultsOf(flags({ 'vm-list': location })).length, 1, location));
+  const loaded = settings.load(flags({ 'vm-list': 'file:/run/vms.json' }), {}).unwrap();
+  assert.is(loaded.machineList.location, '/run/vms.json');
+});
+
 suite('two listeners on one address are refused before one of them fails to bind', () => {
   const found = faultsOf(flags({ 'operator-listen': '127.0.0.1:8080' }));
   assert.equal(found, ['--operator-listen: is the same address as --listen']);
