--- a/spec/replicated-log.qnt
+++ b/spec/replicated-log.qnt
@@ -225,21 +225,22 @@
       changed != id,
       updated.size() > 1,
       or { changed.in(current), replicas.get(changed).alive },
-      or { not(GUARD_ONE_CHANGE_AT_A_TIME), changeIsSettled(replica) },
+      or { not(GUARD_ONE_CHANGE_AT_A_TIME), changeIsSettled(id, replica) },
       appendEntry(id, { term: replica.term, voters: updated, value: 0 }),
     }
   }
 
   // The last entry is of the leader's own term and committed, so no other change is pending.
-  def changeIsSettled(replica: Replica): bool = and {
+  def changeIsSettled(id: str, replica: Replica): bool = and {
     lastTerm(replica.log) == replica.term,
-    hasMajority(replica, replica.log.length()),
+    hasMajority(id, replica, replica.log.length()),
   }
 
-  def hasMajority(replica: Replica, count: int): bool = {
+  // The leader counts itself: it synced the entry when it appended it.
+  def hasMajority(id: str, replica: Replica, count: int): bool = {
     val holders = acknowledgements
       .filter(a => a.term == replica.term and a.count >= count).map(a => a.replica)
-    isQuorum(holders, votersOf(replica.log))
+    isQuorum(holders.union(Set(id)), votersOf(replica.log))
   }
 
   action replicate(leader: str, follower: str): bool = {
@@ -273,7 +274,7 @@
     all {
       replica.alive, replica.leader,
       count <= replica.log.length(),
-      or { not(GUARD_MAJORITY_COMMIT), hasMajority(replica, count) },
+      or { not(GUARD_MAJORITY_COMMIT), hasMajority(id, replica, count) },
       or { not(GUARD_COMMIT_OWN_TERM), replica.log[count - 1].term == replica.term },
       val agrees = committed.indices().forall(i =>
         i >= count or committed[i].entry == replica.log[i])
