--- a/src/settings/table.ts
+++ b/src/settings/table.ts
@@ -80,8 +80,7 @@
     flag: 'pre-shared-key-file',
     group: Secrets,
     placeholder: 'PATH',
-    description:
-      'keys of the links between daemons, one a line: the first proves, all are accepted',
+    description: 'key of the links between daemons; the first line is used',
     parse: secretFile.readSecrets,
   }),
   operatorTokens: required({
