--- /dev/null
+++ b/src/bench/cases/hot-change.ts
@@ -0,0 +1,50 @@
+import * as benchCase from '../bench-case';
+import * as capacity from '../capacity';
+import * as comparison from '../comparison';
+import * as coreStrategy from '../core-strategy';
+import type * as deployment from '../deployment';
+import * as outcome from '../outcome';
+import * as workload from '../workload';
+
+/** Other histories become hot all at once. */
+export class HotChange extends benchCase.BenchCase {
+  override readonly name = 'hot-change';
+
+  override run(place: deployment.Deployment, seed: number): benchCase.Figure[] {
+    const rate = capacity.capacityOf(place) * 0.6;
+    const requests = workload.generate(place, {
+      seed,
+      durationMilliseconds: END,
+      rate: () => rate,
+      hotSet: (at) => (at < CHANGE ? 0 : 1),
+    });
+    const result = comparison.runOne(place, new coreStrategy.CoreStrategy(), requests, seed);
+    const before = outcome.hitRate(result, CHANGE - 30_000, CHANGE);
+    const after = outcome.hitRate(result, CHANGE + 5_000, CHANGE + 20_000);
+    return [
+      benchCase.atLeast('hit rate 5 s after / before', after / before, 0.95, { before, after }),
+      benchCase.atMost('highest load / mean, 1 s means', worstImbalance(result), 2),
+    ];
+  }
+}
+
+/** The highest ratio of a runner's load to the mean, over windows of 1 s after the change. */
+export function worstImbalance(result: outcome.RunResult): number {
+  const samples = result.loads.filter(({ at }) => at >= CHANGE && at < END);
+  const windows = Math.floor(samples.length / SAMPLES_PER_WINDOW);
+  return Math.max(
+    ...Array.from({ length: windows }, (_, window) => {
+      const start = window * SAMPLES_PER_WINDOW;
+      const chosen = samples.slice(start, start + SAMPLES_PER_WINDOW);
+      const sums = chosen[0].requests.map((__, index) =>
+        chosen.reduce((sum, sample) => sum + sample.requests[index], 0),
+      );
+      const mean = sums.reduce((sum, value) => sum + value, 0) / sums.length;
+      return Math.max(...sums) / Math.max(1, mean);
+    }),
+  );
+}
+
+const SAMPLES_PER_WINDOW = 10;
+const CHANGE = 60_000;
+const END = 90_000;
--- /dev/null
+++ b/src/bench/comparison.ts
@@ -0,0 +1,70 @@
+import * as coreStrategy from './core-strategy';
+import type * as deployment from './deployment';
+import * as fewestInFlight from './fewest-in-flight';
+import * as oracle from './oracle';
+import type * as outcome from './outcome';
+import * as prefixHash from './prefix-hash';
+import * as roundRobin from './round-robin';
+import * as runSimulation from './run-simulation';
+import type * as strategy from './strategy';
+import type * as workload from './workload';
+
+/** Results of all strategies on the same traffic. */
+export interface Compared {
+  readonly core: outcome.RunResult;
+  readonly oracle: outcome.RunResult;
+  readonly roundRobin: outcome.RunResult;
+  readonly fewestInFlight: outcome.RunResult;
+  readonly prefixHash: outcome.RunResult;
+}
+
+/** Runs one strategy until well after the last arrival. */
+export function runOne(
+  place: deployment.Deployment,
+  router: strategy.Strategy,
+  requests: readonly workload.BenchRequest[],
+  seed: number,
+  incidents: readonly runSimulation.Incident[] = [],
+): outcome.RunResult {
+  const last = requests[requests.length - 1]?.at ?? 0;
+  return runSimulation.runSimulation({
+    place,
+    strategy: router,
+    requests,
+    seed,
+    incidents,
+    untilMilliseconds: last + DRAIN_MILLISECONDS,
+  });
+}
+
+/** Runs figline's core, the oracle and the baselines on the same traffic. */
+export function runAll(
+  place: deployment.Deployment,
+  requests: readonly workload.BenchRequest[],
+  seed: number,
+): Compared {
+  const run = (router: strategy.Strategy) => runOne(place, router, requests, seed);
+  return {
+    core: run(new coreStrategy.CoreStrategy()),
+    oracle: run(new oracle.Oracle()),
+    roundRobin: run(new roundRobin.RoundRobin()),
+    fewestInFlight: run(new fewestInFlight.FewestInFlight()),
+    prefixHash: run(new prefixHash.PrefixHash()),
+  };
+}
+
+/** One number for each strategy. */
+export function each(
+  compared: Compared,
+  measure: (result: outcome.RunResult) => number,
+): Record<keyof Compared, number> {
+  return {
+    core: measure(compared.core),
+    oracle: measure(compared.oracle),
+    roundRobin: measure(compared.roundRobin),
+    fewestInFlight: measure(compared.fewestInFlight),
+    prefixHash: measure(compared.prefixHash),
+  };
+}
+
+const DRAIN_MILLISECONDS = 30_000;
--- /dev/null
+++ b/src/bench/full-index-strategy.ts
@@ -0,0 +1,20 @@
+import * as placement from '../placement';
+import * as coreStrategy from './core-strategy';
+import type * as fakeEngine from './fake-engine';
+
+/** The core with an index that hears every cache event at once, in place of what daemons learn. */
+export class FullIndexStrategy extends coreStrategy.CoreStrategy {
+  /** Cache events heard so far. */
+  heard = 0;
+
+  protected override knowledge = {
+    ...placement.EMPTY_INDEX,
+    lifetimeMilliseconds: Infinity,
+  };
+
+  override cacheChanged(engine: fakeEngine.FakeEngine, hash: string, stored: boolean): void {
+    this.heard += 1;
+    const change = stored ? placement.addPiece : placement.forgetPiece;
+    this.knowledge = change(this.knowledge, engine.id, engine.incarnation, hash);
+  }
+}
--- a/src/placement/prefix-index.ts
+++ b/src/placement/prefix-index.ts
@@ -81,6 +81,20 @@
   };
 }
 
+/** Adds one piece that a cache event reports as stored. */
+export function addPiece(
+  index: PrefixIndex,
+  serverId: string,
+  incarnation: string,
+  chainHash: string,
+): PrefixIndex {
+  const known = index.servers.get(serverId);
+  const pieces =
+    known?.incarnation === incarnation ? known.pieces : immutable.Map<string, number>();
+  const entries = { incarnation, pieces: pieces.set(chainHash, 0) };
+  return { ...index, servers: index.servers.set(serverId, entries) };
+}
+
 /** Removes a piece that a cache event reports as evicted, if the event is about the known incarnation. */
 export function forgetPiece(
   index: PrefixIndex,
