--- /dev/null
+++ b/src/bin/figlined.ts
@@ -0,0 +1,48 @@
+#!/usr/bin/env node
+/** The daemon: one process on each entry VM. */
+import * as daemonPackage from '../daemon';
+import * as logging from '../logging';
+import * as settings from '../settings';
+
+const EXIT_FAILED = 1;
+const EXIT_WRONG_SETTINGS = 2;
+
+const logger = new logging.Logger('daemon');
+
+async function main(): Promise<void> {
+  const commandArguments = process.argv.slice(2);
+  if (settings.isHelpRequested(commandArguments)) {
+    process.stdout.write(settings.helpText());
+    return;
+  }
+  const loaded = settings.load(commandArguments, process.env);
+  if (loaded.err) {
+    process.stderr.write(settings.formatFaults(loaded.val));
+    process.exitCode = EXIT_WRONG_SETTINGS;
+    return;
+  }
+  logging.enable(loaded.val.logLevel);
+  await run(loaded.val);
+}
+
+async function run(loaded: settings.Settings): Promise<void> {
+  const daemon = await daemonPackage.startDaemon(loaded);
+  const { callerPort, operatorPort } = daemon;
+  // With port 0 in the settings this line tells the chosen ports.
+  process.stdout.write(`${JSON.stringify({ callerPort, operatorPort, pid: process.pid })}\n`);
+  const stop = async (): Promise<void> => {
+    await daemon.stop();
+    process.exit(0);
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+process.on('unhandledRejection', (reason) => {
+  logger.error('unhandled rejection', { reason: String(reason) });
+});
+
+main().catch((error: Error) => {
+  process.stderr.write(`figlined: ${error.message}\n`);
+  process.exit(EXIT_FAILED);
+});
--- /dev/null
+++ b/src/daemon/daemon.ts
@@ -0,0 +1,222 @@
+import * as command from '../command';
+import * as lifecycle from '../lifecycle';
+import * as logging from '../logging';
+import * as routing from '../routing';
+import * as verdict from '../verdict';
+import * as callerContext from './caller-context';
+import * as callerModule from './caller-module';
+import type * as daemonPorts from './daemon-ports';
+import * as failureFilter from './failure-filter';
+import * as httpListener from './http-listener';
+import * as operatorFilter from './operator-filter';
+import * as operatorGuard from './operator-guard';
+import * as operatorModule from './operator-module';
+import * as peerQuarantine from './peer-quarantine';
+import * as readiness from './readiness';
+
+/** A running daemon: tasks, listeners and the order in which they start and stop. */
+export class Daemon<State> {
+  private readonly lifecycle: lifecycle.LifecycleManager;
+
+  private readonly readiness = new readiness.Readiness();
+
+  private readonly task: routing.DecisionTask;
+
+  private readonly pool: routing.BackendPool;
+
+  private readonly followUp: routing.ClaimFollowUp;
+
+  private readonly membership: routing.MembershipTask;
+
+  private readonly router: routing.Router;
+
+  private listener: httpListener.HttpListener | undefined;
+
+  private operatorListener: httpListener.HttpListener | undefined;
+
+  private stopping: Promise<void> | undefined;
+
+  private constructor(
+    private readonly ports: daemonPorts.DaemonPorts<State>,
+    private readonly options: daemonPorts.DaemonOptions,
+  ) {
+    const { plane, time, random, list, meter } = ports;
+    this.lifecycle = new lifecycle.LifecycleManager(time);
+    this.pool = new routing.BackendPool(ports.backends);
+    this.task = new routing.DecisionTask(
+      ports.core as routing.DecisionCore<unknown>,
+      time,
+      (report) => peerQuarantine.broadcastCrash(plane, report),
+    );
+    const { task, pool } = this;
+    this.membership = new routing.MembershipTask({ list, pool, plane, task, time, random });
+    this.followUp = new routing.ClaimFollowUp(plane, time);
+    this.router = new routing.Router(
+      { task, pool, observer: this.membership, meter, time },
+      new routing.ClaimKeeper(plane, this.followUp, time),
+      ports.hasher,
+      plane.configuration(),
+    );
+  }
+
+  /**
+   * Starts the tasks and listeners. Resolves when the listeners accept connections; the daemon becomes
+   * ready later, when its configuration and the list of VMs are known.
+   *
+   * @example
+   * const daemon = await Daemon.start(ports, options);
+   */
+  static async start<State>(
+    ports: daemonPorts.DaemonPorts<State>,
+    options: daemonPorts.DaemonOptions,
+  ): Promise<Daemon<State>> {
+    const daemon = new Daemon(ports, options);
+    daemon.ownTasks();
+    await daemon.openOperatorListener();
+    await daemon.openCallerListener();
+    daemon.becomeReady();
+    return daemon;
+  }
+
+  /** Port of the caller listener. */
+  get callerPort(): number {
+    return this.listener?.port ?? 0;
+  }
+
+  /** Port of the operator listener. */
+  get operatorPort(): number {
+    return this.operatorListener?.port ?? 0;
+  }
+
+  get isReady(): boolean {
+    return this.readiness.isReady;
+  }
+
+  /**
+   * Stops without interrupting a request: readiness fails first, then new requests are refused as "not
+   * run", then the running ones end within the grace time. Later calls return the same promise.
+   */
+  stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  private ownTasks(): void {
+    const { plane, meter } = this.ports;
+    const own = this.lifecycle.own.bind(this.lifecycle);
+    own('metrics', () => meter.close());
+    own('control plane', () => plane.close());
+    own('backend clients', () => this.pool.close());
+    own('decision task', () => this.task.close());
+    own('claims', () => this.followUp.close(CLAIM_FLUSH_MILLISECONDS));
+    own('membership', () => this.membership.close());
+    own('crash reports', peerQuarantine.hearCrashes(plane, this.task));
+    own(
+      'configuration',
+      plane.onConfiguration((snapshot) => this.router.applyConfiguration(snapshot)),
+    );
+    this.router.applyConfiguration(plane.configuration());
+    this.startPolls();
+  }
+
+  private startPolls(): void {
+    const { time, random } = this.ports;
+    const { task, pool, membership } = this;
+    const polls = new routing.PollTask({ pool, task, observer: membership, time, random });
+    this.lifecycle.own('polls', () => polls.close());
+    polls.start();
+  }
+
+  private async openOperatorListener(): Promise<void> {
+    const { plane, history, time } = this.ports;
+    const { router, membership } = this;
+    const module = operatorModule.OperatorModule.with({
+      plane,
+      history,
+      router,
+      servers: () => membership.servers(),
+      readiness: this.readiness,
+      time,
+      region: this.options.region,
+      tokenHashes: this.options.operatorTokens.map(operatorGuard.hashToken),
+      startedAt: time.monotonic(),
+    });
+    const limits = { ...this.options.limits, bodyBytes: command.MAXIMUM_PUBLISH_BODY_BYTES };
+    const filter = new operatorFilter.OperatorFilter();
+    const address = this.options.operatorListen;
+    this.operatorListener = await httpListener.listen(module, address, limits, filter);
+    const { close } = this.operatorListener;
+    this.lifecycle.own('operator listener', close, LISTENER_CLOSE_MILLISECONDS);
+  }
+
+  private async openCallerListener(): Promise<void> {
+    const { time } = this.ports;
+    const { limits, listen } = this.options;
+    const context = new callerContext.CallerContext(this.router, this.readiness, time, limits);
+    const module = callerModule.CallerModule.with(context);
+    const filter = new failureFilter.FailureFilter();
+    const listener = await httpListener.listen(module, listen, limits, filter);
+    this.lifecycle.own('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
+    this.listener = listener;
+  }
+
+  private async becomeReady(): Promise<void> {
+    await Promise.all([this.ports.plane.ready(), this.membership.start()]);
+    await this.firstRevision();
+    this.readiness.advance(readiness.DaemonStage.Ready);
+    logger.information('ready', { revision: this.router.catalog.revision });
+  }
+
+  /** Without a configuration every credential is unknown, and a refusal for that would be misleading. */
+  private firstRevision(): Promise<void> {
+    if (this.router.catalog.revision > 0) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => {
+      const unsubscribe = this.ports.plane.onConfiguration(() => {
+        unsubscribe();
+        resolve();
+      });
+    });
+  }
+
+  private async stopGracefully(): Promise<void> {
+    const { time } = this.ports;
+    logger.information('graceful shutdown begins', { active: this.readiness.activeRequests });
+    const wasReady = this.readiness.isReady;
+    this.readiness.advance(readiness.DaemonStage.Leaving);
+    await time.sleep(wasReady ? this.options.loadBalancerMilliseconds : 0);
+    this.readiness.advance(readiness.DaemonStage.Draining);
+    const end = time.monotonic() + this.options.graceMilliseconds;
+    while (this.readiness.activeRequests > 0 && time.monotonic() < end) {
+      await time.sleep(DRAIN_POLL_MILLISECONDS);
+    }
+    const interrupted = this.readiness.activeRequests;
+    this.task.abortAll(INTERRUPTED);
+    const reports = await this.lifecycle.close();
+    reports
+      .filter((report) => report.outcome !== lifecycle.CloseOutcome.Closed)
+      .forEach((report) =>
+        logger.warning('resource was not closed', {
+          resource: report.name,
+          reason: report.error?.message ?? report.outcome,
+        }),
+      );
+    logger.information('graceful shutdown ended', { interrupted });
+  }
+}
+
+const logger = new logging.Logger('daemon');
+
+const INTERRUPTED = verdict.failure(
+  verdict.FailureReason.ShuttingDown,
+  verdict.Verdict.MayHaveRun,
+  'The router was stopped before the request was complete.',
+);
+
+// All requests have ended by then; only connections that the peer holds open are left.
+const LISTENER_CLOSE_MILLISECONDS = 1_000;
+
+const DRAIN_POLL_MILLISECONDS = 20;
+
+const CLAIM_FLUSH_MILLISECONDS = 2_000;
--- /dev/null
+++ b/src/daemon/failure-filter.ts
@@ -0,0 +1,62 @@
+import * as crypto from 'node:crypto';
+import * as nest from '@nestjs/common';
+import type * as fastify from 'fastify';
+import * as logging from '../logging';
+import * as verdict from '../verdict';
+import * as errorBody from './error-body';
+
+/** Answers what Fastify and Nest refuse or throw, such as a body that is too large. */
+@nest.Catch()
+export class FailureFilter implements nest.ExceptionFilter {
+  // The filter interface is an instance method.
+  // eslint-disable-next-line class-methods-use-this, @typescript-eslint/class-methods-use-this
+  catch(error: Error, host: nest.ArgumentsHost): void {
+    const reply = host.switchToHttp().getResponse<fastify.FastifyReply>();
+    const failure = failureOf(error);
+    const requestId = crypto.randomUUID();
+    if (failure.reason === verdict.FailureReason.Internal) {
+      logger.error('request handler threw an exception', { requestId, reason: error.message });
+    }
+    if (reply.raw.headersSent || reply.raw.destroyed) {
+      reply.raw.destroy();
+      return;
+    }
+    reply
+      .status(verdict.httpStatus(failure.reason))
+      .headers({ ...errorBody.errorHeaders(failure), 'x-request-id': requestId })
+      // The rest of a refused body may still be on its way.
+      .header('connection', 'close')
+      .send(errorBody.errorBody(failure));
+  }
+}
+
+const logger = new logging.Logger('caller');
+
+const { FailureReason, Verdict } = verdict;
+
+function failureOf(
+  error: Error & { statusCode?: number; status?: number },
+): verdict.RequestFailure {
+  const status = error.statusCode ?? error.status ?? 500;
+  if (status === 413) {
+    return verdict.failure(
+      FailureReason.RequestTooLarge,
+      Verdict.NotRun,
+      'The request body is too large.',
+    );
+  }
+  if (status === 404) {
+    return verdict.failure(
+      FailureReason.UnknownRoute,
+      Verdict.NotRun,
+      'No service takes this method and path.',
+    );
+  }
+  return status >= 400 && status < 500
+    ? verdict.failure(FailureReason.BadRequest, Verdict.NotRun, 'The request is malformed.')
+    : verdict.failure(
+        FailureReason.Internal,
+        Verdict.MayHaveRun,
+        'The router failed while it handled the request.',
+      );
+}
--- /dev/null
+++ b/src/daemon/http-listener.ts
@@ -0,0 +1,132 @@
+import type * as net from 'node:net';
+import * as nest from '@nestjs/common';
+import * as core from '@nestjs/core';
+import * as fastifyPlatform from '@nestjs/platform-fastify';
+import * as verdict from '../verdict';
+import type * as callerLimits from './caller-limits';
+import * as errorBody from './error-body';
+
+/** An HTTP server that accepts connections. */
+export interface HttpListener {
+  readonly port: number;
+  /** Stops listening and closes idle connections; resolves when the running requests have ended. */
+  close(): Promise<void>;
+}
+
+export type ListenerLimits = Pick<
+  callerLimits.CallerLimits,
+  'bodyBytes' | 'headersMilliseconds' | 'requestMilliseconds' | 'idleMilliseconds'
+>;
+
+/**
+ * Starts a Nest application on an address. Bodies of any type arrive as buffers.
+ *
+ * @example
+ * const listener = await listen(callerModule, address, DEFAULT_LIMITS, new FailureFilter());
+ */
+export async function listen(
+  module: nest.DynamicModule,
+  address: { readonly host: string; readonly port: number },
+  limits: ListenerLimits,
+  filter: nest.ExceptionFilter,
+): Promise<HttpListener> {
+  const adapter = new fastifyPlatform.FastifyAdapter(serverOptions(limits));
+  const application = await core.NestFactory.create<fastifyPlatform.NestFastifyApplication>(
+    module,
+    adapter,
+    { bodyParser: false, logger: false, abortOnError: false },
+  );
+  acceptAnyBody(application);
+  application.useGlobalFilters(filter);
+  await application.listen(address.port, address.host);
+  const { port } = application.getHttpServer().address() as net.AddressInfo;
+  return { port, close: () => application.close() };
+}
+
+function serverOptions(
+  limits: ListenerLimits,
+): ConstructorParameters<typeof fastifyPlatform.FastifyAdapter>[0] {
+  return {
+    bodyLimit: limits.bodyBytes,
+    requestTimeout: limits.requestMilliseconds,
+    keepAliveTimeout: limits.idleMilliseconds,
+    forceCloseConnections: 'idle',
+    clientErrorHandler: refuseMalformed,
+    http: {
+      headersTimeout: limits.headersMilliseconds,
+      connectionsCheckingInterval: limits.headersMilliseconds / 4,
+      // Finds callers that disappeared without closing their connection.
+      keepAlive: true,
+      keepAliveInitialDelay: TCP_KEEP_ALIVE_MILLISECONDS,
+    },
+  };
+}
+
+function acceptAnyBody(application: fastifyPlatform.NestFastifyApplication): void {
+  const server = application.getHttpAdapter().getInstance();
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
+    done(null, body),
+  );
+}
+
+/** Answers what is not HTTP, or did not arrive in time, before a handler saw it. */
+function refuseMalformed(error: NodeJS.ErrnoException, socket: net.Socket): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const { status, failure } = CLIENT_ERRORS.get(error.code ?? '') ?? MALFORMED;
+  const body = JSON.stringify(errorBody.errorBody(failure));
+  const head = [
+    `HTTP/1.1 ${status}`,
+    'content-type: application/json; charset=utf-8',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `x-figline-verdict: ${failure.verdict}`,
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+interface ClientError {
+  readonly status: string;
+  readonly failure: verdict.RequestFailure;
+}
+
+const TCP_KEEP_ALIVE_MILLISECONDS = 15_000;
+
+const { FailureReason, Verdict } = verdict;
+
+const MALFORMED: ClientError = {
+  status: '400 Bad Request',
+  failure: verdict.failure(
+    FailureReason.BadRequest,
+    Verdict.NotRun,
+    'The request is not valid HTTP/1.1.',
+  ),
+};
+
+const CLIENT_ERRORS = new Map<string, ClientError>([
+  [
+    'ERR_HTTP_REQUEST_TIMEOUT',
+    {
+      status: '408 Request Timeout',
+      failure: verdict.failure(
+        FailureReason.Timeout,
+        Verdict.NotRun,
+        'The request did not arrive in time.',
+      ),
+    },
+  ],
+  [
+    'HPE_HEADER_OVERFLOW',
+    {
+      status: '431 Request Header Fields Too Large',
+      failure: verdict.failure(
+        FailureReason.RequestTooLarge,
+        Verdict.NotRun,
+        'The request headers are too large.',
+      ),
+    },
+  ],
+]);
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,6 @@
+/** The daemon: HTTP for callers and operators, wiring of the tasks, graceful shutdown. */
+export * from './authentication';
+export * from './caller-limits';
+export * from './daemon';
+export * from './daemon-ports';
+export * from './start-daemon';
--- /dev/null
+++ b/src/daemon/operator-context.ts
@@ -0,0 +1,25 @@
+import * as clock from '../clock';
+import * as command from '../command';
+import * as control from '../control';
+import * as membership from '../membership';
+import * as routing from '../routing';
+import type * as readiness from './readiness';
+
+/** What the operator interface reads from the daemon. */
+export interface OperatorSources {
+  readonly plane: control.ControlPlane;
+  readonly history: command.RevisionHistory;
+  readonly router: routing.Router;
+  readonly servers: () => readonly membership.EligibleServer[];
+  readonly readiness: readiness.Readiness;
+  readonly time: clock.Clock;
+  readonly region: string;
+  /** SHA-256 of each accepted bearer token. */
+  readonly tokenHashes: readonly Buffer[];
+  readonly startedAt: number;
+}
+
+/** Carries the sources through Nest's container. */
+export class OperatorContext {
+  constructor(readonly sources: OperatorSources) {}
+}
--- /dev/null
+++ b/src/daemon/peer-quarantine.ts
@@ -0,0 +1,36 @@
+import * as zod from 'zod';
+import * as control from '../control';
+import * as decision from '../decision';
+import * as logging from '../logging';
+import * as routing from '../routing';
+
+/** A crash report as it travels between daemons; checked on arrival. */
+const reportSchema = zod.strictObject({
+  crashId: zod.string().min(1).max(256),
+  serverId: zod.string().min(1).max(256),
+  fingerprints: zod.array(zod.string().min(1).max(128)).max(10_000),
+});
+
+/** Tells the peers which requests were in flight when a server crashed. */
+export function broadcastCrash(plane: control.ControlPlane, report: decision.ReportCrash): void {
+  const { crashId, serverId, fingerprints } = report;
+  plane.broadcast(control.PeerTopic.Quarantine, { crashId, serverId, fingerprints });
+}
+
+/** Feeds the crash reports of peers to the decision task; returns a function that ends this. */
+export function hearCrashes(
+  plane: control.ControlPlane,
+  task: Pick<routing.DecisionTask, 'feed' | 'now'>,
+): () => void {
+  return plane.onBroadcast(control.PeerTopic.Quarantine, (payload) => {
+    const parsed = reportSchema.safeParse(payload);
+    if (!parsed.success) {
+      logger.warning('peer sent a malformed crash report');
+      return;
+    }
+    const kind = decision.DecisionEventKind.QuarantineReported;
+    task.feed({ kind, at: task.now(), ...parsed.data });
+  });
+}
+
+const logger = new logging.Logger('quarantine');
--- /dev/null
+++ b/src/membership/event.ts
@@ -0,0 +1,83 @@
+import * as backend from '../backend';
+import type * as report from './report';
+
+export enum MembershipEventKind {
+  ListRead = 'list-read',
+  RefusedAsLeaving = 'refused-as-leaving',
+  ConnectionFailed = 'connection-failed',
+  IncarnationSeen = 'incarnation-seen',
+  ProbeSucceeded = 'probe-succeeded',
+  ProbeFailed = 'probe-failed',
+  PeerReported = 'peer-reported',
+  Tick = 'tick',
+}
+
+interface EventBase {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+}
+
+interface ServerEvent extends EventBase {
+  readonly serverId: string;
+}
+
+/** The platform's list was read; it replaces the set of servers, not what was observed of them. */
+export interface ListRead extends EventBase {
+  readonly kind: MembershipEventKind.ListRead;
+  readonly machines: readonly backend.MachineRecord[];
+}
+
+/** A server refused a request because it is leaving. */
+export interface RefusedAsLeaving extends ServerEvent {
+  readonly kind: MembershipEventKind.RefusedAsLeaving;
+}
+
+/** A connect failed, a connection broke, or it was silent for too long. */
+export interface ConnectionFailed extends ServerEvent {
+  readonly kind: MembershipEventKind.ConnectionFailed;
+}
+
+/** An answer or a report named the server's incarnation. */
+export interface IncarnationSeen extends ServerEvent {
+  readonly kind: MembershipEventKind.IncarnationSeen;
+  readonly incarnation: string;
+}
+
+/** A probe on a new connection was answered. */
+export interface ProbeSucceeded extends ServerEvent {
+  readonly kind: MembershipEventKind.ProbeSucceeded;
+  readonly startedAt: number;
+  readonly incarnation: string;
+  readonly weightsVersion: string;
+  readonly leaving: boolean;
+  /** Uniform from 0 to 1; spreads the next probes of many daemons. */
+  readonly jitter: number;
+}
+
+/** A probe on a new connection was not answered. */
+export interface ProbeFailed extends ServerEvent {
+  readonly kind: MembershipEventKind.ProbeFailed;
+  readonly startedAt: number;
+  readonly jitter: number;
+}
+
+/** Another daemon observed something. */
+export interface PeerReported extends EventBase {
+  readonly kind: MembershipEventKind.PeerReported;
+  readonly report: report.MembershipReport;
+}
+
+/** Time has passed; sent every 100 ms. */
+export interface Tick extends EventBase {
+  readonly kind: MembershipEventKind.Tick;
+}
+
+export type MembershipEvent =
+  | ListRead
+  | RefusedAsLeaving
+  | ConnectionFailed
+  | IncarnationSeen
+  | ProbeSucceeded
+  | ProbeFailed
+  | PeerReported
+  | Tick;
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,2 +1,6 @@
 /** Which backend servers may get new work. */
 export * from './membership-view';
+export * from './event';
+export * from './effect';
+export * from './report';
+export * from './update';
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -1,3 +1,4 @@
+import * as immutable from 'immutable';
 import * as backend from '../backend';
 
 /** Backend servers as the router uses them: the platform's list merged with what was observed. */
@@ -7,3 +8,95 @@
   /** True while probes decide whether the server is dead; used only when no other server is left. */
   readonly suspected: boolean;
 }
+
+/** What probes say about a server. */
+export enum ServerCondition {
+  Alive = 'alive',
+  /** A connection failed or a peer had doubts; the next probe decides. */
+  Suspected = 'suspected',
+  /** Probes on new connections failed. */
+  Dead = 'dead',
+}
+
+/** Who said that a server is leaving. */
+export enum LeavingSource {
+  /** A refusal, a probe or the platform's list, as seen by this daemon. */
+  Own = 'own',
+  Peer = 'peer',
+}
+
+/** A server is leaving. The mark holds for one incarnation, so that a restarted server is used again. */
+export interface LeavingMark {
+  /** Unknown when the server was never heard from. */
+  readonly incarnation?: string;
+  readonly source: LeavingSource;
+  readonly markedAt: number;
+  /** Last time that the peers were told. */
+  readonly reportedAt: number;
+}
+
+/** Everything known about one backend server. Times are monotonic milliseconds. */
+export interface ServerState {
+  readonly machine: backend.MachineRecord;
+  readonly condition: ServerCondition;
+  readonly incarnation?: string;
+  /** The incarnation before; what still arrives from it is ignored. */
+  readonly previousIncarnation?: string;
+  readonly weightsVersion?: string;
+  readonly leaving?: LeavingMark;
+  readonly failedProbes: number;
+  readonly suspectedAt: number;
+  /** Set while a probe is running. */
+  readonly probeStartedAt?: number;
+  readonly nextProbeAt: number;
+}
+
+/** State of the membership core. */
+export interface MembershipView {
+  readonly servers: immutable.Map<string, ServerState>;
+}
+
+/** The view before the platform's list was read. */
+export const EMPTY_VIEW: MembershipView = { servers: immutable.Map() };
+
+/**
+ * The servers that may get new work, in the order of their ids.
+ *
+ * @example
+ * const servers = membership.eligible(view).filter((server) => server.service === 'inspection-desk');
+ */
+export function eligible(view: MembershipView): readonly EligibleServer[] {
+  return view.servers
+    .valueSeq()
+    .filter((server) => server.condition !== ServerCondition.Dead && !isLeaving(server))
+    .map(toEligible)
+    .sortBy((server) => server.id)
+    .toArray();
+}
+
+/**
+ * Whether a server must not get new work because it is leaving.
+ *
+ * @example
+ * isLeaving({ ...server, incarnation: 'b', leaving: { ...mark, incarnation: 'a' } }); // false
+ */
+export function isLeaving(server: ServerState): boolean {
+  const mark = server.leaving;
+  if (server.machine.phase === backend.MachinePhase.Leaving) {
+    return true;
+  }
+  return (
+    mark !== undefined &&
+    (mark.incarnation === undefined ||
+      server.incarnation === undefined ||
+      mark.incarnation === server.incarnation)
+  );
+}
+
+function toEligible(server: ServerState): EligibleServer {
+  return {
+    ...server.machine,
+    ...(server.incarnation === undefined ? {} : { incarnation: server.incarnation }),
+    suspected: server.condition === ServerCondition.Suspected,
+  };
+}
--- /dev/null
+++ b/src/membership/probe-outcome.ts
@@ -0,0 +1,90 @@
+import type * as event from './event';
+import * as membershipView from './membership-view';
+import * as serverChange from './server-change';
+
+/** What an answered probe changes. */
+export function succeeded(
+  server: membershipView.ServerState,
+  probe: event.ProbeSucceeded,
+): serverChange.ServerChange {
+  const seen = serverChange.seeIncarnation(endProbe(server, probe), probe.incarnation);
+  const alive = serverChange.then(seen, (next) => serverChange.unchanged(revive(next, probe)));
+  return probe.leaving
+    ? serverChange.then(alive, (next) =>
+        serverChange.markLeaving(next, probe.at, probe.incarnation),
+      )
+    : serverChange.then(alive, (next) => serverChange.unchanged(unmark(next, probe)));
+}
+
+/** What an unanswered probe changes. The second one in a row means that the server is dead. */
+export function failed(
+  server: membershipView.ServerState,
+  probe: event.ProbeFailed,
+): serverChange.ServerChange {
+  const { Dead, Suspected } = membershipView.ServerCondition;
+  const failedProbes = server.failedProbes + 1;
+  const isDead = failedProbes >= FAILED_PROBES_OF_A_DEAD_SERVER;
+  const delay = isDead ? spread(PROBE_INTERVAL_MILLISECONDS, probe.jitter) : RETRY_MILLISECONDS;
+  const next = {
+    ...endProbe(server, probe),
+    condition: isDead ? Dead : Suspected,
+    failedProbes,
+    suspectedAt: probe.at,
+    nextProbeAt: probe.at + delay,
+  };
+  const isNews = isDead && server.condition !== Dead;
+  return { server: next, effects: isNews ? [serverChange.crashed(server)] : [] };
+}
+
+function endProbe(
+  server: membershipView.ServerState,
+  probe: event.ProbeSucceeded | event.ProbeFailed,
+): membershipView.ServerState {
+  const planned = server.nextProbeAt > probe.startedAt;
+  const nextProbeAt = planned
+    ? server.nextProbeAt
+    : probe.at + spread(PROBE_INTERVAL_MILLISECONDS, probe.jitter);
+  return { ...server, probeStartedAt: undefined, nextProbeAt };
+}
+
+/** A probe that started before the suspicion says nothing about it. */
+function revive(
+  server: membershipView.ServerState,
+  probe: event.ProbeSucceeded,
+): membershipView.ServerState {
+  const { Alive, Suspected } = membershipView.ServerCondition;
+  const isOlder = server.condition === Suspected && probe.startedAt < server.suspectedAt;
+  return {
+    ...server,
+    condition: isOlder ? Suspected : Alive,
+    failedProbes: 0,
+    weightsVersion: probe.weightsVersion,
+  };
+}
+
+/** Removes a leaving mark that was set for an earlier process of the server. */
+function unmark(
+  server: membershipView.ServerState,
+  probe: event.ProbeSucceeded,
+): membershipView.ServerState {
+  const mark = server.leaving;
+  if (mark === undefined) {
+    return server;
+  }
+  const isOtherProcess = probe.incarnation !== mark.incarnation && probe.startedAt > mark.markedAt;
+  return isOtherProcess ? { ...server, leaving: undefined } : server;
+}
+
+/** Between three quarters and five quarters of an interval. */
+function spread(intervalMilliseconds: number, jitter: number): number {
+  return intervalMilliseconds * (0.75 + jitter / 2);
+}
+
+// One lost probe must not look like a crash, and a crash must be known well within a second.
+const FAILED_PROBES_OF_A_DEAD_SERVER = 2;
+
+const RETRY_MILLISECONDS = 100;
+
+// A daemon that can neither read the list nor hear its peers learns of a leaving server by probe; the
+// last new work must have been sent within 3 s.
+const PROBE_INTERVAL_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/membership/server-change.ts
@@ -0,0 +1,110 @@
+import * as backend from '../backend';
+import * as effect from './effect';
+import * as membershipView from './membership-view';
+import * as report from './report';
+
+/** A changed server together with the effects of the change; the building block of `update`. */
+export interface ServerChange {
+  readonly server: membershipView.ServerState;
+  readonly effects: readonly effect.MembershipEffect[];
+}
+
+/** A server as it is known when the list first shows it. */
+export function newServer(
+  machine: backend.MachineRecord,
+  firstProbeAt: number,
+): membershipView.ServerState {
+  return {
+    machine,
+    condition: membershipView.ServerCondition.Alive,
+    failedProbes: 0,
+    suspectedAt: 0,
+    nextProbeAt: firstProbeAt,
+  };
+}
+
+/** Nothing to do for the adapter. */
+export function unchanged(server: membershipView.ServerState): ServerChange {
+  return { server, effects: [] };
+}
+
+/** Applies a second change to the outcome of a first. */
+export function then(
+  first: ServerChange,
+  next: (server: membershipView.ServerState) => ServerChange,
+): ServerChange {
+  const second = next(first.server);
+  return { server: second.server, effects: [...first.effects, ...second.effects] };
+}
+
+/** Starts a probe now, or plans one for the end of the running probe. */
+export function probeNow(server: membershipView.ServerState, at: number): ServerChange {
+  if (server.probeStartedAt !== undefined) {
+    return unchanged({ ...server, nextProbeAt: at });
+  }
+  return {
+    server: { ...server, probeStartedAt: at },
+    effects: [{ kind: effect.MembershipEffectKind.Probe, serverId: server.machine.id }],
+  };
+}
+
+/** Marks a server as leaving after an observation of this daemon, and tells the peers at once. */
+export function markLeaving(
+  server: membershipView.ServerState,
+  at: number,
+  incarnation: string | undefined,
+): ServerChange {
+  const mark = server.leaving;
+  const { Own } = membershipView.LeavingSource;
+  if (mark !== undefined && mark.source === Own && mark.incarnation === incarnation) {
+    return unchanged(server);
+  }
+  const leaving = { incarnation, source: Own, markedAt: at, reportedAt: at };
+  return { server: { ...server, leaving }, effects: [leavingReport(server, incarnation)] };
+}
+
+/** The broadcast that a server is leaving. */
+export function leavingReport(
+  server: membershipView.ServerState,
+  incarnation: string | undefined,
+): effect.MembershipEffect {
+  return reportOf(report.ReportKind.Leaving, server, incarnation);
+}
+
+/** Takes over an incarnation. A change means that the process before it is gone. */
+export function seeIncarnation(
+  server: membershipView.ServerState,
+  incarnation: string,
+): ServerChange {
+  const known = server.incarnation;
+  const isOld = incarnation === server.previousIncarnation;
+  if (incarnation === known || isOld) {
+    return unchanged(server);
+  }
+  const wasDead = server.condition === membershipView.ServerCondition.Dead;
+  const next = { ...server, incarnation, previousIncarnation: known };
+  const lostWork = known !== undefined && !wasDead;
+  return { server: next, effects: lostWork ? [crashed(server)] : [] };
+}
+
+/** The loss of everything that ran on a server. */
+export function crashed(server: membershipView.ServerState): effect.MembershipEffect {
+  return { kind: effect.MembershipEffectKind.ServerCrashed, serverId: server.machine.id };
+}
+
+/** The broadcast that makes peers probe a server too. */
+export function suspicionReport(server: membershipView.ServerState): effect.MembershipEffect {
+  return reportOf(report.ReportKind.Suspected, server, server.incarnation);
+}
+
+function reportOf(
+  kind: report.ReportKind,
+  server: membershipView.ServerState,
+  incarnation: string | undefined,
+): effect.MembershipEffect {
+  const serverId = server.machine.id;
+  return {
+    kind: effect.MembershipEffectKind.ReportToPeers,
+    report: incarnation === undefined ? { kind, serverId } : { kind, serverId, incarnation },
+  };
+}
--- /dev/null
+++ b/src/membership/update.ts
@@ -0,0 +1,166 @@
+import * as immutable from 'immutable';
+import * as backend from '../backend';
+import * as transaction from '../transaction';
+import type * as effect from './effect';
+import * as event from './event';
+import * as membershipView from './membership-view';
+import * as probeOutcome from './probe-outcome';
+import * as report from './report';
+import * as serverChange from './server-change';
+
+type Step = transaction.Transaction<membershipView.MembershipView, effect.MembershipEffect>;
+
+/**
+ * Merges one observation into the view.
+ *
+ * @example
+ * const step = membership.update(view, { kind: MembershipEventKind.ConnectionFailed, at, serverId });
+ */
+export function update(view: membershipView.MembershipView, observed: event.MembershipEvent): Step {
+  const { MembershipEventKind } = event;
+  switch (observed.kind) {
+    case MembershipEventKind.ListRead:
+      return readList(view, observed);
+    case MembershipEventKind.Tick:
+      return tick(view, observed.at);
+    case MembershipEventKind.PeerReported:
+      return changeOne(view, observed.report.serverId, (server) =>
+        hearPeer(server, observed.report, observed.at),
+      );
+    default:
+      return changeOne(view, observed.serverId, (server) => observe(server, observed));
+  }
+}
+
+function observe(
+  server: membershipView.ServerState,
+  observed: Exclude<event.MembershipEvent, event.ListRead | event.Tick | event.PeerReported>,
+): serverChange.ServerChange {
+  const { MembershipEventKind } = event;
+  switch (observed.kind) {
+    case MembershipEventKind.RefusedAsLeaving:
+      return serverChange.markLeaving(server, observed.at, server.incarnation);
+    case MembershipEventKind.ConnectionFailed:
+      return suspect(server, observed.at);
+    case MembershipEventKind.IncarnationSeen:
+      return serverChange.seeIncarnation(server, observed.incarnation);
+    case MembershipEventKind.ProbeSucceeded:
+      return probeOutcome.succeeded(server, observed);
+    default:
+      return probeOutcome.failed(server, observed);
+  }
+}
+
+function readList(view: membershipView.MembershipView, list: event.ListRead): Step {
+  const changes = list.machines.map((machine, index) => {
+    const known = view.servers.get(machine.id);
+    return known === undefined || hasMoved(known.machine, machine)
+      ? listed(serverChange.newServer(machine, list.at + index * PROBE_SPACING_MILLISECONDS), list)
+      : listed({ ...known, machine }, list);
+  });
+  const servers = immutable.Map(changes.map(({ server }) => [server.machine.id, server]));
+  return transaction.create(
+    view,
+    { ...view, servers },
+    changes.flatMap((change) => change.effects),
+  );
+}
+
+/** Tells the peers when the list shows a server as leaving: their copy of the list may be older. */
+function listed(
+  server: membershipView.ServerState,
+  list: event.ListRead,
+): serverChange.ServerChange {
+  return server.machine.phase === backend.MachinePhase.Leaving
+    ? serverChange.markLeaving(server, list.at, server.incarnation)
+    : serverChange.unchanged(server);
+}
+
+function hasMoved(known: backend.MachineRecord, machine: backend.MachineRecord): boolean {
+  return known.host !== machine.host || known.port !== machine.port;
+}
+
+/** A failed connection alone does not mean that a server is dead: a probe decides. */
+function suspect(server: membershipView.ServerState, at: number): serverChange.ServerChange {
+  const { Alive, Suspected } = membershipView.ServerCondition;
+  if (server.condition !== Alive) {
+    return serverChange.unchanged(server);
+  }
+  const suspected = { ...server, condition: Suspected, suspectedAt: at };
+  const probing = serverChange.probeNow(suspected, at);
+  return { ...probing, effects: [...probing.effects, serverChange.suspicionReport(server)] };
+}
+
+function hearPeer(
+  server: membershipView.ServerState,
+  heard: report.MembershipReport,
+  at: number,
+): serverChange.ServerChange {
+  if (heard.incarnation !== undefined && heard.incarnation === server.previousIncarnation) {
+    return serverChange.unchanged(server);
+  }
+  if (heard.kind === report.ReportKind.Suspected) {
+    return serverChange.probeNow(server, at);
+  }
+  if (server.leaving !== undefined && server.leaving.incarnation === heard.incarnation) {
+    return serverChange.unchanged(server);
+  }
+  const leaving = {
+    incarnation: heard.incarnation ?? server.incarnation,
+    source: membershipView.LeavingSource.Peer,
+    markedAt: at,
+    reportedAt: at,
+  };
+  return serverChange.unchanged({ ...server, leaving });
+}
+
+/** Starts the probes that are due and repeats this daemon's leaving reports, since broadcasts get lost. */
+function tick(view: membershipView.MembershipView, at: number): Step {
+  const effects: effect.MembershipEffect[] = [];
+  const servers = view.servers.withMutations((mutable) => {
+    view.servers.forEach((server, id) => {
+      const change = serverChange.then(probeIfDue(server, at), (next) => repeatReport(next, at));
+      effects.push(...change.effects);
+      mutable.set(id, change.server);
+    });
+  });
+  return transaction.create(view, servers === view.servers ? view : { ...view, servers }, effects);
+}
+
+function probeIfDue(server: membershipView.ServerState, at: number): serverChange.ServerChange {
+  const isRunning = server.probeStartedAt !== undefined;
+  const isDue = server.nextProbeAt <= at;
+  return isDue && !isRunning ? serverChange.probeNow(server, at) : serverChange.unchanged(server);
+}
+
+function repeatReport(server: membershipView.ServerState, at: number): serverChange.ServerChange {
+  const mark = server.leaving;
+  const isOwn = mark?.source === membershipView.LeavingSource.Own;
+  if (!isOwn || at - mark.reportedAt < REPORT_REPEAT_MILLISECONDS) {
+    return serverChange.unchanged(server);
+  }
+  return {
+    server: { ...server, leaving: { ...mark, reportedAt: at } },
+    effects: [serverChange.leavingReport(server, mark.incarnation)],
+  };
+}
+
+function changeOne(
+  view: membershipView.MembershipView,
+  serverId: string,
+  change: (server: membershipView.ServerState) => serverChange.ServerChange,
+): Step {
+  const known = view.servers.get(serverId);
+  if (known === undefined) {
+    return transaction.create<membershipView.MembershipView, effect.MembershipEffect>(view, view);
+  }
+  const { server, effects } = change(known);
+  const next = server === known ? view : { ...view, servers: view.servers.set(serverId, server) };
+  return transaction.create(view, next, effects);
+}
+
+// A daemon that starts among thousands of backend servers must not open all connections at once.
+const PROBE_SPACING_MILLISECONDS = 5;
+
+// A leaving server must get its last new work within 3 s even when one or two broadcasts are lost.
+const REPORT_REPEAT_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/routing/backend-pool.ts
@@ -0,0 +1,114 @@
+import * as backend from '../backend';
+import type * as backendFactory from './backend-factory';
+
+/** The right to use a client; keeps it open until it is released. */
+export interface BackendLease<Client> {
+  readonly machine: backend.MachineRecord;
+  readonly client: Client;
+  release(): void;
+}
+
+/** Client of either kind of server. */
+export type BackendClient = backend.ModelEngine | backend.PlainService;
+
+interface PoolEntry {
+  readonly machine: backend.MachineRecord;
+  readonly client: BackendClient;
+  uses: number;
+  isRetired: boolean;
+}
+
+/**
+ * Owns one client for each server on the platform's list. A server that disappears from the list keeps
+ * its client until its running requests have ended, so that a planned stop interrupts none.
+ */
+export class BackendPool {
+  private entries = new Map<string, PoolEntry>();
+
+  constructor(private readonly factory: backendFactory.BackendFactory) {}
+
+  /** Opens clients for new servers and retires those of servers that are gone. */
+  update(machines: readonly backend.MachineRecord[]): void {
+    const next = new Map<string, PoolEntry>();
+    machines.forEach((machine) => {
+      const known = this.entries.get(machine.id);
+      const isSame = known !== undefined && hasSameClient(known.machine, machine);
+      next.set(machine.id, isSame ? known : this.open(machine));
+    });
+    const kept = new Set(next.values());
+    [...this.entries.values()].filter((entry) => !kept.has(entry)).forEach(retire);
+    this.entries = next;
+  }
+
+  /**
+   * Borrows the client of a model engine; `undefined` when the server is gone.
+   *
+   * @example
+   * const lease = pool.engine('desk-1');
+   */
+  engine(serverId: string): BackendLease<backend.ModelEngine> | undefined {
+    const entry = this.entries.get(serverId);
+    return entry?.client instanceof backend.ModelEngine ? lease(entry, entry.client) : undefined;
+  }
+
+  /** Borrows the client of a plain service; `undefined` when the server is gone. */
+  plainService(serverId: string): BackendLease<backend.PlainService> | undefined {
+    const entry = this.entries.get(serverId);
+    return entry?.client instanceof backend.PlainService ? lease(entry, entry.client) : undefined;
+  }
+
+  /** Borrows the client of any server, to ask for its load or probe it. */
+  server(serverId: string): BackendLease<BackendClient> | undefined {
+    const entry = this.entries.get(serverId);
+    return entry === undefined ? undefined : lease(entry, entry.client);
+  }
+
+  serverIds(): readonly string[] {
+    return [...this.entries.keys()];
+  }
+
+  async close(): Promise<void> {
+    const clients = [...this.entries.values()].map((entry) => entry.client);
+    this.entries = new Map();
+    await Promise.allSettled(clients.map((client) => client.close()));
+  }
+
+  private open(machine: backend.MachineRecord): PoolEntry {
+    const client =
+      machine.kind === backend.BackendKind.PlainService
+        ? this.factory.plainService(machine)
+        : this.factory.engine(machine);
+    return { machine, client, uses: 0, isRetired: false };
+  }
+}
+
+function hasSameClient(left: backend.MachineRecord, right: backend.MachineRecord): boolean {
+  return left.host === right.host && left.port === right.port && left.kind === right.kind;
+}
+
+function lease<Client>(entry: PoolEntry, client: Client): BackendLease<Client> {
+  const held = entry;
+  held.uses += 1;
+  let isReleased = false;
+  return {
+    machine: entry.machine,
+    client,
+    release: () => {
+      held.uses -= isReleased ? 0 : 1;
+      isReleased = true;
+      closeIfUnused(held);
+    },
+  };
+}
+
+function retire(entry: PoolEntry): void {
+  const retired = entry;
+  retired.isRetired = true;
+  closeIfUnused(retired);
+}
+
+function closeIfUnused(entry: PoolEntry): void {
+  if (entry.isRetired && entry.uses === 0) {
+    entry.client.close().catch(() => {});
+  }
+}
--- /dev/null
+++ b/src/routing/decision-task.ts
@@ -0,0 +1,157 @@
+import * as clock from '../clock';
+import * as decision from '../decision';
+import * as logging from '../logging';
+import * as verdict from '../verdict';
+import type * as decisionCore from './decision-core';
+import type * as requestExecution from './request-execution';
+
+/** Receives the crash reports that go to the peer daemons. */
+export type CrashReporter = (report: decision.ReportCrash) => void;
+
+/**
+ * Owns the state of the decision core. Feeds it one event at a time, in the order of arrival, and
+ * hands its effects to the executions of the requests concerned.
+ */
+export class DecisionTask<State = unknown> {
+  private state: State;
+
+  private readonly executions = new Map<string, requestExecution.RequestExecution>();
+
+  private readonly queue: decision.DecisionEvent[] = [];
+
+  private isDraining = false;
+
+  private isClosed = false;
+
+  private tickTimer: clock.Timer | undefined;
+
+  private isTickingFast = false;
+
+  constructor(
+    private readonly core: decisionCore.DecisionCore<State>,
+    private readonly time: clock.Clock,
+    private readonly reportCrash: CrashReporter,
+  ) {
+    this.state = core.startState;
+    this.planTick();
+  }
+
+  /** Requests that are queued or running. */
+  get activeRequests(): number {
+    return this.executions.size;
+  }
+
+  /** Requests with an attempt at a backend server. */
+  get runningRequests(): number {
+    return [...this.executions.values()].filter((execution) => execution.isRunning).length;
+  }
+
+  /** Monotonic time for the `at` field of events. */
+  now(): number {
+    return this.time.monotonic();
+  }
+
+  /**
+   * Feeds an event.
+   *
+   * @example
+   * task.feed({ kind: DecisionEventKind.ServersChanged, at: task.now(), servers });
+   */
+  feed(event: decision.DecisionEvent): void {
+    this.queue.push(event);
+    this.drain();
+  }
+
+  /** Hands a new request to the core. */
+  submit(execution: requestExecution.RequestExecution): void {
+    this.executions.set(execution.profile.requestId, execution);
+    if (!this.isTickingFast) {
+      this.planTick();
+    }
+    const { profile } = execution;
+    this.feed({ kind: decision.DecisionEventKind.RequestArrived, at: this.now(), profile });
+  }
+
+  /** Forgets a request whose answer is complete or whose caller has gone. */
+  forget(requestId: string): void {
+    this.executions.delete(requestId);
+  }
+
+  /** Ends every request with a failure; used when the grace time of a shutdown is over. */
+  abortAll(failure: verdict.RequestFailure): void {
+    [...this.executions.entries()].forEach(([requestId, execution]) => {
+      this.forget(requestId);
+      this.feed({ kind: decision.DecisionEventKind.RequestCancelled, at: this.now(), requestId });
+      execution.fail(failure);
+    });
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.tickTimer?.cancel();
+  }
+
+  private drain(): void {
+    if (this.isDraining) {
+      return;
+    }
+    this.isDraining = true;
+    try {
+      for (let next = this.queue.shift(); next !== undefined; next = this.queue.shift()) {
+        this.apply(next);
+      }
+    } finally {
+      this.isDraining = false;
+    }
+  }
+
+  private apply(event: decision.DecisionEvent): void {
+    const step = this.core.update(this.state, event);
+    this.state = step.state;
+    step.effects.forEach((effect) => this.carryOut(effect));
+  }
+
+  private carryOut(effect: decision.DecisionEffect): void {
+    if (effect.kind === decision.DecisionEffectKind.ReportCrash) {
+      this.reportCrash(effect);
+      return;
+    }
+    const execution = this.executions.get(effect.requestId);
+    if (execution === undefined) {
+      logger.debug('effect for a request that is over', { requestId: effect.requestId });
+      return;
+    }
+    switch (effect.kind) {
+      case decision.DecisionEffectKind.Dispatch:
+        execution.dispatch(effect);
+        break;
+      case decision.DecisionEffectKind.CancelAttempt:
+        execution.cancelAttempt(effect.attemptId);
+        break;
+      default:
+        this.forget(effect.requestId);
+        execution.fail(effect.failure);
+    }
+  }
+
+  /** Sends ticks often while requests wait for deadlines and hedges, and rarely otherwise. */
+  private planTick(): void {
+    this.tickTimer?.cancel();
+    if (this.isClosed) {
+      return;
+    }
+    this.isTickingFast = this.executions.size > 0;
+    const delay = this.isTickingFast ? BUSY_TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS;
+    this.tickTimer = this.time.setTimer(delay, () => {
+      this.feed({ kind: decision.DecisionEventKind.Tick, at: this.now() });
+      this.planTick();
+    });
+  }
+}
+
+const logger = new logging.Logger('routing');
+
+// A request that cannot meet its deadline must be refused within 50 ms.
+const BUSY_TICK_MILLISECONDS = 20;
+
+const IDLE_TICK_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,15 @@
+/** The adapter of the decision core in the daemon: the life of one request, claims and streams. */
+export * from './answer-sink';
+export * from './backend-factory';
+export * from './backend-pool';
+export * from './catalog';
+export * from './claim-follow-up';
+export * from './claim-keeper';
+export * from './completion-request';
+export * from './decision-core';
+export * from './decision-task';
+export * from './engine-execution';
+export * from './membership-task';
+export * from './poll-task';
+export * from './router';
+export * from './server-observer';
--- /dev/null
+++ b/src/routing/membership-task.ts
@@ -0,0 +1,197 @@
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as decision from '../decision';
+import * as logging from '../logging';
+import * as membership from '../membership';
+import * as verdict from '../verdict';
+import type * as backendPool from './backend-pool';
+import type * as decisionTask from './decision-task';
+import * as serverObserver from './server-observer';
+
+/** What the membership task works with. */
+export interface MembershipPorts {
+  readonly list: backend.MachineList;
+  readonly pool: backendPool.BackendPool;
+  readonly plane: control.ControlPlane;
+  readonly task: decisionTask.DecisionTask;
+  readonly time: clock.Clock;
+  readonly random: clock.RandomSource;
+}
+
+enum TimerName {
+  List = 'list',
+  Tick = 'tick',
+}
+
+/**
+ * Owns the membership view: reads the platform's list, runs probes, exchanges reports with the peers,
+ * and tells the decision task which servers may get new work.
+ */
+export class MembershipTask extends serverObserver.ServerObserver {
+  private view = membership.EMPTY_VIEW;
+
+  private known = '';
+
+  private isClosed = false;
+
+  private readonly timers = new Map<TimerName, clock.Timer>();
+
+  private unsubscribe: (() => void) | undefined;
+
+  constructor(private readonly ports: MembershipPorts) {
+    super();
+  }
+
+  /** Reads the list once, then goes on in the background. */
+  async start(): Promise<void> {
+    this.unsubscribe = this.ports.plane.onBroadcast(control.PeerTopic.Membership, (payload) =>
+      this.hearPeer(payload),
+    );
+    await this.readList();
+    this.repeat(TimerName.List, LIST_INTERVAL_MILLISECONDS, () => this.readList());
+    this.repeat(TimerName.Tick, TICK_MILLISECONDS, () => {
+      this.apply({ kind: membership.MembershipEventKind.Tick, at: this.now() });
+    });
+  }
+
+  /** Servers that may get new work. */
+  servers(): readonly membership.EligibleServer[] {
+    return membership.eligible(this.view);
+  }
+
+  override incarnationSeen(serverId: string, incarnation: string): void {
+    const kind = membership.MembershipEventKind.IncarnationSeen;
+    this.apply({ kind, at: this.now(), serverId, incarnation });
+  }
+
+  override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
+    const at = this.now();
+    if (failure.reason === verdict.FailureReason.BackendLeaving) {
+      const kind = membership.MembershipEventKind.RefusedAsLeaving;
+      this.apply({ kind, at, serverId });
+    } else if (CONNECTION_REASONS.has(failure.reason)) {
+      this.apply({ kind: membership.MembershipEventKind.ConnectionFailed, at, serverId });
+    }
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.unsubscribe?.();
+    this.timers.forEach((timer) => timer.cancel());
+  }
+
+  private now(): number {
+    return this.ports.time.monotonic();
+  }
+
+  private async readList(): Promise<void> {
+    const read = await this.ports.list.read();
+    if (this.isClosed) {
+      return;
+    }
+    if (read.err) {
+      logger.warning('list of VMs could not be read', { reason: read.val.reason });
+      return;
+    }
+    const machines = read.val.filter(({ kind }) => kind !== backend.BackendKind.KeptCache);
+    this.ports.pool.update(machines);
+    this.apply({ kind: membership.MembershipEventKind.ListRead, at: this.now(), machines });
+  }
+
+  private hearPeer(payload: unknown): void {
+    const report = membership.parseReport(payload);
+    if (report === undefined) {
+      logger.warning('peer sent a malformed membership report');
+      return;
+    }
+    const kind = membership.MembershipEventKind.PeerReported;
+    this.apply({ kind, at: this.now(), report });
+  }
+
+  private apply(event: membership.MembershipEvent): void {
+    const step = membership.update(this.view, event);
+    this.view = step.state;
+    if (step.state !== step.startState) {
+      this.publishServers();
+    }
+    step.effects.forEach((effect) => this.carryOut(effect));
+  }
+
+  private carryOut(effect: membership.MembershipEffect): void {
+    const { MembershipEffectKind } = membership;
+    switch (effect.kind) {
+      case MembershipEffectKind.Probe:
+        this.probe(effect.serverId);
+        break;
+      case MembershipEffectKind.ReportToPeers:
+        this.ports.plane.broadcast(control.PeerTopic.Membership, effect.report);
+        break;
+      default:
+        logger.warning('backend server crashed', { backendServer: effect.serverId });
+        this.ports.task.feed({
+          kind: decision.DecisionEventKind.ServerCrashed,
+          at: this.ports.task.now(),
+          serverId: effect.serverId,
+        });
+    }
+  }
+
+  private async probe(serverId: string): Promise<void> {
+    const startedAt = this.now();
+    const lease = this.ports.pool.server(serverId);
+    const outcome = await lease?.client.probe();
+    lease?.release();
+    if (this.isClosed || outcome === undefined) {
+      return;
+    }
+    const base = { at: this.now(), serverId, startedAt, jitter: this.ports.random.uniform() };
+    const { ProbeFailed, ProbeSucceeded } = membership.MembershipEventKind;
+    if (outcome.err) {
+      this.apply({ kind: ProbeFailed, ...base });
+      return;
+    }
+    this.apply({ kind: ProbeSucceeded, ...base, ...outcome.val });
+  }
+
+  /** Feeds the core only when the eligible servers changed, since probes change the view often. */
+  private publishServers(): void {
+    const servers = membership.eligible(this.view);
+    const description = JSON.stringify(servers);
+    if (description === this.known) {
+      return;
+    }
+    this.known = description;
+    const { task } = this.ports;
+    task.feed({ kind: decision.DecisionEventKind.ServersChanged, at: task.now(), servers });
+  }
+
+  private repeat(name: TimerName, milliseconds: number, work: () => void | Promise<void>): void {
+    if (this.isClosed) {
+      return;
+    }
+    const spread = milliseconds * (0.9 + this.ports.random.uniform() / 5);
+    const timer = this.ports.time.setTimer(spread, async () => {
+      await work();
+      this.repeat(name, milliseconds, work);
+    });
+    this.timers.set(name, timer);
+  }
+}
+
+const logger = new logging.Logger('membership');
+
+// A server that the list shows as leaving must get no new work 3 s later.
+const LIST_INTERVAL_MILLISECONDS = 1_000;
+
+const TICK_MILLISECONDS = 100;
+
+const { FailureReason } = verdict;
+
+/** Reasons that say something about the connection, so that a probe has to decide. */
+const CONNECTION_REASONS = new Set([
+  FailureReason.ConnectFailed,
+  FailureReason.ConnectionLost,
+  FailureReason.StreamBroken,
+  FailureReason.Timeout,
+]);
--- /dev/null
+++ b/src/routing/poll-task.ts
@@ -0,0 +1,142 @@
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as decision from '../decision';
+import type * as backendPool from './backend-pool';
+import type * as decisionTask from './decision-task';
+import type * as serverObserver from './server-observer';
+
+/** Position in the cache event stream of one incarnation. */
+interface CachePosition {
+  readonly incarnation: string;
+  readonly after: number;
+}
+
+/** What the poll task works with. */
+export interface PollPorts {
+  readonly pool: backendPool.BackendPool;
+  readonly task: decisionTask.DecisionTask;
+  readonly observer: serverObserver.ServerObserver;
+  readonly time: clock.Clock;
+  readonly random: clock.RandomSource;
+}
+
+/**
+ * Polls load reports of all servers and cache events of engines and feeds them to the decision core. The polls of
+ * one server follow each other at a random distance, so that the daemons do not ask at the same time.
+ */
+export class PollTask {
+  private readonly positions = new Map<string, CachePosition>();
+
+  private readonly polling = new Set<string>();
+
+  private readonly timers = new Set<clock.Timer>();
+
+  private isClosed = false;
+
+  constructor(private readonly ports: PollPorts) {}
+
+  start(): void {
+    this.schedule(SCAN_MILLISECONDS, () => {
+      this.scan();
+      this.start();
+    });
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.timers.forEach((timer) => timer.cancel());
+  }
+
+  private scan(): void {
+    const ids = this.ports.pool.serverIds();
+    ids
+      .filter((serverId) => !this.polling.has(serverId))
+      .forEach((serverId) => {
+        this.polling.add(serverId);
+        this.poll(serverId);
+      });
+  }
+
+  private async poll(serverId: string): Promise<void> {
+    const lease = this.ports.pool.server(serverId);
+    if (lease === undefined) {
+      this.polling.delete(serverId);
+      this.positions.delete(serverId);
+      return;
+    }
+    try {
+      await Promise.all([
+        this.pollLoad(serverId, lease.client),
+        lease.client instanceof backend.ModelEngine && this.pollCache(serverId, lease.client),
+      ]);
+    } finally {
+      lease.release();
+    }
+    const interval = Math.max(
+      MINIMUM_INTERVAL_MILLISECONDS,
+      this.polling.size * INTERVAL_PER_SERVER_MILLISECONDS,
+    );
+    this.schedule(interval * (0.5 + this.ports.random.uniform()), () => this.poll(serverId));
+  }
+
+  private async pollLoad(serverId: string, client: backendPool.BackendClient): Promise<void> {
+    const load = await client.load();
+    if (load.err || this.isClosed) {
+      return;
+    }
+    this.ports.observer.incarnationSeen(serverId, load.val.incarnation);
+    const { task } = this.ports;
+    task.feed({
+      kind: decision.DecisionEventKind.LoadReported,
+      at: task.now(),
+      serverId,
+      ...load.val,
+    });
+  }
+
+  /** Only evictions are fed: they are evidence against the learned index, which answers fill. */
+  private async pollCache(serverId: string, engine: backend.ModelEngine): Promise<void> {
+    const position = this.positions.get(serverId);
+    const page = await engine.cacheEvents(position?.after ?? 0);
+    if (page.err || this.isClosed) {
+      return;
+    }
+    const { incarnation, events, nextSequence } = page.val;
+    const isRestarted = position !== undefined && position.incarnation !== incarnation;
+    this.positions.set(serverId, { incarnation, after: isRestarted ? 0 : nextSequence });
+    if (isRestarted) {
+      this.ports.observer.incarnationSeen(serverId, incarnation);
+      return;
+    }
+    const { task } = this.ports;
+    events
+      .filter((event) => event.kind === backend.CacheEventKind.Evicted)
+      .forEach(({ chainHash }) =>
+        task.feed({
+          kind: decision.DecisionEventKind.CacheEvicted,
+          at: task.now(),
+          serverId,
+          incarnation,
+          chainHash,
+        }),
+      );
+  }
+
+  private schedule(milliseconds: number, work: () => void): void {
+    if (this.isClosed) {
+      return;
+    }
+    const timer = this.ports.time.setTimer(milliseconds, () => {
+      this.timers.delete(timer);
+      work();
+    });
+    this.timers.add(timer);
+  }
+}
+
+const SCAN_MILLISECONDS = 250;
+
+const MINIMUM_INTERVAL_MILLISECONDS = 500;
+
+// Bounds the polls of one daemon to 40 a second, however many servers there are.
+const INTERVAL_PER_SERVER_MILLISECONDS = 25;
--- /dev/null
+++ b/src/routing/stream-meter.ts
@@ -0,0 +1,70 @@
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as decision from '../decision';
+import * as metrics from '../metrics';
+import * as verdict from '../verdict';
+
+/** Measures one request for the histograms of its team and class. */
+export class StreamMeter {
+  private readonly startedAt: number;
+
+  private readonly tags: metrics.MetricTags;
+
+  private lastPieceAt: number | undefined;
+
+  private hasAnswer = false;
+
+  constructor(
+    private readonly meter: metrics.Metrics,
+    private readonly time: clock.Clock,
+    profile: decision.RequestProfile,
+  ) {
+    this.startedAt = time.monotonic();
+    this.tags = { team: profile.team, class: profile.class, service: profile.service };
+    meter.count(metrics.Counter.Requests, this.tags);
+  }
+
+  dispatched(effect: decision.Dispatch): void {
+    this.meter.observe(metrics.Histogram.QueueTime, effect.queuedMilliseconds, this.tags);
+    if (effect.hedge) {
+      this.meter.count(metrics.Counter.Hedges, this.tags);
+    } else if (effect.resumeFrom > 0) {
+      this.meter.count(metrics.Counter.Resumes, this.tags);
+    }
+  }
+
+  /** Counts tokens for the first answer only: a resumed stream prefills the same prompt again. */
+  answerStarted(head: backend.EngineAnswerHead): void {
+    if (this.hasAnswer) {
+      return;
+    }
+    this.hasAnswer = true;
+    const recomputed = Math.max(0, head.promptTokens - head.cachedTokens);
+    this.meter.observe(metrics.Histogram.CachedTokens, head.cachedTokens, this.tags);
+    this.meter.observe(metrics.Histogram.RecomputedTokens, recomputed, this.tags);
+  }
+
+  pieceReceived(): void {
+    const now = this.time.monotonic();
+    if (this.lastPieceAt === undefined) {
+      this.meter.observe(metrics.Histogram.FirstToken, now - this.startedAt, this.tags);
+    } else {
+      this.meter.observe(metrics.Histogram.BetweenTokens, now - this.lastPieceAt, this.tags);
+    }
+    this.lastPieceAt = now;
+  }
+
+  finished(): void {
+    const duration = this.time.monotonic() - this.startedAt;
+    this.meter.observe(metrics.Histogram.RequestTime, duration, this.tags);
+  }
+
+  failed(failure: verdict.RequestFailure): void {
+    const counter =
+      failure.verdict === verdict.Verdict.NotRun
+        ? metrics.Counter.Refusals
+        : metrics.Counter.Failures;
+    const { reason, verdict: outcome } = failure;
+    this.meter.count(counter, { ...this.tags, reason, verdict: outcome });
+  }
+}
--- /dev/null
+++ b/test/membership/builder.ts
@@ -0,0 +1,78 @@
+import * as backend from '../../src/backend';
+import * as membership from '../../src/membership';
+
+const { MembershipEventKind } = membership;
+
+/** A machine of the list; a model engine unless said otherwise. */
+export function machine(
+  id: string,
+  overrides: Partial<backend.MachineRecord> = {},
+): backend.MachineRecord {
+  return {
+    id,
+    host: '127.0.0.1',
+    port: 9_000,
+    zone: 'pl-caudan',
+    region: 'port-louis',
+    service: 'inspection-desk',
+    kind: backend.BackendKind.ModelEngine,
+    phase: backend.MachinePhase.Live,
+    ...overrides,
+  };
+}
+
+/** Applies events one after another and keeps the effects. */
+export class ViewBuilder {
+  view = membership.EMPTY_VIEW;
+
+  effects: membership.MembershipEffect[] = [];
+
+  apply(event: membership.MembershipEvent): this {
+    const step = membership.update(this.view, event);
+    this.view = step.state;
+    this.effects.push(...step.effects);
+    return this;
+  }
+
+  list(at: number, ...machines: backend.MachineRecord[]): this {
+    return this.apply({ kind: MembershipEventKind.ListRead, at, machines });
+  }
+
+  probed(serverId: string, at: number, incarnation: string, leaving = false, startedAt = at): this {
+    const kind = MembershipEventKind.ProbeSucceeded;
+    const report = { incarnation, weightsVersion: 'v1', leaving };
+    return this.apply({ kind, at, serverId, startedAt, ...report, jitter: 0.5 });
+  }
+
+  unanswered(serverId: string, at: number): this {
+    const kind = MembershipEventKind.ProbeFailed;
+    return this.apply({ kind, at, serverId, startedAt: at, jitter: 0.5 });
+  }
+
+  refused(serverId: string, at: number): this {
+    return this.apply({ kind: MembershipEventKind.RefusedAsLeaving, at, serverId });
+  }
+
+  connectionFailed(serverId: string, at: number): this {
+    return this.apply({ kind: MembershipEventKind.ConnectionFailed, at, serverId });
+  }
+
+  peer(at: number, report: membership.MembershipReport): this {
+    return this.apply({ kind: MembershipEventKind.PeerReported, at, report });
+  }
+
+  tick(at: number): this {
+    return this.apply({ kind: MembershipEventKind.Tick, at });
+  }
+
+  eligibleIds(): readonly string[] {
+    return membership.eligible(this.view).map((server) => server.id);
+  }
+
+  /** The kinds of the effects since the last call. */
+  takeEffects(): readonly string[] {
+    const kinds = this.effects.map((effect) => effect.kind);
+    this.effects = [];
+    return kinds;
+  }
+}
--- /dev/null
+++ b/test/membership/membership.test.ts
@@ -0,0 +1,119 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as backend from '../../src/backend';
+import * as membership from '../../src/membership';
+import * as builder from './builder';
+
+const suite = uvu.suite('membership');
+const { MembershipEffectKind, ReportKind } = membership;
+
+function alive(): builder.ViewBuilder {
+  return new builder.ViewBuilder()
+    .list(0, builder.machine('desk-1'), builder.machine('desk-2'))
+    .tick(100)
+    .probed('desk-1', 110, 'a')
+    .probed('desk-2', 110, 'b');
+}
+
+suite('a refusal as leaving ends new work at once, although the list still shows it live', () => {
+  const view = alive().refused('desk-1', 200).list(300, builder.machine('desk-1'));
+  assert.equal(view.eligibleIds(), []);
+});
+
+suite(
+  'a leaving server is told to the peers once, then each second: a broadcast may get lost',
+  () => {
+    const view = alive();
+    view.takeEffects();
+    view.refused('desk-1', 200).refused('desk-1', 210);
+    assert.equal(view.takeEffects(), [MembershipEffectKind.ReportToPeers]);
+    assert.equal(view.tick(1_000).takeEffects(), []);
+    assert.ok(view.tick(1_200).takeEffects().includes(MembershipEffectKind.ReportToPeers));
+  },
+);
+
+suite("a peer's report ends new work on a daemon that cannot read the list", () => {
+  const report = { kind: ReportKind.Leaving, serverId: 'desk-1', incarnation: 'a' };
+  const view = alive().peer(200, report);
+  assert.equal(view.eligibleIds(), ['desk-2']);
+  view.effects = [];
+  assert.equal(view.tick(1_200).effects.filter(({ kind }) => kind === 'report-to-peers').length, 0);
+});
+
+suite('leaving holds for one incarnation: a restarted server gets work again', () => {
+  const view = alive().refused('desk-1', 200).probed('desk-1', 250, 'a');
+  assert.equal(view.eligibleIds(), ['desk-2']);
+  assert.equal(view.probed('desk-1', 300, 'c').eligibleIds(), ['desk-1', 'desk-2']);
+});
+
+suite('a late report about an earlier incarnation does not stop the present one', () => {
+  const report = { kind: ReportKind.Leaving, serverId: 'desk-1', incarnation: 'a' };
+  const view = alive().probed('desk-1', 200, 'c').peer(210, report);
+  assert.equal(view.eligibleIds(), ['desk-1', 'desk-2']);
+});
+
+suite('a probe that says leaving ends new work without list and peers', () => {
+  assert.equal(alive().probed('desk-1', 200, 'a', true).eligibleIds(), ['desk-2']);
+});
+
+suite('the list shows a leaving server: no new work, and the peers are told', () => {
+  const leaving = builder.machine('desk-1', { phase: backend.MachinePhase.Leaving });
+  const view = alive();
+  view.takeEffects();
+  view.list(200, leaving, builder.machine('desk-2'));
+  assert.equal(view.eligibleIds(), ['desk-2']);
+  assert.equal(view.takeEffects(), [MembershipEffectKind.ReportToPeers]);
+});
+
+suite('a failed connection only raises suspicion; the probe decides', () => {
+  const view = alive();
+  view.takeEffects();
+  view.connectionFailed('desk-1', 200).connectionFailed('desk-1', 201);
+  assert.equal(view.takeEffects(), [
+    MembershipEffectKind.Probe,
+    MembershipEffectKind.ReportToPeers,
+  ]);
+  assert.is(membership.eligible(view.view)[0].suspected, true);
+  view.probed('desk-1', 220, 'a');
+  assert.is(membership.eligible(view.view)[0].suspected, false);
+  assert.equal(view.takeEffects(), []);
+});
+
+suite('a probe that began before the suspicion does not end it', () => {
+  const view = alive().tick(2_000).connectionFailed('desk-1', 2_050);
+  view.probed('desk-1', 2_060, 'a', false, 2_000);
+  assert.is(membership.eligible(view.view)[0].suspected, true);
+  view.takeEffects();
+  assert.equal(view.tick(2_100).takeEffects(), [MembershipEffectKind.Probe]);
+});
+
+suite('two unanswered probes are one crash; the server returns after an answered probe', () => {
+  const view = alive().connectionFailed('desk-1', 200).unanswered('desk-1', 210);
+  assert.equal(view.eligibleIds(), ['desk-1', 'desk-2']);
+  view.takeEffects();
+  view.tick(320).unanswered('desk-1', 330).tick(2_000).unanswered('desk-1', 2_010);
+  const crashes = view.takeEffects().filter((kind) => kind === 'server-crashed');
+  assert.is(crashes.length, 1);
+  assert.equal(view.eligibleIds(), ['desk-2']);
+  view.probed('desk-1', 4_000, 'c');
+  assert.equal(view.eligibleIds(), ['desk-1', 'desk-2']);
+  assert.not.ok(view.takeEffects().includes(MembershipEffectKind.ServerCrashed));
+});
+
+suite('a fast restart is a crash: the incarnation changed; its late answers are ignored', () => {
+  const view = alive();
+  view.takeEffects();
+  view.probed('desk-1', 300, 'c');
+  assert.equal(view.takeEffects(), [MembershipEffectKind.ServerCrashed]);
+  const kind = membership.MembershipEventKind.IncarnationSeen;
+  view.apply({ kind, at: 310, serverId: 'desk-1', incarnation: 'a' });
+  assert.equal(view.takeEffects(), []);
+  assert.is(view.view.servers.get('desk-1')?.incarnation, 'c');
+});
+
+suite('a malformed report of a peer is not taken over', () => {
+  assert.is(membership.parseReport({ kind: 'leaving' }), undefined);
+  assert.is(membership.parseReport('leaving'), undefined);
+});
+
+suite.run();
--- /dev/null
+++ b/test/routing/engine-execution.test.ts
@@ -0,0 +1,65 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as verdict from '../../src/verdict';
+import * as routingBuilder from '../support/routing-builder';
+
+const suite = uvu.suite('engine execution');
+const { FailureReason, Verdict } = verdict;
+
+const LOST = verdict.failure(FailureReason.Timeout, Verdict.MayHaveRun, 'Lost.');
+const LEAVING = verdict.failure(FailureReason.BackendLeaving, Verdict.NotRun, 'Leaving.');
+
+suite('a stream that breaks is resumed: every piece once and in order', async () => {
+  const builder = new routingBuilder.RoutingBuilder()
+    .engine('desk-1', { pieces: [0, 1], breaksWith: LOST })
+    .engine('desk-2', { pieces: [0, 1], breaksWith: LOST });
+  await builder.run(async (router) => {
+    const sink = await builder.complete(router);
+    assert.ok(sink.isComplete);
+    assert.equal(sink.words, [0, 1, 2, 3]);
+  });
+});
+
+suite('a gap, a repeat and an early end are never delivered', async () => {
+  const faults = [[0, 2], [0, 0], [0]];
+  for (const pieces of faults) {
+    const builder = new routingBuilder.RoutingBuilder().engine('desk-1', { pieces });
+    await builder.run(async (router) => {
+      const sink = await builder.complete(router);
+      assert.equal(sink.words, [0, 1, 2, 3], `after pieces ${pieces.join()}`);
+      assert.is(builder.engines.get('desk-1')?.requests[1].resumeFrom, 0);
+    });
+  }
+});
+
+suite("another request's answer never reaches the caller", async () => {
+  const builder = new routingBuilder.RoutingBuilder().engine('desk-1', { isCrossed: true });
+  await builder.run(async (router) => {
+    const sink = await builder.complete(router);
+    assert.equal(sink.words, [0, 1, 2, 3]);
+    assert.equal(builder.observer.failures[0].reason, FailureReason.AnswerMismatch);
+  });
+});
+
+suite('a refusal as leaving is reported at once and the request goes elsewhere', async () => {
+  const builder = new routingBuilder.RoutingBuilder()
+    .engine('desk-1', { refusesWith: LEAVING })
+    .engine('desk-2', { refusesWith: LEAVING });
+  await builder.run(async (router) => {
+    assert.ok((await builder.complete(router)).isComplete);
+    assert.equal(builder.observer.failures[0].reason, FailureReason.BackendLeaving);
+  });
+});
+
+suite('a stream that no server can complete ends with a failure, not with an end', async () => {
+  const broken = Array.from({ length: 50 }, () => ({ pieces: [], breaksWith: LOST }));
+  const builder = new routingBuilder.RoutingBuilder().engine('desk-1', ...broken);
+  await builder.run(async (router) => {
+    const sink = await builder.complete(router);
+    assert.not.ok(sink.isComplete);
+    assert.is(sink.failure?.verdict, Verdict.MayHaveRun);
+    assert.is(router.activeRequests, 0);
+  });
+});
+
+suite.run();
--- /dev/null
+++ b/test/support/fake-control-plane.ts
@@ -0,0 +1,90 @@
+import * as results from 'ts-results';
+import * as configuration from '../../src/configuration';
+import * as control from '../../src/control';
+import type * as fakeControlState from './fake-control-state';
+
+type Listener = (payload: unknown, fromDaemonId: string) => void;
+
+/** One daemon's view of a `FakeControlState`; can be cut off from the majority and from its peers. */
+export class FakeControlPlane extends control.ControlPlane {
+  isCutOff = false;
+
+  /** Commands whose result is lost although they are committed. */
+  losesResults = false;
+
+  private readonly configurationListeners = new Set<
+    (snapshot: configuration.ConfigurationSnapshot) => void
+  >();
+
+  private readonly listeners = new Map<control.PeerTopic, Set<Listener>>();
+
+  constructor(
+    private readonly shared: fakeControlState.FakeControlState,
+    private readonly daemonId: string,
+  ) {
+    super();
+    shared.planes.add(this);
+  }
+
+  override async propose(
+    proposal: control.Command,
+  ): Promise<results.Result<control.CommandResult, control.ProposalFailure>> {
+    if (this.isCutOff) {
+      return new results.Err(control.ProposalFailure.NoLeader);
+    }
+    const result = this.shared.apply(proposal);
+    return this.losesResults
+      ? new results.Err(control.ProposalFailure.Timeout)
+      : new results.Ok(result);
+  }
+
+  override configuration(): configuration.ConfigurationSnapshot {
+    return this.shared.snapshot;
+  }
+
+  override onConfiguration(
+    listener: (snapshot: configuration.ConfigurationSnapshot) => void,
+  ): () => void {
+    this.configurationListeners.add(listener);
+    return () => this.configurationListeners.delete(listener);
+  }
+
+  override broadcast(topic: control.PeerTopic, payload: unknown): void {
+    [...this.shared.planes]
+      .filter((plane) => plane !== this && !plane.isCutOff && !this.isCutOff)
+      .forEach((plane) => plane.hear(topic, payload, this.daemonId));
+  }
+
+  override onBroadcast(topic: control.PeerTopic, listener: Listener): () => void {
+    const listeners = this.listeners.get(topic) ?? new Set();
+    this.listeners.set(topic, listeners.add(listener));
+    return () => listeners.delete(listener);
+  }
+
+  override status(): control.ControlStatus {
+    return {
+      daemonId: this.daemonId,
+      zone: 'pl-caudan',
+      role: control.ReplicaRole.None,
+      term: 1,
+      commitIndex: 0,
+      voters: [],
+      revision: this.shared.snapshot.revision,
+      peers: [],
+    };
+  }
+
+  override async ready(): Promise<void> {}
+
+  override async close(): Promise<void> {
+    this.shared.planes.delete(this);
+  }
+
+  tell(snapshot: configuration.ConfigurationSnapshot): void {
+    this.configurationListeners.forEach((listener) => listener(snapshot));
+  }
+
+  private hear(topic: control.PeerTopic, payload: unknown, fromDaemonId: string): void {
+    this.listeners.get(topic)?.forEach((listener) => listener(payload, fromDaemonId));
+  }
+}
--- /dev/null
+++ b/test/support/observation-recorder.ts
@@ -0,0 +1,13 @@
+import * as routing from '../../src/routing';
+import * as verdict from '../../src/verdict';
+
+/** Keeps what executions reported about servers. */
+export class ObservationRecorder extends routing.ServerObserver {
+  readonly failures: { readonly serverId: string; readonly reason: verdict.FailureReason }[] = [];
+
+  override incarnationSeen(): void {}
+
+  override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
+    this.failures.push({ serverId, reason: failure.reason });
+  }
+}
