--- a/src/daemon/daemon-ports.ts
+++ b/src/daemon/daemon-ports.ts
@@ -33,6 +33,10 @@
   readonly listen: ListenAddress;
   readonly operatorListen: ListenAddress;
   readonly operatorTokens: readonly string[];
+  /** Time between two reads of the platform's list. */
+  readonly listIntervalMilliseconds: number;
+  /** More requests in the queues are refused. */
+  readonly maximumQueuedRequests: number;
   readonly limits: callerLimits.CallerLimits;
   /** Time that a stopping daemon still takes requests, until the load balancer has noticed. */
   readonly loadBalancerMilliseconds: number;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -49,13 +49,17 @@
       (report) => peerQuarantine.broadcastCrash(plane, report),
     );
     const { task, pool } = this;
-    this.membership = new routing.MembershipTask({ list, pool, plane, task, time, random });
+    this.membership = new routing.MembershipTask(
+      { list, pool, plane, task, time, random },
+      options.listIntervalMilliseconds,
+    );
     this.followUp = new routing.ClaimFollowUp(plane, time);
     this.router = new routing.Router(
       { task, pool, observer: this.membership, meter, time },
       new routing.ClaimKeeper(plane, this.followUp, time),
       ports.hasher,
       plane.configuration(),
+      options.maximumQueuedRequests,
     );
   }
 
--- a/src/daemon/start-daemon.ts
+++ b/src/daemon/start-daemon.ts
@@ -72,8 +72,9 @@
   }
   const url = new URL(location.location);
   const port = url.port === '' ? HTTP_PORT : Number(url.port);
-  const address = { serverId: 'vm-list', host: url.hostname, port };
-  return new backend.HttpMachineList(address, time);
+  // A URL has an IPv6 address in brackets, a socket address has not.
+  const host = url.hostname.replace(/^\[|\]$/g, '');
+  return new backend.HttpMachineList({ serverId: 'vm-list', host, port }, time);
 }
 
 function startState(
@@ -97,6 +98,8 @@
     listen: settings.listen,
     operatorListen: settings.operatorListen,
     operatorTokens: settings.operatorTokens,
+    listIntervalMilliseconds: settings.machineListIntervalMilliseconds,
+    maximumQueuedRequests: settings.maximumQueuedRequests,
     limits: { ...callerLimits.DEFAULT_LIMITS, bodyBytes: settings.maximumBodyBytes },
     loadBalancerMilliseconds: LOAD_BALANCER_MILLISECONDS,
     graceMilliseconds: settings.shutdownGraceMilliseconds,
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -39,7 +39,10 @@
 
   private unsubscribe: (() => void) | undefined;
 
-  constructor(private readonly ports: MembershipPorts) {
+  constructor(
+    private readonly ports: MembershipPorts,
+    private readonly listIntervalMilliseconds: number,
+  ) {
     super();
   }
 
@@ -49,7 +52,7 @@
       this.hearPeer(payload),
     );
     await this.readList();
-    this.repeat(TimerName.List, LIST_INTERVAL_MILLISECONDS, () => this.readList());
+    this.repeat(TimerName.List, this.listIntervalMilliseconds, () => this.readList());
     this.repeat(TimerName.Tick, TICK_MILLISECONDS, () => {
       this.apply({ kind: membership.MembershipEventKind.Tick, at: this.now() });
     });
@@ -181,9 +184,6 @@
 
 const logger = new logging.Logger('membership');
 
-// A server that the list shows as leaving must get no new work 3 s later.
-const LIST_INTERVAL_MILLISECONDS = 1_000;
-
 const TICK_MILLISECONDS = 100;
 
 const { FailureReason } = verdict;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -53,6 +53,7 @@
     private readonly claims: claimKeeper.ClaimKeeper,
     private readonly hasher: Pick<prefix.ChainHasher, 'chain'>,
     snapshot: configuration.ConfigurationSnapshot,
+    private readonly maximumQueuedRequests: number,
   ) {
     this.current = new catalogModule.Catalog(snapshot);
     this.feedConfiguration(snapshot);
@@ -91,6 +92,9 @@
     call: CompletionCall,
     sink: answerSink.AnswerSink,
   ): results.Result<() => void, verdict.RequestFailure> {
+    if (this.isFull()) {
+      return new results.Err(QUEUES_FULL);
+    }
     const prompt = prefix.canonicalPrompt(call.request);
     const resolved = this.current.resolveIntent(call.team, call.request.model);
     return results.Result.all(resolved, prompt).map(([target, bytes]) => {
@@ -107,6 +111,9 @@
     if (resolved.err) {
       return failedCall(resolved.val);
     }
+    if (this.isFull()) {
+      return failedCall(QUEUES_FULL);
+    }
     const { route } = resolved.val;
     const execution = new plainExecution.PlainExecution(
       this.plainCall(call, resolved.val),
@@ -135,6 +142,14 @@
     return this.runClaimed(claim, execution);
   }
 
+  /** The cheap comparison comes first, since counting takes time when there are many requests. */
+  private isFull(): boolean {
+    return (
+      this.activeRequests >= this.maximumQueuedRequests &&
+      this.requestCounts().queued >= this.maximumQueuedRequests
+    );
+  }
+
   /** Claims before the request enters a queue, so that a resend is answered without a free server. */
   private runClaimed(
     identity: claimKeeper.ClaimRequest,
@@ -237,6 +252,13 @@
 
 const { FailureReason, Verdict } = verdict;
 
+const QUEUES_FULL = verdict.failure(
+  FailureReason.Overloaded,
+  Verdict.NotRun,
+  'The queues of this router are full; the request was not sent.',
+  { retryAfterMilliseconds: 1_000 },
+);
+
 const KEY_MISSING = verdict.failure(
   FailureReason.KeyInvalid,
   Verdict.NotRun,
--- a/test/support/daemon-builder.ts
+++ b/test/support/daemon-builder.ts
@@ -102,6 +102,8 @@
       listen: address,
       operatorListen: address,
       operatorTokens: [OPERATOR_TOKEN],
+      listIntervalMilliseconds: 1_000,
+      maximumQueuedRequests: 100,
       limits: this.limits,
       loadBalancerMilliseconds: 50,
       graceMilliseconds: this.graceMilliseconds,
--- a/test/support/routing-builder.ts
+++ b/test/support/routing-builder.ts
@@ -106,6 +106,7 @@
       new routing.ClaimKeeper(this.plane, this.followUp, time),
       { chain: () => [] },
       this.plane.configuration(),
+      100,
     );
     const machines = this.machines();
     pool.update(machines);
