Report the value of an unknown flag only once

Change: the word after an unknown flag is taken as its value. figline status shows "-" for the address of the asked daemon, which daemons leave empty.

Conclusion: the command and the daemon agree on the operator interface.

--- a/src/command/inspect.ts
+++ b/src/command/inspect.ts
@@ -92,7 +92,7 @@
   const rows = answer.daemons.map((daemon) => [
     daemon.daemonId,
     daemon.zone,
-    daemon.address,
+    daemon.address === '' ? '-' : daemon.address,
     String(daemon.revision),
     daemon.connected
       ? 'connected'
--- a/src/command/operator-api.ts
+++ b/src/command/operator-api.ts
@@ -75,7 +75,7 @@
 export const daemonRevisionSchema = zod.object({
   daemonId: zod.string(),
   zone: zod.string(),
-  /** Address of its peer listener. */
+  /** Address of its peer listener; empty for the asked daemon itself. */
   address: zod.string(),
   /** Highest revision that it reported as applied. */
   revision: revisionSchema,
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -85,6 +85,12 @@
 
 const HELP_COLUMN = 34;
 
+interface ParsedToken {
+  readonly kind: string;
+  readonly name?: string;
+  readonly value?: string;
+}
+
 interface GivenFlags {
   readonly values: ReadonlyMap<string, string>;
   readonly faults: SettingFault[];
@@ -121,9 +127,11 @@
   });
   const values = new Map<string, string>();
   const faults: SettingFault[] = [];
-  tokens.forEach((token) => {
+  tokens.forEach((token, index) => {
     if (token.kind === 'positional') {
-      faults.push({ source: token.value, message: 'is not a flag; write --FLAG VALUE' });
+      if (!isValueOfUnknownFlag(tokens[index - 1], known)) {
+        faults.push({ source: token.value, message: 'is not a flag; write --FLAG VALUE' });
+      }
     } else if (token.kind === 'option') {
       const message = flagFault(token, known, values);
       if (message === undefined) {
@@ -136,6 +144,13 @@
   return { values, faults };
 }
 
+/** The parser takes the word after an unknown flag for an argument, which would be a second fault. */
+function isValueOfUnknownFlag(before: ParsedToken | undefined, known: readonly string[]): boolean {
+  return (
+    before?.kind === 'option' && before.value === undefined && !known.includes(before.name ?? '')
+  );
+}
+
 function flagFault(
   token: { readonly name: string; readonly value?: string },
   known: readonly string[],
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -55,12 +55,12 @@
 
 suite('all faults are reported by one start, so that nobody starts ten times to find them', () => {
   const found = faultsOf(
-    [...flags({ zone: undefined, listen: 'localhost:80', statsd: '1.2.3.4' }), '--peer', 'x'],
+    [...flags({ zone: undefined, listen: 'localhost:80', statsd: '1.2.3.4' }), 'x', '--peer', 'y'],
     { FIGLINE_REGOIN: 'x', FIGLINE_AUTHOR: 'ok', PATH: '/bin' },
   );
   assert.equal(found, [
-    '--peer: unknown flag; did you mean --peers?',
     'x: is not a flag; write --FLAG VALUE',
+    '--peer: unknown flag; did you mean --peers?',
     'FIGLINE_REGOIN: unknown environment variable; did you mean FIGLINE_REGION?',
     '--zone: is missing; set it or FIGLINE_ZONE',
     '--listen: localhost is not an IP address',
