Test verdicts, crossed answers and broken streams under faults

Cause: the promises about verdicts and answers need faults at each step of a request.

An answer cut by the end of its connection is now a lost connection and not a protocol error. The emulator freezes above the socket, since Node's HTTP parser reads past a paused socket, and stops the comment timer of a stream whose connection is gone.

--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -218,11 +218,14 @@
   return hasNoBody || chunked || headers['content-length'] !== undefined;
 }
 
+/**
+ * An answer that was cut by the end of its connection is a lost connection, not a protocol error. undici
+ * reports it as a parser error without the bytes that could not be parsed.
+ */
 function isProtocolError(error: Error): boolean {
   return (
-    error instanceof undici.errors.HTTPParserError ||
     error instanceof undici.errors.HeadersOverflowError ||
-    error instanceof undici.errors.ResponseContentLengthMismatchError
+    (error instanceof undici.errors.HTTPParserError && 'data' in error && error.data !== '')
   );
 }
 
--- a/src/emulator/emulated-engine.ts
+++ b/src/emulator/emulated-engine.ts
@@ -243,6 +243,7 @@
     };
     this.attempts.set(attemptId, { stop: () => response.destroy() });
     response.once('close', stop);
+    response.once('close', () => writer.stop());
     state.recordLoad();
   }
 
--- a/src/emulator/emulated-server.ts
+++ b/src/emulator/emulated-server.ts
@@ -41,6 +41,8 @@
 
   private frozen = false;
 
+  private onThaw: (() => void)[] = [];
+
   private listeningPort = 0;
 
   constructor(
@@ -100,18 +102,16 @@
     await this.listen(this.listeningPort);
   }
 
-  /** Stops reading and writing on every connection, also on new ones, until `thaw`. */
+  /** Handles nothing and sends nothing until `thaw`; the operating system still accepts connections. */
   freeze(): void {
     this.frozen = true;
-    this.sockets.forEach(hold);
+    this.sockets.forEach((socket) => socket.cork());
   }
 
   thaw(): void {
     this.frozen = false;
-    this.sockets.forEach((socket) => {
-      socket.uncork();
-      socket.resume();
-    });
+    this.sockets.forEach((socket) => socket.uncork());
+    this.onThaw.splice(0).forEach((resume) => resume());
   }
 
   /** Leaves, waits for the requests in progress, at most as long as given, and closes. */
@@ -192,7 +192,7 @@
     this.sockets.add(socket);
     socket.once('close', () => this.sockets.delete(socket));
     if (this.frozen) {
-      hold(socket);
+      socket.cork();
     }
   }
 
@@ -200,6 +200,11 @@
     incoming: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
+    if (this.frozen) {
+      await new Promise<void>((resolve) => {
+        this.onThaw.push(resolve);
+      });
+    }
     const url = new URL(incoming.url ?? '/', 'http://server');
     if (this.faults.take(url.pathname, fault.FaultKind.ResetMidBody) !== undefined) {
       incoming.once('data', () => incoming.socket.resetAndDestroy());
@@ -329,11 +334,6 @@
   fault.FaultKind.DuplicateAnswer,
 ];
 
-function hold(socket: net.Socket): void {
-  socket.pause();
-  socket.cork();
-}
-
 async function readBody(incoming: http.IncomingMessage): Promise<Buffer> {
   const chunks: Buffer[] = [];
   for await (const chunk of incoming) {
--- a/test/backend/build.ts
+++ b/test/backend/build.ts
@@ -35,8 +35,9 @@
 export function buildEngineAdapter(
   owner: lifecycle.LifecycleManager,
   port: number,
+  limits: backend.BackendLimits = QUICK_LIMITS,
 ): backend.HttpModelEngine {
-  const adapter = new backend.HttpModelEngine(address(port), time, QUICK_LIMITS);
+  const adapter = new backend.HttpModelEngine(address(port), time, limits);
   owner.own('adapter', () => adapter.close());
   return adapter;
 }
@@ -63,10 +64,20 @@
   return adapter;
 }
 
+/** A lifecycle manager that `closeOwners` closes after the test, also after a failed one. */
 export function buildOwner(): lifecycle.LifecycleManager {
-  return new lifecycle.LifecycleManager(time);
+  const owner = new lifecycle.LifecycleManager(time);
+  owners.push(owner);
+  return owner;
 }
 
+/** Closes what the test built; an open server would keep the process of a failed test alive. */
+export async function closeOwners(): Promise<void> {
+  await Promise.all(owners.splice(0).map((owner) => owner.close()));
+}
+
+const owners: lifecycle.LifecycleManager[] = [];
+
 export function address(port: number): backend.BackendAddress {
   return { serverId: 'server-1', host: '127.0.0.1', port };
 }
--- /dev/null
+++ b/test/backend/crossed-answer.test.ts
@@ -0,0 +1,102 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import type * as backend from '../../src/backend';
+import * as emulator from '../../src/emulator';
+import * as verdict from '../../src/verdict';
+import * as build from './build';
+
+const suite = uvu.suite('late, crossed and doubled answers');
+suite.after.each(build.closeOwners);
+const { FaultKind } = emulator;
+
+/** Sends one charge and checks that an answer, if there is one, belongs to it. */
+async function chargeChecked(
+  adapter: backend.HttpPlainService,
+  request: backend.PlainRequest,
+): Promise<boolean> {
+  const result = await adapter.call(request);
+  if (result.ok) {
+    const { account } = JSON.parse(Buffer.from(request.body).toString());
+    const answer = JSON.parse(Buffer.from(result.val.body).toString());
+    assert.is(answer.account, account, 'the answer of another request was delivered');
+    assert.is(result.val.headers['x-request-id'], request.requestId);
+  }
+  return result.ok;
+}
+
+suite('an answer that comes after its timeout never reaches the next request', async () => {
+  const owner = build.buildOwner();
+  const { service, adapter } = await build.buildPlain(owner);
+  await chargeChecked(adapter, build.charge());
+  service.faults.add({ kind: FaultKind.LateAnswer, delayMilliseconds: 60 });
+  assert.not.ok(await chargeChecked(adapter, build.charge({ timeoutMilliseconds: 30 })));
+  for (let count = 0; count < 20; count += 1) {
+    assert.ok(await chargeChecked(adapter, build.charge()));
+  }
+  assert.is(service.report().acceptedConnections, 2, 'the abandoned connection was used again');
+});
+
+suite('a doubled answer never reaches the next request on the connection', async () => {
+  const owner = build.buildOwner();
+  const { service, adapter } = await build.buildPlain(owner);
+  service.faults.add({ kind: FaultKind.DuplicateAnswer, times: 40 });
+  let answered = 0;
+  for (let count = 0; count < 60; count += 1) {
+    answered += (await chargeChecked(adapter, build.charge())) ? 1 : 0;
+  }
+  assert.ok(answered >= 20, `only ${answered} of 60 charges were answered`);
+});
+
+suite('concurrent requests get their own answers while others are late or crossed', async () => {
+  const owner = build.buildOwner();
+  const { service, adapter } = await build.buildPlain(owner);
+  const kinds = [FaultKind.LateAnswer, FaultKind.CrossedId, FaultKind.DuplicateAnswer];
+  let answered = 0;
+  for (let round = 0; round < 10; round += 1) {
+    kinds.forEach((kind) => service.faults.add({ kind, times: 2, delayMilliseconds: 80 }));
+    const requests = Array.from({ length: 12 }, () => build.charge({ timeoutMilliseconds: 60 }));
+    const results = await Promise.all(requests.map((request) => chargeChecked(adapter, request)));
+    answered += results.filter((ok) => ok).length;
+  }
+  assert.ok(answered > 40, `only ${answered} of 120 charges were answered`);
+});
+
+suite('a stream under the id of another request is refused before its first piece', async () => {
+  const owner = build.buildOwner();
+  const { engine, adapter } = await build.buildEngine(owner);
+  engine.faults.add({ kind: FaultKind.CrossedId });
+  const result = await adapter.start(build.engineRequest('crossed'));
+  const failure = result.val as verdict.RequestFailure;
+  assert.is(failure.reason, verdict.FailureReason.AnswerMismatch);
+  assert.is(failure.verdict, verdict.Verdict.MayHaveRun);
+  await build.eventually(() => engine.report().runningRequests === 0);
+});
+
+suite(
+  'concurrent streams on reused connections deliver the text of their own prompts',
+  async () => {
+    const owner = build.buildOwner();
+    const { engine, adapter } = await build.buildEngine(owner, { slots: 32 });
+    for (let round = 0; round < 5; round += 1) {
+      engine.faults.add({ kind: FaultKind.ResetMidAnswer, atPiece: 3, times: 2 });
+      engine.faults.add({ kind: FaultKind.LateAnswer, delayMilliseconds: 20, times: 3 });
+      const prompts = Array.from({ length: 24 }, (_unused, index) => `prompt ${round} ${index}`);
+      await Promise.all(
+        prompts.map(async (prompt, index) => {
+          const aborter = new AbortController();
+          const request = build.engineRequest(prompt, { signal: aborter.signal });
+          const started = await adapter.start(request);
+          if (index % 6 === 0) {
+            aborter.abort();
+          }
+          const { pieces, failure } = await build.readStream(started.unwrap());
+          const text = build.chatText(pieces);
+          const expected = build.expectedText(prompt);
+          assert.ok(failure === undefined ? text === expected : expected.startsWith(text), text);
+        }),
+      );
+    }
+  },
+);
+
+suite.run();
--- a/test/backend/http-model-engine.test.ts
+++ b/test/backend/http-model-engine.test.ts
@@ -6,6 +6,7 @@
 import * as build from './build';
 
 const suite = uvu.suite('model engine over HTTP');
+suite.after.each(build.closeOwners);
 const { FailureReason, Verdict } = verdict;
 
 suite('a stream arrives whole, numbered from 0, on one reused connection', async () => {
@@ -27,7 +28,6 @@
     await build.eventually(() => engine.report().runningRequests === 0);
   }
   assert.is(engine.report().acceptedConnections, 1);
-  await owner.close();
 });
 
 suite('the head tells which prompt tokens were cached, so that placement can learn', async () => {
@@ -43,7 +43,6 @@
   assert.is(await cachedTokens('team-a'), 0);
   assert.is(await cachedTokens('team-a'), 2_000);
   assert.is(await cachedTokens('team-b'), 0, 'the cache of another team was used');
-  await owner.close();
 });
 
 suite('a resumed stream continues with the wanted piece', async () => {
@@ -55,7 +54,6 @@
     pieces.map((piece) => piece.number),
     [5, 6, 7, 8, 9],
   );
-  await owner.close();
 });
 
 suite(
@@ -68,7 +66,6 @@
     await build.eventually(() => engine.report().runningRequests === 0);
     assert.is(engine.report().cancelled, 1);
     assert.equal(await build.readStream(stream), { pieces: [] });
-    await owner.close();
   },
 );
 
@@ -84,7 +81,6 @@
   const { pieces } = await build.readStream(running);
   assert.is(build.chatText(pieces), build.expectedText('running'));
   await stopping;
-  await owner.close();
 });
 
 suite('a request for other weights is refused, so that no old cache is relied on', async () => {
@@ -94,7 +90,6 @@
   const refused = await adapter.start(build.engineRequest('old'));
   assert.is((refused.val as verdict.RequestFailure).verdict, Verdict.NotRun);
   assert.is((await adapter.probe()).unwrap().weightsVersion, 'weights-2');
-  await owner.close();
 });
 
 suite('an order with an old fencing number is refused by an engine that checks it', async () => {
@@ -105,7 +100,6 @@
   assert.is((await order(7, 'weights-2')).unwrap(), backend.OrderOutcome.Accepted);
   assert.is((await order(6, 'weights-1')).unwrap(), backend.OrderOutcome.StaleFencingNumber);
   await build.eventually(() => engine.report().weightsVersion === 'weights-2');
-  await owner.close();
 });
 
 suite('load, probe and cache events are read; lost events leave a gap in the numbers', async () => {
@@ -121,7 +115,6 @@
   assert.is(page.incarnation, engine.incarnation);
   assert.is((await adapter.load()).unwrap().incarnation, engine.incarnation);
   assert.is((await adapter.probe()).unwrap().leaving, false);
-  await owner.close();
 });
 
 suite('an engine that restarts under the same address shows a new incarnation', async () => {
@@ -134,7 +127,6 @@
   assert.is.not((await adapter.probe()).unwrap().incarnation, before);
   const stream = (await adapter.start(request())).unwrap();
   assert.is(stream.head.cachedTokens, 0, 'the cache survived the restart');
-  await owner.close();
 });
 
 suite('the text of an answer tells prompts and weights apart', () => {
--- a/test/backend/http-plain-service.test.ts
+++ b/test/backend/http-plain-service.test.ts
@@ -9,6 +9,7 @@
 import * as build from './build';
 
 const suite = uvu.suite('plain service and VM list over HTTP');
+suite.after.each(build.closeOwners);
 
 const MACHINE: backend.MachineRecord = {
   id: 'runner-1',
@@ -31,7 +32,6 @@
   await adapter.call(build.charge());
   assert.is((await adapter.load()).unwrap().incarnation, service.incarnation);
   assert.is(service.report().acceptedConnections, 1);
-  await owner.close();
 });
 
 suite('a fresh connection is opened for the request and closed after it', async () => {
@@ -41,13 +41,14 @@
   await adapter.call(build.charge({ freshConnection: true }));
   assert.is(service.report().acceptedConnections, 2);
   await build.eventually(() => service.report().openConnections === 1);
-  await owner.close();
 });
 
 suite('a change of the VM list shows after its lag', async () => {
+  const owner = build.buildOwner();
   const time = new clock.ManualClock();
   const server = new emulator.EmulatedMachineList(500, time);
   await server.listen();
+  owner.own('list', () => server.crash());
   const list = new backend.HttpMachineList(build.address(server.port), new clock.SystemClock());
   server.setMachines([MACHINE]);
   assert.equal((await list.read()).unwrap(), []);
