--- /dev/null
+++ b/src/load/arrivals.ts
@@ -0,0 +1,29 @@
+import type * as clock from '../clock';
+
+/** Bounds and rate of an open-loop run. Every run ends by count and by time. */
+export interface ArrivalPlan {
+  readonly ratePerSecond: number;
+  readonly durationMilliseconds: number;
+  readonly maximumRequests: number;
+}
+
+/**
+ * Start times of the requests of an open-loop run in milliseconds after its start: independent arrivals
+ * (exponential gaps), which do not wait for answers.
+ *
+ * @example
+ * planArrivals({ ratePerSecond: 200, durationMilliseconds: 5_000, maximumRequests: 600 }, random);
+ */
+export function planArrivals(plan: ArrivalPlan, random: clock.RandomSource): number[] {
+  const times: number[] = [];
+  let at = gap(plan, random);
+  while (at < plan.durationMilliseconds && times.length < plan.maximumRequests) {
+    times.push(at);
+    at += gap(plan, random);
+  }
+  return times;
+}
+
+function gap(plan: ArrivalPlan, random: clock.RandomSource): number {
+  return (-Math.log(1 - random.uniform()) * 1_000) / plan.ratePerSecond;
+}
