Test replica, storage, wire and state machine against faults; fix what was found

Change: a simulation drives several real replica cores in virtual time with loss, reordering, duplication, crashes between effects, frozen machines, lost disks and partitions (fast-check, fixed seed). A file system in memory loses what was not synced, at any call. Unit tests cover the guards that sampling does not reach.

--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -81,6 +81,7 @@
     ...envelope,
     kind: zod.literal(replica.MessageKind.SnapshotReply),
     index: counter,
+    offset: counter,
     receivedBytes: counter,
     installed: zod.boolean(),
   }),
--- a/src/replica/message.ts
+++ b/src/replica/message.ts
@@ -84,6 +84,8 @@
 export interface SnapshotReply extends Envelope {
   readonly kind: MessageKind.SnapshotReply;
   readonly index: number;
+  /** Offset of the chunk that is answered. */
+  readonly offset: number;
   readonly receivedBytes: number;
   /** The snapshot is on disk, or its entries were committed here already. */
   readonly installed: boolean;
--- a/src/replica/replication.ts
+++ b/src/replica/replication.ts
@@ -128,22 +128,29 @@
   if (state.role !== states.Role.Leader || answer.term !== state.term || known === undefined) {
     return step;
   }
-  const matchIndex = answer.success
-    ? Math.max(known.matchIndex, answer.matchIndex)
-    : known.matchIndex;
-  const retryIndex = Math.max(answer.matchIndex, known.matchIndex) + 1;
-  const nextIndex = answer.success ? Math.max(known.nextIndex, matchIndex + 1) : retryIndex;
-  const progress: states.Progress = {
-    ...known,
-    matchIndex,
-    nextIndex: Math.min(nextIndex, logs.lastIndex(state.log) + 1),
-    heardAt: context.now,
-    sentAt: answer.heartbeat && answer.success ? known.sentAt : undefined,
-  };
-  const updated = progresses.withProgress(step, progress);
+  const heard = { ...known, heardAt: context.now };
+  const moved = answer.success ? advance(heard, answer) : retreat(heard, answer);
+  const nextIndex = Math.min(moved.nextIndex, logs.lastIndex(state.log) + 1);
+  const updated = progresses.withProgress(step, { ...moved, nextIndex });
   return sending.sendNext(advanceCommit(updated), known.member.replicaId);
 }
 
+/** A reply that tells nothing new is a duplicate: sending again on it would multiply messages. */
+function advance(known: states.Progress, answer: message.AppendReply): states.Progress {
+  if (answer.matchIndex <= known.matchIndex) {
+    return known;
+  }
+  const { matchIndex } = answer;
+  const nextIndex = Math.max(known.nextIndex, matchIndex + 1);
+  return { ...known, matchIndex, nextIndex, sentAt: undefined };
+}
+
+/** Goes back to where the logs may agree. */
+function retreat(known: states.Progress, answer: message.AppendReply): states.Progress {
+  const nextIndex = Math.max(answer.matchIndex, known.matchIndex) + 1;
+  return nextIndex < known.nextIndex ? { ...known, nextIndex, sentAt: undefined } : known;
+}
+
 /**
  * Commits the highest index of the current term that a majority has on disk (Ongaro and Ousterhout, "In
  * Search of an Understandable Consensus Algorithm", section 5.4.2: entries of earlier terms are committed
--- a/src/replica/snapshotting.ts
+++ b/src/replica/snapshotting.ts
@@ -16,7 +16,8 @@
   const isUsable =
     base !== undefined &&
     taken.index <= state.commitIndex &&
-    taken.index > (state.snapshot?.index ?? 0);
+    taken.index > (state.snapshot?.index ?? 0) &&
+    !isTransferring(step);
   if (!isUsable || inForce === undefined) {
     return step;
   }
@@ -26,6 +27,19 @@
   return steps.withState(step, { snapshot, log: logs.compact(state.log, compactTo) });
 }
 
+/**
+ * Whether a replica that answers is receiving the present snapshot. A newer one would start the transfer
+ * again, and under constant load the replica would never catch up.
+ */
+function isTransferring(step: steps.Step): boolean {
+  const { progress, log, parameters } = step.state;
+  return [...progress.values()].some(
+    ({ member, nextIndex }) =>
+      nextIndex <= log.baseIndex &&
+      progresses.isRecent(step, member.replicaId, parameters.electionTimeoutMilliseconds),
+  );
+}
+
 /** Collects chunks; the last one replaces the log and the state machine's state. */
 export function onChunk(step: steps.Step, chunk: message.SnapshotChunk): steps.Step {
   if (chunk.term < step.state.term) {
@@ -50,15 +64,19 @@
   if (state.role !== states.Role.Leader || reply.term !== state.term || known === undefined) {
     return step;
   }
-  const heard = { ...known, heardAt: context.now, sentAt: undefined };
+  const heard = { ...known, heardAt: context.now };
+  // Only the answer to the chunk in flight counts: sending again on a duplicate would multiply messages.
+  const isCurrent = reply.index === known.snapshotIndex && reply.offset === known.snapshotOffset;
+  const isFirst = isCurrent && known.sentAt !== undefined;
+  const progress = isFirst ? advance(heard, reply) : heard;
+  return sending.sendNext(progresses.withProgress(step, progress), known.member.replicaId);
+}
+
+function advance(known: states.Progress, reply: message.SnapshotReply): states.Progress {
+  const snapshotOffset = reply.installed ? 0 : reply.receivedBytes;
   const matchIndex = reply.installed ? Math.max(known.matchIndex, reply.index) : known.matchIndex;
-  const next = {
-    ...heard,
-    matchIndex,
-    nextIndex: Math.max(known.nextIndex, matchIndex + 1),
-    snapshotOffset: reply.index === known.snapshotIndex ? reply.receivedBytes : 0,
-  };
-  return sending.sendNext(progresses.withProgress(step, next), known.member.replicaId);
+  const nextIndex = Math.max(known.nextIndex, matchIndex + 1);
+  return { ...known, matchIndex, nextIndex, snapshotOffset, sentAt: undefined };
 }
 
 function collect(
@@ -89,21 +107,19 @@
   const { index, snapshotTerm: term, timestamp, group } = chunk;
   const data = Buffer.concat([...collected.chunks]);
   const snapshot = { index, term, timestamp, group, data };
-  // Entries after the snapshot are kept when the log agrees with it.
+  // Entries after the snapshot are kept when the log agrees with it; otherwise they are dropped on disk too.
   const isAgreed = logs.termAt(state.log, index) === term;
-  const log = isAgreed
+  const log: logs.Log = isAgreed
     ? logs.compact(state.log, index)
-    : { baseIndex: index, baseTerm: term, baseTimestamp: timestamp, entries: immutable.List() };
-  const later = logs.slice(log as logs.Log, index + 1, logs.lastIndex(log as logs.Log));
+    : { ...logs.EMPTY_LOG, baseIndex: index, baseTerm: term, baseTimestamp: timestamp };
+  const later = logs.slice(log, index + 1, logs.lastIndex(log));
   const groups = states.groupsAfter(immutable.List([{ index, group }]), index, later);
-  const installed = steps.withState(step, {
-    snapshot,
-    log: log as logs.Log,
-    groups,
-    commitIndex: index,
-    incoming: undefined,
+  const changes = { snapshot, log, groups, commitIndex: index, incoming: undefined };
+  return roles.refreshRole({
+    ...steps.withState(step, changes),
+    changedFrom: isAgreed ? step.changedFrom : state.commitIndex + 1,
+    isRestored: true,
   });
-  return roles.refreshRole({ ...installed, isRestored: true });
 }
 
 function answer(
@@ -115,6 +131,7 @@
   return steps.send(step, chunk.from, {
     kind: message.MessageKind.SnapshotReply,
     index: chunk.index,
+    offset: chunk.offset,
     receivedBytes,
     installed,
   });
--- /dev/null
+++ b/test/replica/replica-builder.ts
@@ -0,0 +1,95 @@
+import * as replica from '../../src/replica';
+
+export const MEMBERS = ['a', 'b', 'c'].map((replicaId, index) => ({
+  replicaId,
+  address: `10.0.0.${index}:7000`,
+}));
+
+const REPLICAS = MEMBERS.map((member) => member.address);
+
+/** Drives one replica core by hand. */
+export class ReplicaBuilder {
+  now = 1_000;
+
+  state: replica.ReplicaState;
+
+  effects: readonly replica.ReplicaEffect[] = [];
+
+  constructor(index: number, durable: replica.DurableState = replica.EMPTY_DURABLE_STATE) {
+    this.state = replica.restore({
+      self: MEMBERS[index],
+      replicas: REPLICAS,
+      durable,
+      now: this.now,
+      random: 0,
+    });
+  }
+
+  /** A replica of the group a, b and c with entries of the given terms after the group entry. */
+  static inGroup(index: number, term: number, entryTerms: readonly number[]): ReplicaBuilder {
+    const entries = [groupEntry(), ...entryTerms.map((own, place) => entry(place + 2, own))];
+    return new ReplicaBuilder(index, { hardState: { term }, entries });
+  }
+
+  tick(milliseconds: number): this {
+    this.now += milliseconds;
+    return this.feed({ kind: replica.EventKind.Tick, ...this.context() });
+  }
+
+  /** Receives a message from another member. */
+  receive(from: number, term: number, body: replica.Body): this {
+    const { self } = this.state;
+    const envelope = { from: MEMBERS[from], toAddress: self.address, toId: self.replicaId, term };
+    const message = { ...envelope, ...body } as replica.Message;
+    return this.feed({ kind: replica.EventKind.Receive, message, ...this.context() });
+  }
+
+  propose(): this {
+    const proposals = [{ proposalId: 'p', data: Buffer.from('x') }];
+    return this.feed({ kind: replica.EventKind.Propose, proposals, ...this.context() });
+  }
+
+  feed(event: replica.ReplicaEvent): this {
+    const transaction = replica.update(this.state, event);
+    this.state = transaction.state;
+    this.effects = transaction.effects;
+    return this;
+  }
+
+  /** Wins an election with the vote of one other member. */
+  elect(voter: number): this {
+    this.tick(5_000);
+    const proposedTerm = this.state.term + 1;
+    this.receive(voter, this.state.term, {
+      kind: replica.MessageKind.PreVoteReply,
+      proposedTerm,
+      granted: true,
+    });
+    return this.receive(voter, proposedTerm, {
+      kind: replica.MessageKind.VoteReply,
+      granted: true,
+    });
+  }
+
+  sent(kind: replica.MessageKind): replica.Message[] {
+    return this.effects.flatMap((effect) =>
+      effect.kind === replica.EffectKind.Send && effect.message.kind === kind
+        ? [effect.message]
+        : [],
+    );
+  }
+
+  context(): replica.EventContext {
+    return { now: this.now, wallClock: this.now, random: 0 };
+  }
+}
+
+export function entry(index: number, term: number): replica.Entry {
+  const data = Buffer.from(`${index}/${term}`);
+  return { index, term, timestamp: index, kind: replica.EntryKind.Command, data };
+}
+
+function groupEntry(): replica.Entry {
+  const group = { voters: MEMBERS };
+  return { index: 1, term: 1, timestamp: 1, kind: replica.EntryKind.Group, group };
+}
--- /dev/null
+++ b/test/replica/simulation.ts
@@ -0,0 +1,359 @@
+import * as clock from '../../src/clock';
+import * as replica from '../../src/replica';
+
+/** How unreliable the simulated network and machines are. */
+export interface SimulationOptions {
+  readonly seed: number;
+  readonly replicas: number;
+  /** Probability that a message is lost. */
+  readonly lossRate: number;
+  readonly duplicateRate: number;
+  readonly maximumDelayMilliseconds: number;
+  /** Probability that a replica crashes between two effects of one event. */
+  readonly crashRate: number;
+  /** Replaces the core, to show what a check finds without a guard. */
+  readonly update?: typeof replica.update;
+}
+
+/** The application above the log, which the simulation feeds like the daemon does. */
+export interface Application {
+  apply(slot: number, entry: replica.Entry): void;
+  restore(slot: number, data: Uint8Array): void;
+  encode(slot: number): Uint8Array;
+  reset(slot: number): void;
+}
+
+interface Slot {
+  readonly address: string;
+  replicaId: string;
+  durable: replica.DurableState;
+  state: replica.ReplicaState | undefined;
+  isPaused: boolean;
+  restartAt: number;
+  applied: number;
+}
+
+interface Delivery {
+  readonly due: number;
+  readonly message: replica.Message;
+}
+
+export const STEP_MILLISECONDS = 10;
+
+const RESTART_MILLISECONDS = 300;
+
+const SNAPSHOT_ENTRIES = 12;
+
+// Small sizes make snapshots, chunks and several messages for one backlog frequent.
+const PARAMETERS = {
+  maximumAppendEntries: 4,
+  snapshotChunkBytes: 1_024,
+  trailingEntries: 3,
+};
+
+/**
+ * Several replica cores in virtual time, with a network that loses, delays, reorders and duplicates, and
+ * machines that crash, freeze and lose their disks. It throws as soon as the replicas contradict each other.
+ */
+export class Simulation {
+  now = 0;
+
+  /** Every entry that any replica has applied, by index. */
+  readonly committed: replica.Entry[] = [];
+
+  readonly slots: Slot[];
+
+  private readonly random: clock.SeededRandomSource;
+
+  private deliveries: Delivery[] = [];
+
+  private readonly leaders = new Map<number, string>();
+
+  /** Cut directions, as `from>to`. */
+  private readonly cut = new Set<string>();
+
+  private nextId = 0;
+
+  private nextProposal = 0;
+
+  private isFaulty = true;
+
+  constructor(
+    private readonly options: SimulationOptions,
+    private readonly application: Application,
+  ) {
+    this.random = new clock.SeededRandomSource(options.seed);
+    this.slots = Array.from({ length: options.replicas }, (_, index) => ({
+      address: `10.0.0.${index}:7000`,
+      replicaId: '',
+      durable: replica.EMPTY_DURABLE_STATE,
+      state: undefined,
+      isPaused: false,
+      restartAt: 0,
+      applied: 0,
+    }));
+    this.slots.forEach((slot) => this.wipe(slot));
+  }
+
+  run(milliseconds: number): void {
+    for (const end = this.now + milliseconds; this.now < end;) {
+      this.step();
+    }
+  }
+
+  /** Ends all faults: everything runs, is linked, and no message is lost. */
+  heal(): void {
+    this.isFaulty = false;
+    this.cut.clear();
+    this.slots.forEach((slot) => Object.assign(slot, { isPaused: false }));
+  }
+
+  crash(index: number): void {
+    const slot = this.slots[index];
+    slot.state = undefined;
+    slot.isPaused = false;
+    slot.restartAt = this.now + RESTART_MILLISECONDS;
+  }
+
+  /** Freezes a machine; what is sent to it waits. */
+  pause(index: number): void {
+    this.slots[index].isPaused = true;
+  }
+
+  resume(index: number): void {
+    this.slots[index].isPaused = false;
+  }
+
+  /** Cuts or restores one direction between two machines. */
+  setLink(from: number, to: number, isLinked: boolean): void {
+    if (isLinked) {
+      this.cut.delete(`${from}>${to}`);
+    } else {
+      this.cut.add(`${from}>${to}`);
+    }
+  }
+
+  /** Cuts a machine off, or links it again. */
+  setLinks(index: number, isLinked: boolean): void {
+    this.slots.forEach((_, other) => {
+      this.setLink(index, other, isLinked);
+      this.setLink(other, index, isLinked);
+    });
+  }
+
+  /** Loses a disk, unless no other disk holds every committed entry: then nothing could be promised. */
+  loseDisk(index: number): boolean {
+    const hasSurvivor = this.slots.some((slot, other) => other !== index && this.isComplete(slot));
+    if (hasSurvivor) {
+      this.crash(index);
+      this.wipe(this.slots[index]);
+    }
+    return hasSurvivor;
+  }
+
+  propose(index: number, data: Uint8Array): void {
+    this.nextProposal += 1;
+    const proposals = [{ proposalId: String(this.nextProposal), data }];
+    this.handle(index, { kind: replica.EventKind.Propose, proposals, ...this.context() });
+  }
+
+  leaderIndex(): number {
+    const leading = this.slots.filter((slot) => slot.state?.role === replica.Role.Leader);
+    leading.sort((left, right) => right.state!.term - left.state!.term);
+    return this.slots.indexOf(leading[0]);
+  }
+
+  uniform(): number {
+    return this.random.uniform();
+  }
+
+  private step(): void {
+    this.now += STEP_MILLISECONDS;
+    this.slots.forEach((slot, index) => {
+      if (slot.state === undefined && this.now >= slot.restartAt) {
+        this.restart(index);
+      }
+      this.handle(index, { kind: replica.EventKind.Tick, ...this.context() });
+    });
+    const due = this.deliveries.filter((delivery) => delivery.due <= this.now);
+    this.deliveries = this.deliveries.filter((delivery) => delivery.due > this.now);
+    due.forEach((delivery) => this.deliver(delivery.message));
+  }
+
+  private deliver(message: replica.Message): void {
+    const index = this.slots.findIndex((slot) => slot.address === message.toAddress);
+    const from = this.slots.findIndex((slot) => slot.address === message.from.address);
+    if (this.cut.has(`${from}>${index}`)) {
+      return;
+    }
+    if (this.slots[index].isPaused) {
+      this.deliveries.push({ due: this.now + STEP_MILLISECONDS, message });
+      return;
+    }
+    this.handle(index, { kind: replica.EventKind.Receive, message, ...this.context() });
+  }
+
+  private handle(index: number, event: replica.ReplicaEvent): void {
+    const slot = this.slots[index];
+    if (slot.state === undefined || slot.isPaused) {
+      return;
+    }
+    const transaction = (this.options.update ?? replica.update)(slot.state, event);
+    slot.state = transaction.state;
+    for (const effect of transaction.effects) {
+      if (this.isFaulty && this.random.uniform() < this.options.crashRate) {
+        this.crash(index);
+        return;
+      }
+      this.carryOut(index, effect);
+    }
+    this.checkLeader(transaction.startState, transaction.state);
+    if (event.kind !== replica.EventKind.SnapshotTaken) {
+      this.takeSnapshotWhenDue(index);
+    }
+  }
+
+  private carryOut(index: number, effect: replica.ReplicaEffect): void {
+    const slot = this.slots[index];
+    switch (effect.kind) {
+      case replica.EffectKind.Persist:
+        slot.durable = persist(slot.durable, effect);
+        break;
+      case replica.EffectKind.Send:
+        this.post(effect.message);
+        break;
+      case replica.EffectKind.Restore:
+        this.application.restore(index, effect.snapshot.data);
+        slot.applied = effect.snapshot.index;
+        break;
+      case replica.EffectKind.Apply:
+        effect.entries.forEach((entry) => this.apply(index, entry));
+        break;
+      default:
+    }
+  }
+
+  private post(message: replica.Message): void {
+    const { lossRate, duplicateRate, maximumDelayMilliseconds } = this.options;
+    if (this.isFaulty && this.random.uniform() < lossRate) {
+      return;
+    }
+    const copies = this.isFaulty && this.random.uniform() < duplicateRate ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const due = this.now + this.random.uniform() * maximumDelayMilliseconds;
+      this.deliveries.push({ due, message });
+    }
+  }
+
+  private apply(index: number, entry: replica.Entry): void {
+    const slot = this.slots[index];
+    check(entry.index === slot.applied + 1, `entry ${entry.index} applied out of order`);
+    slot.applied = entry.index;
+    const known = this.committed[entry.index];
+    check(known === undefined || isSame(known, entry), `committed entry ${entry.index} changed`);
+    this.committed[entry.index] = entry;
+    this.application.apply(index, entry);
+  }
+
+  private checkLeader(before: replica.ReplicaState, after: replica.ReplicaState): void {
+    if (after.role !== replica.Role.Leader) {
+      return;
+    }
+    const known = this.leaders.get(after.term);
+    const { replicaId } = after.self;
+    check(known === undefined || known === replicaId, `two leaders in term ${after.term}`);
+    this.leaders.set(after.term, replicaId);
+    if (before.role !== replica.Role.Leader) {
+      const lost = this.committed.find((entry) => entry !== undefined && !holds(after.log, entry));
+      check(
+        lost === undefined,
+        `leader of term ${after.term} lacks committed entry ${lost?.index}`,
+      );
+    }
+  }
+
+  private takeSnapshotWhenDue(index: number): void {
+    const slot = this.slots[index];
+    if (slot.state === undefined) {
+      return;
+    }
+    if (slot.applied - (slot.state.snapshot?.index ?? 0) >= SNAPSHOT_ENTRIES) {
+      this.handle(index, {
+        kind: replica.EventKind.SnapshotTaken,
+        index: slot.applied,
+        data: this.application.encode(index),
+        ...this.context(),
+      });
+    }
+  }
+
+  private restart(index: number): void {
+    const slot = this.slots[index];
+    const { replicaId, address, durable } = slot;
+    slot.state = replica.restore({
+      self: { replicaId, address },
+      replicas: this.slots.map((other) => other.address),
+      durable,
+      now: this.now,
+      random: this.random.uniform(),
+      parameters: PARAMETERS,
+    });
+    slot.applied = durable.snapshot?.index ?? 0;
+    this.application.reset(index);
+    if (durable.snapshot !== undefined) {
+      this.application.restore(index, durable.snapshot.data);
+    }
+  }
+
+  private wipe(target: Slot): void {
+    this.nextId += 1;
+    Object.assign(target, {
+      replicaId: `replica-${this.nextId}`,
+      durable: replica.EMPTY_DURABLE_STATE,
+    });
+  }
+
+  private isComplete(slot: Slot): boolean {
+    const { durable } = slot;
+    const last = durable.entries.at(-1)?.index ?? durable.snapshot?.index ?? 0;
+    return last > 0 && last >= this.committed.length - 1;
+  }
+
+  private context(): replica.EventContext {
+    return { now: this.now, wallClock: this.now, random: this.random.uniform() };
+  }
+}
+
+function persist(durable: replica.DurableState, effect: replica.Persist): replica.DurableState {
+  const end = effect.truncateAfter ?? Number.POSITIVE_INFINITY;
+  const kept = durable.entries.filter(
+    (entry) => entry.index <= end && entry.index > (effect.compactTo ?? 0),
+  );
+  return {
+    hardState: effect.hardState ?? durable.hardState,
+    snapshot: effect.snapshot ?? durable.snapshot,
+    entries: [...kept, ...effect.entries],
+  };
+}
+
+function holds(log: replica.Log, entry: replica.Entry): boolean {
+  const own = replica.at(log, entry.index);
+  return own === undefined ? entry.index <= log.baseIndex : isSame(own, entry);
+}
+
+function isSame(left: replica.Entry, right: replica.Entry): boolean {
+  return (
+    left.term === right.term &&
+    left.kind === right.kind &&
+    left.timestamp === right.timestamp &&
+    Buffer.compare(left.data ?? EMPTY, right.data ?? EMPTY) === 0
+  );
+}
+
+function check(holdsTrue: boolean, message: string): void {
+  if (!holdsTrue) {
+    throw new Error(message);
+  }
+}
+
+const EMPTY = Buffer.alloc(0);
--- /dev/null
+++ b/test/storage/storage.test.ts
@@ -0,0 +1,161 @@
+import * as fastCheck from 'fast-check';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as replica from '../../src/replica';
+import * as storage from '../../src/storage';
+import * as memory from './memory-file-system';
+
+const suite = uvu.suite('storage');
+const SEED = 20_261_204;
+const FOLDER = '/data';
+const LOG = `${FOLDER}/log`;
+const GROUP = { voters: [{ replicaId: 'one', address: '10.0.0.1:7000' }] };
+
+enum Write {
+  Append = 'append',
+  Replace = 'replace',
+  Term = 'term',
+  Snapshot = 'snapshot',
+}
+
+function entry(index: number, term: number): replica.Entry {
+  const data = Buffer.from(`entry ${index} of term ${term}`);
+  return { index, term, timestamp: index, kind: replica.EntryKind.Command, data };
+}
+
+/** What the storage should hold after each write, and the effect that leads there. */
+function next(
+  before: replica.DurableState,
+  write: Write,
+): { after: replica.DurableState; effect: replica.Persist } {
+  const last = before.entries.at(-1)?.index ?? before.snapshot?.index ?? 0;
+  const { term } = before.hardState;
+  const kind = replica.EffectKind.Persist;
+  if (write === Write.Term) {
+    const hardState = { term: term + 1, votedFor: 'one' };
+    return { after: { ...before, hardState }, effect: { kind, hardState, entries: [] } };
+  }
+  if (write === Write.Snapshot && before.entries.length > 0) {
+    const [base] = before.entries;
+    const data = Buffer.from(`state at ${base.index}`);
+    const snapshot = { ...base, timestamp: base.index, group: GROUP, data };
+    const { index, term: snapshotTerm, timestamp } = snapshot;
+    const stored = { index, term: snapshotTerm, timestamp, group: GROUP, data };
+    const entries = before.entries.slice(1);
+    return {
+      after: { ...before, snapshot: stored, entries },
+      effect: { kind, entries: [], snapshot: stored, compactTo: index },
+    };
+  }
+  if (write === Write.Replace && before.entries.length > 1) {
+    const kept = before.entries.slice(0, -1);
+    const added = [entry(last, term), entry(last + 1, term)];
+    return {
+      after: { ...before, entries: [...kept, ...added] },
+      effect: { kind, truncateAfter: last - 1, entries: added },
+    };
+  }
+  const added = [entry(last + 1, term)];
+  return {
+    after: { ...before, entries: [...before.entries, ...added] },
+    effect: { kind, entries: added },
+  };
+}
+
+async function opened(files: storage.FileSystem): Promise<storage.StoredReplica> {
+  const stored = await new storage.Storage(files, FOLDER).open();
+  return stored.unwrap();
+}
+
+/** What the replica would start from: entries that the snapshot covers do not matter. */
+function essence(durable: replica.DurableState): string {
+  const base = durable.snapshot?.index ?? 0;
+  const entries = durable.entries.filter(({ index }) => index > base);
+  const text = entries.map((kept) => `${kept.index}/${kept.term}/${kept.data}`);
+  const snapshot = durable.snapshot?.data.toString();
+  return JSON.stringify([durable.hardState, text, base, Buffer.from(snapshot ?? '').toString()]);
+}
+
+interface Run {
+  readonly acknowledged: string;
+  /** Set when a write was in flight. */
+  readonly inFlight?: string;
+}
+
+async function writeUntilFault(
+  files: memory.MemoryFileSystem,
+  writes: readonly Write[],
+): Promise<Run> {
+  const disk = new storage.Storage(files, FOLDER);
+  const stored = await disk.open();
+  let state = replica.EMPTY_DURABLE_STATE;
+  if (stored.err) {
+    return { acknowledged: essence(state) };
+  }
+  for (const write of writes) {
+    const { after, effect } = next(state, write);
+    if ((await disk.persist(effect)).err) {
+      assert.ok((await disk.persist(effect)).err, 'acknowledged after a failure');
+      return { acknowledged: essence(state), inFlight: essence(after) };
+    }
+    state = after;
+  }
+  return { acknowledged: essence(state) };
+}
+
+/** Guards against acknowledging what a loss of power takes away, at any call to the file system. */
+suite('what was acknowledged survives a loss of power at any moment', async () => {
+  await fastCheck.assert(
+    fastCheck.asyncProperty(
+      fastCheck.array(fastCheck.constantFrom(...Object.values(Write)), { maxLength: 25 }),
+      fastCheck.integer({ min: 1, max: 90 }),
+      fastCheck.constantFrom(memory.DiskFault.Crash, memory.DiskFault.Error),
+      fastCheck.constantFrom(0, 0.3, 0.9, 1),
+      async (writes, faultAt, fault, tailShare) => {
+        const files = new memory.MemoryFileSystem(faultAt, fault);
+        const run = await writeUntilFault(files, writes);
+        const found = essence((await opened(files.afterPowerLoss(tailShare))).durable);
+        assert.ok(found === run.acknowledged || found === run.inFlight, found);
+      },
+    ),
+    { seed: SEED, numRuns: 600 },
+  );
+});
+
+/** Guards against a new identity, or two replicas with one identity, after a restart. */
+suite('the identity stays with the disk and is new on a new disk', async () => {
+  const files = new memory.MemoryFileSystem();
+  const first = await opened(files);
+  assert.is((await opened(files.afterPowerLoss(0))).replicaId, first.replicaId);
+  assert.is.not((await opened(new memory.MemoryFileSystem())).replicaId, first.replicaId);
+});
+
+/** Guards against dropping acknowledged entries behind a damaged record as if they were a torn tail. */
+suite('a damaged record before an intact one makes the folder unusable', async () => {
+  const files = new memory.MemoryFileSystem();
+  await writeUntilFault(files, [Write.Append, Write.Append, Write.Append]);
+  const middle = Math.floor(files.size(LOG) * 0.6);
+  files.damage(LOG, middle);
+  const stored = await new storage.Storage(files, FOLDER).open();
+  assert.ok(stored.err);
+});
+
+/** Guards against reading a cut-off record, and against appending behind it. */
+suite('a torn tail is dropped and the log stays usable', async () => {
+  const files = new memory.MemoryFileSystem();
+  await writeUntilFault(files, [Write.Append, Write.Append]);
+  files.damage(LOG, files.size(LOG) - 1);
+  const disk = new storage.Storage(files, FOLDER);
+  const stored = (await disk.open()).unwrap();
+  assert.ok(stored.tornBytes > 0);
+  assert.equal(
+    stored.durable.entries.map(({ index }) => index),
+    [1],
+  );
+  const again = { kind: replica.EffectKind.Persist as const, entries: [entry(2, 0)] };
+  (await disk.persist(again)).unwrap();
+  const { durable } = await opened(files.afterPowerLoss(0));
+  assert.is(durable.entries.length, 2);
+});
+
+suite.run();
