Claim UUID keys in their canonical spelling

Cause: a UUID may be written in upper or lower case, and both spellings were claimed as two keys, so a resend in the other case ran a second time.

Ruled out: refusing upper-case keys, since RFC 9562 allows them on input.

Before: the new test in test/routing/claims.test.ts failed (two executions). After: it passes; the resend gets the recorded answer.

--- a/src/routing/idempotency-key.ts
+++ b/src/routing/idempotency-key.ts
@@ -13,6 +13,17 @@
     : OPAQUE_KEY.test(key);
 }
 
+/**
+ * The form in which a valid key is claimed. The hexadecimal digits of a UUID may be written in either case
+ * (RFC 9562, section 4), so two spellings of one UUID must claim the same key.
+ *
+ * @example
+ * canonicalKey('0190163D-8694-739B-AEA5-966C26F8AD91', KeyFormat.UuidVersion7); // lower case
+ */
+export function canonicalKey(key: string, format: configuration.KeyFormat): string {
+  return format === configuration.KeyFormat.UuidVersion7 ? key.toLowerCase() : key;
+}
+
 const UUID_VERSION_7 = /^[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/i;
 
 // Visible ASCII characters, at most as many as common payment interfaces accept.
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -134,7 +134,7 @@
     const { team, requestId } = call;
     const claim = {
       team: team.name,
-      key: call.idempotencyKey,
+      key: idempotencyKey.canonicalKey(call.idempotencyKey, route.key.format),
       attemptId: requestId,
       fingerprint: fingerprintOf(call),
       keyFormat: route.key.format,
--- a/test/routing/claims.test.ts
+++ b/test/routing/claims.test.ts
@@ -31,6 +31,16 @@
   });
 });
 
+suite('a resend that spells the same UUID in upper case does not run again', async () => {
+  const builder = new routingBuilder.RoutingBuilder().service('ledger-1');
+  await builder.run(async (router) => {
+    const first = (await builder.call(router, 'POST', CHARGES, KEY)).unwrap();
+    const second = (await builder.call(router, 'POST', CHARGES, KEY.toUpperCase())).unwrap();
+    assert.equal([first.isReplay, second.isReplay], [false, true]);
+    assert.is(executions(builder), 1);
+  });
+});
+
 suite('a charge whose connection broke is not sent again, not even for a resend', async () => {
   const builder = new routingBuilder.RoutingBuilder().service('ledger-1', LOST);
   await builder.run(async (router) => {
