--- a/src/backend/connection-pool.ts
+++ b/src/backend/connection-pool.ts
@@ -9,6 +9,8 @@
 
   private readonly all = new Set<connection.Connection>();
 
+  private closed = false;
+
   constructor(
     private readonly address: backendAddress.BackendAddress,
     private readonly limits: backendLimits.BackendLimits,
@@ -31,8 +33,9 @@
     this.idle.push(released);
   }
 
-  /** Destroys every connection; requests in progress fail. */
+  /** Destroys every connection; requests in progress fail, and later ones are not run. */
   close(): void {
+    this.closed = true;
     [...this.all].forEach((open) => open.destroy());
   }
 
@@ -51,6 +54,9 @@
       this.forget(closed),
     );
     this.all.add(opened);
+    if (this.closed) {
+      opened.destroy();
+    }
     return opened;
   }
 
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -87,7 +87,9 @@
   }
 
   onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
-    if (!this.mayHaveLeft) {
+    if (!this.mayHaveLeft && error instanceof undici.errors.InvalidArgumentError) {
+      this.abandon(verdict.FailureReason.BadRequest, 'The request cannot be sent over HTTP.');
+    } else if (!this.mayHaveLeft) {
       this.abandon(verdict.FailureReason.ConnectFailed, 'The backend server is not reachable.');
     } else if (isProtocolError(error)) {
       this.abandon(verdict.FailureReason.BackendError, 'The backend server broke the protocol.');
@@ -163,12 +165,7 @@
       body: body.length === 0 ? null : Buffer.from(body.buffer, body.byteOffset, body.length),
       reset: freshConnection,
     };
-    try {
-      used.dispatch(options, this);
-    } catch {
-      // undici throws before it writes when a method, path or header cannot be sent.
-      this.abandon(verdict.FailureReason.BadRequest, 'The request cannot be sent over HTTP.');
-    }
+    used.dispatch(options, this);
   }
 
   private readonly onAbort = () => this.abandon(verdict.FailureReason.CallerGone, ABORTED);
--- a/src/backend/model-engine.ts
+++ b/src/backend/model-engine.ts
@@ -6,7 +6,7 @@
 
 /** One generation request for an engine. The engine always streams. */
 export interface EngineRequest {
-  /** Unique for each attempt. Echoed by the engine; an answer with another id is discarded. */
+  /** Echoed by the engine; an answer with another id is discarded. Attempts at one request share it. */
   readonly requestId: string;
   /** `/v1/chat/completions` or `/v1/completions`. */
   readonly path: string;
@@ -43,6 +43,7 @@
 export interface CacheEventPage {
   readonly incarnation: string;
   readonly events: readonly CacheEvent[];
+  /** The value of `after` for the next page. */
   readonly nextSequence: number;
 }
 
--- a/src/emulator/cache-event-log.ts
+++ b/src/emulator/cache-event-log.ts
@@ -40,7 +40,7 @@
       .filter((entry) => entry.visibleAt <= now && entry.event.sequence > after)
       .slice(0, PAGE_EVENTS)
       .map((entry) => entry.event);
-    const nextSequence = (events.at(-1)?.sequence ?? after) + 1;
+    const nextSequence = events.at(-1)?.sequence ?? after;
     return { incarnation, events, nextSequence };
   }
 }
--- a/src/emulator/completion-format.ts
+++ b/src/emulator/completion-format.ts
@@ -81,21 +81,26 @@
 const limitSchema = zod.int().min(0).max(MAXIMUM_OUTPUT_TOKENS).optional();
 
 const chatSchema = zod.object({
-  messages: zod.array(zod.object({ role: zod.string(), content: zod.string() })).min(1),
+  messages: zod.array(zod.object({ role: zod.string(), content: zod.unknown() })).min(1),
   max_tokens: limitSchema,
   max_completion_tokens: limitSchema,
 });
 
 const textSchema = zod.object({
-  prompt: zod.string(),
+  prompt: zod.unknown().refine((prompt) => prompt !== undefined),
   max_tokens: limitSchema,
   max_completion_tokens: limitSchema,
 });
 
 function promptText(body: zod.infer<typeof chatSchema> | zod.infer<typeof textSchema>): string {
   return 'messages' in body
-    ? body.messages.map((message) => `${message.role}: ${message.content}`).join('\n')
-    : body.prompt;
+    ? body.messages.map((message) => `${message.role}: ${plainText(message.content)}`).join('\n')
+    : plainText(body.prompt);
+}
+
+/** Text as it is; lists of parts or tokens as JSON. */
+function plainText(content: unknown): string {
+  return typeof content === 'string' ? content : JSON.stringify(content ?? '');
 }
 
 function chunk(text: CompletionText, number: number): object {
--- a/test/backend/verdict-truth.test.ts
+++ b/test/backend/verdict-truth.test.ts
@@ -106,6 +106,29 @@
   assert.is(service.wholeRequestCount(second.requestId), 0);
 });
 
+suite(
+  'a request that HTTP cannot carry is not run and does not make the server suspect',
+  async () => {
+    const owner = build.buildOwner();
+    const { adapter } = await build.buildPlain(owner);
+    const faulty = [{ path: '/with space' }, { headers: { 'x-note': 'line\nbreak' } }];
+    for (const change of faulty) {
+      const failure = (await adapter.call(build.charge(change))).val as verdict.RequestFailure;
+      assert.is(failure.reason, FailureReason.BadRequest);
+      assert.is(failure.verdict, NotRun);
+    }
+  },
+);
+
+suite('a request after the adapter was closed is not run and opens no connection', async () => {
+  const owner = build.buildOwner();
+  const { service, adapter } = await build.buildPlain(owner);
+  await adapter.close();
+  const failure = (await adapter.call(build.charge())).val as verdict.RequestFailure;
+  assert.is(failure.verdict, NotRun);
+  assert.is(service.report().acceptedConnections, 0);
+});
+
 suite('a refusal that names another request does not count as not run', async () => {
   const owner = build.buildOwner();
   const answers = [
