--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -115,10 +115,11 @@
   private apply(event: membership.MembershipEvent): void {
     const step = membership.update(this.view, event);
     this.view = step.state;
+    // A crash is told while the core still knows the server; a dead server is not among the servers.
+    step.effects.forEach((effect) => this.carryOut(effect));
     if (step.state !== step.startState) {
       this.publishServers();
     }
-    step.effects.forEach((effect) => this.carryOut(effect));
   }
 
   private carryOut(effect: membership.MembershipEffect): void {
