Report how long a control leader may act outside the log

Orders to engines leave outside the replicated log, so a leader has to know until when no other leader can have been elected for long. ControlStatus had only the role, which a paused leader keeps until it handles its next tick.

Ruled out: the arrival time of replies, which the step-down rule uses. Replies that arrived before a pause are handled after it and would look new. Instead an append carries the leader's time, the reply echoes it, and the lease runs four fifths of an election timeout from the time of sending that a majority answered. Both fields are optional, so replicas without them only yield no lease.

Small change in replica and control (messages, progress, status). A test of the core repeats an old reply after a pause: the leader keeps its role and has no lease.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -171,6 +171,8 @@
       replicaId: state?.self.replicaId,
       leaderReplicaId: leader?.replicaId,
       term: Math.max(state?.term ?? 0, leader?.term ?? 0),
+      leaseRemainingMilliseconds:
+        state === undefined ? 0 : replica.leaseRemaining(state, this.options.clock.monotonic()),
       commitIndex: state?.commitIndex ?? 0,
       voters: state === undefined ? [] : replica.voters(state).map((voter) => voter.replicaId),
       revision: this.store.current.revision,
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -41,6 +41,8 @@
   readonly replicaId?: string;
   readonly leaderReplicaId?: string;
   readonly term: number;
+  /** How long a leader may still act outside the log, as in `replica.leaseRemaining`. */
+  readonly leaseRemainingMilliseconds?: number;
   readonly commitIndex: number;
   readonly voters: readonly string[];
   readonly revision: number;
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -58,6 +58,7 @@
     previousTerm: counter,
     entries: zod.array(entry),
     commitIndex: counter,
+    leaderTime: zod.number().optional(),
   }),
   zod.object({
     ...envelope,
@@ -65,6 +66,7 @@
     success: zod.boolean(),
     matchIndex: counter,
     heartbeat: zod.boolean(),
+    leaderTime: zod.number().optional(),
   }),
   zod.object({
     ...envelope,
--- a/src/replica/index.ts
+++ b/src/replica/index.ts
@@ -5,4 +5,5 @@
 export * from './effect';
 export * from './state';
 export * from './log';
+export * from './lease';
 export * from './update';
--- a/src/replica/message.ts
+++ b/src/replica/message.ts
@@ -59,6 +59,8 @@
   readonly previousTerm: number;
   readonly entries: readonly entry.Entry[];
   readonly commitIndex: number;
+  /** Monotonic time of the leader when it sent the message; echoed in the reply, for the lease. */
+  readonly leaderTime?: number;
 }
 
 export interface AppendReply extends Envelope {
@@ -67,6 +69,8 @@
   /** On success the last index known to be equal; otherwise where the leader should try next. */
   readonly matchIndex: number;
   readonly heartbeat: boolean;
+  /** Copied from the message that is answered. */
+  readonly leaderTime?: number;
 }
 
 /** One piece of a snapshot; the whole may be longer than a frame. */
--- a/src/replica/replication.ts
+++ b/src/replica/replication.ts
@@ -128,7 +128,9 @@
   if (state.role !== states.Role.Leader || answer.term !== state.term || known === undefined) {
     return step;
   }
-  const heard = { ...known, heardAt: context.now };
+  const sentAt = answer.leaderTime ?? Number.NEGATIVE_INFINITY;
+  const acknowledgedAt = Math.max(known.acknowledgedAt ?? Number.NEGATIVE_INFINITY, sentAt);
+  const heard = { ...known, heardAt: context.now, acknowledgedAt };
   const moved = answer.success ? advance(heard, answer) : retreat(heard, answer);
   const nextIndex = Math.min(moved.nextIndex, logs.lastIndex(state.log) + 1);
   const updated = progresses.withProgress(step, { ...moved, nextIndex });
@@ -199,5 +201,6 @@
     success,
     matchIndex,
     heartbeat: request.entries.length === 0,
+    ...(request.leaderTime === undefined ? {} : { leaderTime: request.leaderTime }),
   });
 }
--- a/src/replica/sending.ts
+++ b/src/replica/sending.ts
@@ -66,7 +66,7 @@
   target: states.Progress,
   entries: readonly entry.Entry[],
 ): steps.Step {
-  const { state } = step;
+  const { state, context } = step;
   const previousIndex = target.nextIndex - 1;
   return steps.send(step, target.member, {
     kind: message.MessageKind.Append,
@@ -74,6 +74,7 @@
     previousTerm: previousIndex === 0 ? 0 : (logs.termAt(state.log, previousIndex) ?? 0),
     entries,
     commitIndex: state.commitIndex,
+    leaderTime: context.now,
   });
 }
 
--- a/src/replica/state.ts
+++ b/src/replica/state.ts
@@ -48,6 +48,8 @@
   readonly nextIndex: number;
   readonly matchIndex: number;
   readonly heardAt: number;
+  /** When the latest answered message was sent, which is the start of the replica's part of the lease. */
+  readonly acknowledgedAt?: number;
   /** When entries or a snapshot chunk were sent that are not answered yet. */
   readonly sentAt?: number;
   readonly snapshotIndex?: number;
--- a/test/replica/replica.test.ts
+++ b/test/replica/replica.test.ts
@@ -63,6 +63,18 @@
   assert.is(leader.effects[0].kind, EffectKind.Reject);
 });
 
+/** Guards against orders of a paused leader that counts old answers as new when it goes on. */
+suite('the lease starts when the answered message was sent, and needs a majority', () => {
+  const leader = builder.ReplicaBuilder.inGroup(0, 2, []).elect(1);
+  assert.is(replica.leaseRemaining(leader.state, leader.now), 0);
+  const leaderTime = leader.now;
+  leader.tick(150).receive(1, 3, { ...appendReply(2), leaderTime } as replica.Body);
+  assert.is(replica.leaseRemaining(leader.state, leader.now), 250);
+  leader.tick(300).receive(1, 3, { ...appendReply(2), leaderTime } as replica.Body);
+  assert.is(leader.state.role, Role.Leader);
+  assert.is(replica.leaseRemaining(leader.state, leader.now), 0);
+});
+
 /** Guards against a vote by a replica whose disk cannot keep it. */
 suite('a replica whose storage failed sends nothing any more', () => {
   const follower = builder.ReplicaBuilder.inGroup(1, 2, []);
