Read every cache event; survive a fault in one event; test operator HTTP and metrics

Cause: nextSequence names the next event, but the port's `after` excludes the given number, so each poll lost one event. An exception in the decision core would have ended the daemon with all streams. Before the first list a daemon reported ready and refused everything. With thousands of servers every probe compared the whole server list. Change: polls go on from nextSequence - 1; a failing event ends only its request; readiness waits for the list; a membership event compares one server; refusals by Fastify carry the revision. The test of rising revisions took the order in which overlapping streams ended for the order of their heads; in one full run it failed with "3,2,3". It now reads the revision of one answer after another, on all daemons, and also requires the last published revision.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -159,7 +159,7 @@
     const { limits, listen } = this.options;
     const context = new callerContext.CallerContext(this.router, this.readiness, time, limits);
     const module = callerModule.CallerModule.with(context);
-    const filter = new failureFilter.FailureFilter();
+    const filter = new failureFilter.FailureFilter(() => this.router.catalog.revision);
     const listener = await httpListener.listen(module, listen, limits, filter);
     this.lifecycle.own('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
     this.listener = listener;
--- a/src/daemon/failure-filter.ts
+++ b/src/daemon/failure-filter.ts
@@ -8,8 +8,8 @@
 /** Answers what Fastify and Nest refuse or throw, such as a body that is too large. */
 @nest.Catch()
 export class FailureFilter implements nest.ExceptionFilter {
-  // The filter interface is an instance method.
-  // eslint-disable-next-line class-methods-use-this, @typescript-eslint/class-methods-use-this
+  constructor(private readonly revision: () => number) {}
+
   catch(error: Error, host: nest.ArgumentsHost): void {
     const reply = host.switchToHttp().getResponse<fastify.FastifyReply>();
     const failure = failureOf(error);
@@ -24,6 +24,7 @@
     reply
       .status(verdict.httpStatus(failure.reason))
       .headers({ ...errorBody.errorHeaders(failure), 'x-request-id': requestId })
+      .header('x-figline-revision', String(this.revision()))
       // The rest of a refused body may still be on its way.
       .header('connection', 'close')
       .send(errorBody.errorBody(failure));
--- a/src/daemon/http-listener.ts
+++ b/src/daemon/http-listener.ts
@@ -22,7 +22,7 @@
  * Starts a Nest application on an address. Bodies of any type arrive as buffers.
  *
  * @example
- * const listener = await listen(callerModule, address, DEFAULT_LIMITS, new FailureFilter());
+ * const listener = await listen(callerModule, address, DEFAULT_LIMITS, filter);
  */
 export async function listen(
   module: nest.DynamicModule,
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -68,12 +68,23 @@
 export function eligible(view: MembershipView): readonly EligibleServer[] {
   return view.servers
     .valueSeq()
-    .filter((server) => server.condition !== ServerCondition.Dead && !isLeaving(server))
+    .filter(mayWork)
     .map(toEligible)
     .sortBy((server) => server.id)
     .toArray();
 }
 
+/**
+ * One server as `eligible` has it; `undefined` when it must not get new work.
+ *
+ * @example
+ * eligibleServer(view, 'desk-1')?.suspected;
+ */
+export function eligibleServer(view: MembershipView, id: string): EligibleServer | undefined {
+  const server = view.servers.get(id);
+  return server !== undefined && mayWork(server) ? toEligible(server) : undefined;
+}
+
 /**
  * Whether a server must not get new work because it is leaving.
  *
@@ -93,6 +104,10 @@
   );
 }
 
+function mayWork(server: ServerState): boolean {
+  return server.condition !== ServerCondition.Dead && !isLeaving(server);
+}
+
 function toEligible(server: ServerState): EligibleServer {
   return {
     ...server.machine,
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -105,10 +105,27 @@
     }
   }
 
+  /** A fault in the handling of one event ends the request concerned, not the daemon with all others. */
   private apply(event: decision.DecisionEvent): void {
-    const step = this.core.update(this.state, event);
-    this.state = step.state;
-    step.effects.forEach((effect) => this.carryOut(effect));
+    try {
+      const step = this.core.update(this.state, event);
+      this.state = step.state;
+      step.effects.forEach((effect) => this.carryOut(effect));
+    } catch (error) {
+      const { message } = error as Error;
+      logger.error('event could not be handled', { event: event.kind, reason: message });
+      this.abandon(requestIdOf(event));
+    }
+  }
+
+  private abandon(requestId: string | undefined): void {
+    const execution = requestId === undefined ? undefined : this.executions.get(requestId);
+    if (execution !== undefined && requestId !== undefined) {
+      this.forget(requestId);
+      const kind = decision.DecisionEventKind.RequestCancelled;
+      this.queue.push({ kind, at: this.now(), requestId });
+      execution.fail(INTERNAL_FAULT);
+    }
   }
 
   private carryOut(effect: decision.DecisionEffect): void {
@@ -149,6 +166,19 @@
   }
 }
 
+function requestIdOf(event: decision.DecisionEvent): string | undefined {
+  if (event.kind === decision.DecisionEventKind.RequestArrived) {
+    return event.profile.requestId;
+  }
+  return 'requestId' in event ? event.requestId : undefined;
+}
+
+const INTERNAL_FAULT = verdict.failure(
+  verdict.FailureReason.Internal,
+  verdict.Verdict.MayHaveRun,
+  'The router failed while it handled the request.',
+);
+
 const logger = new logging.Logger('routing');
 
 // A request that cannot meet its deadline must be refused within 50 ms.
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -31,14 +31,14 @@
 export class MembershipTask extends serverObserver.ServerObserver {
   private view = membership.EMPTY_VIEW;
 
-  private known = '';
-
   private isClosed = false;
 
   private readonly timers = new Map<TimerName, clock.Timer>();
 
   private unsubscribe: (() => void) | undefined;
 
+  private listWasRead: (() => void) | undefined;
+
   constructor(
     private readonly ports: MembershipPorts,
     private readonly listIntervalMilliseconds: number,
@@ -46,16 +46,23 @@
     super();
   }
 
-  /** Reads the list once, then goes on in the background. */
+  /**
+   * Goes on in the background. Resolves when the list was read for the first time: a daemon without it
+   * knows no server and would refuse everything.
+   */
   async start(): Promise<void> {
     this.unsubscribe = this.ports.plane.onBroadcast(control.PeerTopic.Membership, (payload) =>
       this.hearPeer(payload),
     );
-    await this.readList();
+    const firstList = new Promise<void>((resolve) => {
+      this.listWasRead = resolve;
+    });
+    this.readList();
     this.repeat(TimerName.List, this.listIntervalMilliseconds, () => this.readList());
     this.repeat(TimerName.Tick, TICK_MILLISECONDS, () => {
       this.apply({ kind: membership.MembershipEventKind.Tick, at: this.now() });
     });
+    await firstList;
   }
 
   /** Servers that may get new work. */
@@ -100,6 +107,7 @@
     const machines = read.val.filter(({ kind }) => kind !== backend.BackendKind.KeptCache);
     this.ports.pool.update(machines);
     this.apply({ kind: membership.MembershipEventKind.ListRead, at: this.now(), machines });
+    this.listWasRead?.();
   }
 
   private hearPeer(payload: unknown): void {
@@ -117,8 +125,10 @@
     this.view = step.state;
     // A crash is told while the core still knows the server; a dead server is not among the servers.
     step.effects.forEach((effect) => this.carryOut(effect));
-    if (step.state !== step.startState) {
-      this.publishServers();
+    if (changesServers(step, event)) {
+      const { task } = this.ports;
+      const servers = membership.eligible(this.view);
+      task.feed({ kind: decision.DecisionEventKind.ServersChanged, at: task.now(), servers });
     }
   }
 
@@ -158,18 +168,6 @@
     this.apply({ kind: ProbeSucceeded, ...base, ...outcome.val });
   }
 
-  /** Feeds the core only when the eligible servers changed, since probes change the view often. */
-  private publishServers(): void {
-    const servers = membership.eligible(this.view);
-    const description = JSON.stringify(servers);
-    if (description === this.known) {
-      return;
-    }
-    this.known = description;
-    const { task } = this.ports;
-    task.feed({ kind: decision.DecisionEventKind.ServersChanged, at: task.now(), servers });
-  }
-
   private repeat(name: TimerName, milliseconds: number, work: () => void | Promise<void>): void {
     if (this.isClosed) {
       return;
@@ -196,3 +194,27 @@
   FailureReason.StreamBroken,
   FailureReason.Timeout,
 ]);
+
+/**
+ * Whether the servers that may get new work changed. Compares one server for most events: with thousands
+ * of servers and many probes a second, comparing all of them would take more than the daemon's budget.
+ */
+function changesServers(
+  step: ReturnType<typeof membership.update>,
+  event: membership.MembershipEvent,
+): boolean {
+  const { startState, state } = step;
+  const { ListRead, PeerReported, Tick } = membership.MembershipEventKind;
+  if (state === startState || event.kind === Tick) {
+    return false;
+  }
+  if (event.kind === ListRead) {
+    return differs(membership.eligible(startState), membership.eligible(state));
+  }
+  const id = event.kind === PeerReported ? event.report.serverId : event.serverId;
+  return differs(membership.eligibleServer(startState, id), membership.eligibleServer(state, id));
+}
+
+function differs(before: unknown, after: unknown): boolean {
+  return JSON.stringify(before) !== JSON.stringify(after);
+}
--- a/src/routing/poll-task.ts
+++ b/src/routing/poll-task.ts
@@ -103,7 +103,7 @@
     }
     const { incarnation, events, nextSequence } = page.val;
     const isRestarted = position !== undefined && position.incarnation !== incarnation;
-    this.positions.set(serverId, { incarnation, after: isRestarted ? 0 : nextSequence });
+    this.positions.set(serverId, { incarnation, after: isRestarted ? 0 : nextSequence - 1 });
     if (isRestarted) {
       this.ports.observer.incarnationSeen(serverId, incarnation);
       return;
--- a/test/daemon/caller-http.test.ts
+++ b/test/daemon/caller-http.test.ts
@@ -110,6 +110,7 @@
     const oversized = await builder.request('POST', '/v1/completions', 'x'.repeat(5_000));
     assert.is(oversized.status, 413);
     assert.is(oversized.headers['x-figline-verdict'], 'not-run');
+    assert.is(oversized.headers['x-figline-revision'], '1');
     assert.is((await builder.request('POST', '/v1/completions', '{')).status, 400);
     assert.match(await sendRaw(port, 'NONSENSE\r\n\r\n'), /^HTTP\/1.1 400 .*not-run/s);
     assert.match(await sendRaw(port, 'GET / HTTP/1.1\r\nHost:'), /^HTTP\/1.1 408 .*not-run/s);
--- a/test/failure/daemon-killed.test.ts
+++ b/test/failure/daemon-killed.test.ts
@@ -1,11 +1,54 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as daemonProcess from '../../src/demo/daemon-process';
 import * as documents from '../../src/demo/example-documents';
+import * as httpCall from '../../src/demo/http-call';
 import * as chatLoad from '../support/chat-load';
 import * as clusterRun from '../support/cluster-run';
 
 const suite = uvu.suite('daemon killed');
 
+/**
+ * Reads the revision of one answer after another. Answers that overlap in time say nothing about the
+ * order of their revisions, so each request begins after the one before has ended.
+ */
+class RevisionWatch {
+  readonly revisions: number[] = [];
+
+  private isStopped = false;
+
+  private readonly work: Promise<void>;
+
+  constructor(private readonly daemon: daemonProcess.DaemonProcess) {
+    this.work = this.watch();
+  }
+
+  async stop(): Promise<readonly number[]> {
+    this.isStopped = true;
+    await this.work;
+    return this.revisions;
+  }
+
+  private async watch(): Promise<void> {
+    while (!this.isStopped && this.revisions.length < 50_000) {
+      try {
+        const answer = await httpCall.send({
+          port: this.daemon.callerPort,
+          method: 'GET',
+          path: '/v1/models',
+          token: documents.TEAM_TOKENS.depot,
+        });
+        if (answer.status === 200) {
+          this.revisions.push(Number(answer.headers['x-figline-revision']));
+        }
+      } catch {
+        // The daemon is being restarted.
+      }
+      await clusterRun.pause(5);
+    }
+  }
+}
+
 suite(
   'a killed daemon serves again after its restart; revisions of answers never fall',
   async () => {
@@ -13,6 +56,7 @@
       const [, victim] = cluster.daemons;
       const targets = () => cluster.daemons.filter((daemon) => daemon.isRunning);
       const load = new chatLoad.ChatLoad({ concurrency: 8, outputTokens: 10, targets });
+      const watches = cluster.daemons.map((daemon) => new RevisionWatch(daemon));
       for (let round = 0; round < 3; round += 1) {
         const revision = await cluster.publish([{ ...documents.INTENT, priority: round }]);
         await clusterRun.pause(300);
@@ -34,13 +78,12 @@
         );
       }
       await load.stop();
-      cluster.daemons.forEach((daemon) => {
-        const revisions = load.outcomes
-          .filter(({ daemonId, revision }) => daemonId === daemon.plan.daemonId && revision > 0)
-          .map(({ revision }) => revision);
-        const isRising = revisions.every((value, index) => value >= (revisions[index - 1] ?? 0));
-        assert.ok(isRising, `revisions of ${daemon.plan.daemonId}: ${revisions.join()}`);
-      });
+      for (const watch of watches) {
+        const revisions = await watch.stop();
+        const fall = revisions.findIndex((value, index) => value < (revisions[index - 1] ?? 0));
+        assert.is(fall, -1, `revision fell: ${revisions.slice(fall - 3, fall + 3).join()}`);
+        assert.is(revisions.at(-1), 4);
+      }
       const foreign = load.outcomes.filter(
         ({ daemonId, result }) =>
           daemonId !== victim.plan.daemonId && result !== chatLoad.LoadResult.Right,
--- /dev/null
+++ b/test/routing/decision-task.test.ts
@@ -0,0 +1,56 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as clock from '../../src/clock';
+import * as configuration from '../../src/configuration';
+import * as decision from '../../src/decision';
+import * as routing from '../../src/routing';
+import * as verdict from '../../src/verdict';
+
+const suite = uvu.suite('decision task');
+
+suite('a fault in the core ends the request concerned and nothing else', () => {
+  const seen: string[] = [];
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      if (event.kind === decision.DecisionEventKind.RequestArrived) {
+        throw new Error('fault in the core');
+      }
+      seen.push(event.kind);
+      return { startState: state, state, effects: [] };
+    },
+  };
+  const time = new clock.ManualClock();
+  const task = new routing.DecisionTask(core, time, () => {});
+  const failures: verdict.RequestFailure[] = [];
+  task.submit({
+    profile: profileOf('request-1'),
+    isRunning: false,
+    dispatch: () => {},
+    cancelAttempt: () => {},
+    fail: (failure) => failures.push(failure),
+  });
+  time.advance(20);
+  task.close();
+  assert.is(failures[0]?.reason, verdict.FailureReason.Internal);
+  assert.is(task.activeRequests, 0);
+  assert.equal(seen, ['request-cancelled', 'tick']);
+});
+
+function profileOf(requestId: string): decision.RequestProfile {
+  return {
+    requestId,
+    team: 'market-roasters',
+    service: 'inspection-desk',
+    class: configuration.RequestClass.Short,
+    prefixChain: [],
+    promptTokens: 10,
+    expectedOutputTokens: 10,
+    idempotent: true,
+    priority: 5,
+    firstTokenDeadline: 1_000,
+    fingerprint: 'f',
+  };
+}
+
+suite.run();
--- a/test/routing/engine-execution.test.ts
+++ b/test/routing/engine-execution.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as metrics from '../../src/metrics';
 import * as verdict from '../../src/verdict';
 import * as routingBuilder from '../support/routing-builder';
 
@@ -62,4 +63,17 @@
   });
 });
 
+suite('each histogram of a request is tagged with its team and class', async () => {
+  const builder = new routingBuilder.RoutingBuilder().engine('desk-1');
+  await builder.run(async (router) => {
+    await builder.complete(router);
+    const { observations } = builder.meter;
+    const names = new Set(observations.map((observation) => observation.name));
+    Object.values(metrics.Histogram).forEach((name) => assert.ok(names.has(name), name));
+    observations.forEach(({ tags }) => {
+      assert.equal([tags.team, tags.class], ['market-roasters', 'auto']);
+    });
+  });
+});
+
 suite.run();
--- a/test/support/fake-engine.ts
+++ b/test/support/fake-engine.ts
@@ -23,6 +23,8 @@
 export class FakeEngine extends backend.ModelEngine {
   readonly requests: backend.EngineRequest[] = [];
 
+  readonly events: backend.CacheEvent[] = [];
+
   /** The latest answer. */
   stream: fakeEngineStream.FakeEngineStream | undefined;
 
@@ -70,10 +72,12 @@
     return new results.Err(UNAVAILABLE);
   }
 
-  override async cacheEvents(): Promise<
-    results.Result<backend.CacheEventPage, verdict.RequestFailure>
-  > {
-    return new results.Err(UNAVAILABLE);
+  override async cacheEvents(
+    after: number,
+  ): Promise<results.Result<backend.CacheEventPage, verdict.RequestFailure>> {
+    const events = this.events.filter((event) => event.sequence > after);
+    const nextSequence = (events.at(-1)?.sequence ?? after) + 1;
+    return new results.Ok({ incarnation: 'a', events, nextSequence });
   }
 
   override async order(): Promise<results.Result<backend.OrderOutcome, verdict.RequestFailure>> {
--- /dev/null
+++ b/test/support/recording-metrics.ts
@@ -0,0 +1,16 @@
+import * as metrics from '../../src/metrics';
+
+/** Keeps every observation. */
+export class RecordingMetrics extends metrics.Metrics {
+  readonly observations: { readonly name: string; readonly tags: metrics.MetricTags }[] = [];
+
+  override observe(histogram: metrics.Histogram, _value: number, tags: metrics.MetricTags): void {
+    this.observations.push({ name: histogram, tags });
+  }
+
+  override count(counter: metrics.Counter, tags: metrics.MetricTags): void {
+    this.observations.push({ name: counter, tags });
+  }
+
+  override async close(): Promise<void> {}
+}
--- a/test/support/routing-builder.ts
+++ b/test/support/routing-builder.ts
@@ -3,7 +3,6 @@
 import * as clock from '../../src/clock';
 import * as configuration from '../../src/configuration';
 import * as decision from '../../src/decision';
-import * as metrics from '../../src/metrics';
 import * as routing from '../../src/routing';
 import * as verdict from '../../src/verdict';
 import * as collectingSink from './collecting-sink';
@@ -12,6 +11,7 @@
 import * as fakeEngine from './fake-engine';
 import * as fakePlainService from './fake-plain-service';
 import * as observationRecorder from './observation-recorder';
+import * as recordingMetrics from './recording-metrics';
 
 export const TEAM_CREDENTIAL = 'market-roasters-credential';
 
@@ -75,6 +75,8 @@
 
   readonly time = new clock.SystemClock();
 
+  readonly meter = new recordingMetrics.RecordingMetrics();
+
   readonly observer = new observationRecorder.ObservationRecorder();
 
   readonly followUp = new routing.ClaimFollowUp(this.plane, this.time);
@@ -102,7 +104,7 @@
     const task = new routing.DecisionTask<unknown>(realCore(), time, () => {});
     this.control.publish(...DOCUMENTS);
     const router = new routing.Router(
-      { task, pool, observer: this.observer, meter: new metrics.SilentMetrics(), time },
+      { task, pool, observer: this.observer, meter: this.meter, time },
       new routing.ClaimKeeper(this.plane, this.followUp, time),
       { chain: () => [] },
       this.plane.configuration(),
