Close two gaps in the tests of verdicts

Cause: on a scratch copy, 14 single changes to the adapters were tried against the tests. Three survived: a refusal header on a successful answer, and each of the two guards against a second connect of one connection.

Change: tests for both. The two connect guards back each other, so the test fails only without both. Limits in tests that do not wait for them are long enough for a busy machine.

--- a/test/backend/broken-stream.test.ts
+++ b/test/backend/broken-stream.test.ts
@@ -159,7 +159,8 @@
 Object.values(silentProxy.DropDirection).forEach((direction) => {
   suite(`a stream over a half-open connection that drops ${direction}`, async () => {
     const owner = build.buildOwner();
-    const options = { decodeTokensPerSecond: 20 };
+    // 8 tokens take longer than the silence that is waited for.
+    const options = { decodeTokensPerSecond: 4 };
     const { engine } = await build.buildEngine(owner, options);
     const proxy = new silentProxy.SilentProxy(engine.port);
     owner.own('proxy', () => proxy.close());
--- a/test/backend/build.ts
+++ b/test/backend/build.ts
@@ -4,12 +4,12 @@
 import * as lifecycle from '../../src/lifecycle';
 import * as verdict from '../../src/verdict';
 
-/** Limits short enough for tests that wait for them. */
+/** Limits that tests wait for, and that a busy machine does not reach by itself. */
 export const QUICK_LIMITS: backend.BackendLimits = {
   ...backend.DEFAULT_LIMITS,
-  connectMilliseconds: 500,
-  silenceMilliseconds: 300,
-  managementMilliseconds: 500,
+  connectMilliseconds: 1_000,
+  silenceMilliseconds: 1_000,
+  managementMilliseconds: 2_000,
 };
 
 const FAST_ENGINE = {
@@ -120,7 +120,7 @@
     headers: { 'content-type': 'application/json' },
     body: Buffer.from(JSON.stringify({ account: `account-${nextId}`, amountCents: 250 })),
     freshConnection: false,
-    timeoutMilliseconds: 300,
+    timeoutMilliseconds: 5_000,
     signal: new AbortController().signal,
     ...changes,
   };
--- a/test/backend/crossed-answer.test.ts
+++ b/test/backend/crossed-answer.test.ts
@@ -53,8 +53,8 @@
   const kinds = [FaultKind.LateAnswer, FaultKind.CrossedId, FaultKind.DuplicateAnswer];
   let answered = 0;
   for (let round = 0; round < 10; round += 1) {
-    kinds.forEach((kind) => service.faults.add({ kind, times: 2, delayMilliseconds: 80 }));
-    const requests = Array.from({ length: 12 }, () => build.charge({ timeoutMilliseconds: 60 }));
+    kinds.forEach((kind) => service.faults.add({ kind, times: 2, delayMilliseconds: 200 }));
+    const requests = Array.from({ length: 12 }, () => build.charge({ timeoutMilliseconds: 150 }));
     const results = await Promise.all(requests.map((request) => chargeChecked(adapter, request)));
     answered += results.filter((ok) => ok).length;
   }
--- a/test/backend/verdict-truth.test.ts
+++ b/test/backend/verdict-truth.test.ts
@@ -2,6 +2,8 @@
 import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as connection from '../../src/backend/connection';
+import * as clock from '../../src/clock';
 import * as emulator from '../../src/emulator';
 import type * as lifecycle from '../../src/lifecycle';
 import * as verdict from '../../src/verdict';
@@ -52,16 +54,18 @@
 
 EXPECTATIONS.forEach((expected) => {
   [true, false].forEach((freshConnection) => {
-    const connection = freshConnection ? 'a fresh' : 'a reused';
-    suite(`a charge under ${expected.fault.kind} on ${connection} connection`, async () => {
+    const label = freshConnection ? 'a fresh' : 'a reused';
+    suite(`a charge under ${expected.fault.kind} on ${label} connection`, async () => {
       const owner = build.buildOwner();
       const { service, adapter } = await build.buildPlain(owner);
       if (!freshConnection && expected.fault.kind !== FaultKind.ResetOnAccept) {
         await adapter.call(build.charge());
       }
       service.faults.add(expected.fault);
+      const silent = expected.fault.kind === FaultKind.NoAnswer;
       const request = build.charge({
         freshConnection,
+        timeoutMilliseconds: silent ? 300 : 5_000,
         body: expected.fault.kind === FaultKind.ResetMidBody ? LARGE_BODY : build.charge().body,
       });
       const result = await adapter.call(request);
@@ -134,7 +138,7 @@
   const answers = [
     'HTTP/1.1 503 No\r\nx-not-run: true\r\ncontent-length: 0\r\n\r\n',
     'HTTP/1.1 503 No\r\nx-not-run: true\r\nx-request-id: other\r\ncontent-length: 0\r\n\r\n',
-    'HTTP/1.1 200 OK\r\nx-not-run: true\r\nx-request-id: ID\r\n\r\n',
+    'HTTP/1.1 503 No\r\nx-not-run: true\r\nx-request-id: ID\r\n\r\n',
     'HTTP/1.1 503 No\r\nx-not-run: true\r\nx-request-id: ID\r\nx-request-id: ID\r\ncontent-length: 0\r\n\r\n',
     'nonsense\r\n\r\n',
   ];
@@ -146,6 +150,37 @@
   }
 });
 
+suite('a successful answer counts as run, whatever its headers say', async () => {
+  const owner = build.buildOwner();
+  const port = await rawServer(
+    owner,
+    'HTTP/1.1 200 OK\r\nx-not-run: true\r\nx-request-id: ID\r\ncontent-length: 0\r\n\r\n',
+  );
+  assert.ok((await build.buildPlainAdapter(owner, port).call(build.charge())).ok);
+});
+
+suite('a connection never connects a second time, so that undici cannot send again', async () => {
+  const owner = build.buildOwner();
+  const { service } = await build.buildPlain(owner);
+  const address = build.address(service.port);
+  const time = new clock.SystemClock();
+  const used = new connection.Connection(address, build.QUICK_LIMITS, time, () => {});
+  const send = (requestId: string) =>
+    new Promise<string>((resolve) => {
+      const headers = { 'x-request-id': requestId };
+      const handler = {
+        onRequestStart: () => {},
+        onResponseEnd: () => resolve('answered'),
+        onResponseError: () => resolve('failed'),
+      };
+      used.dispatch({ method: 'GET', path: '/orders/1', headers, reset: true }, handler);
+    });
+  assert.is(await send('first'), 'answered');
+  assert.is(await send('second'), 'failed');
+  assert.is(service.wholeRequestCount('second'), 0);
+  assert.is(service.report().acceptedConnections, 1);
+});
+
 suite('an oversized answer or header is cut off, so that a server cannot fill memory', async () => {
   const owner = build.buildOwner();
   const { service } = await build.buildPlain(owner);
@@ -171,7 +206,7 @@
     const adapter = build.buildPlainAdapter(owner, await proxy.listen());
     await adapter.call(build.charge());
     proxy.silence(direction);
-    const request = build.charge();
+    const request = build.charge({ timeoutMilliseconds: 300 });
     const failure = (await adapter.call(request)).val as verdict.RequestFailure;
     assert.is(failure.reason, FailureReason.Timeout);
     assert.is(failure.verdict, MayHaveRun);
--- a/test/emulator/run.test.ts
+++ b/test/emulator/run.test.ts
@@ -51,7 +51,7 @@
   const adapter = build.buildPlainAdapter(owner, running.port);
   assert.ok((await adapter.call(build.charge())).ok);
   running.child.kill('SIGSTOP');
-  const request = build.charge();
+  const request = build.charge({ timeoutMilliseconds: 300 });
   const failure = (await adapter.call(request)).val as verdict.RequestFailure;
   assert.is(failure.reason, verdict.FailureReason.Timeout);
   assert.is(failure.verdict, verdict.Verdict.MayHaveRun);
