Test the control node against process, link and disk failures; fix what was found

Cause: nothing had run across processes or on a failing disk.

Faults found and fixed: - A restarted daemon was ready with revision 0 instead of 2, because links whose first heartbeat had not arrived yet counted as revision 0. Ready now waits for a report of every linked peer, within the 500 ms. - A listener that throws would have ended the replica, and a closing link could drop the message that hands over the leadership. Also: at most 200 messages wait for a slow disk.

A leader that is stopped right after it formed the group, before any other replica has its first entry, blocks the group until it continues; a group is never formed anew, so this is as designed.

--- a/src/control/configuration-store.ts
+++ b/src/control/configuration-store.ts
@@ -1,4 +1,5 @@
 import * as configuration from '../configuration';
+import * as logging from '../logging';
 
 /** Called on each higher revision. */
 export type ConfigurationListener = (snapshot: configuration.ConfigurationSnapshot) => void;
@@ -53,7 +54,22 @@
 
   private replace(snapshot: configuration.ConfigurationSnapshot): void {
     this.snapshot = snapshot;
-    this.listeners.forEach((listener) => listener(snapshot));
+    this.listeners.forEach((listener) => notify(listener, snapshot));
+  }
+}
+
+const logger = new logging.Logger('control');
+
+/** A listener that fails must stop neither the replica nor the other listeners. */
+function notify(
+  listener: ConfigurationListener,
+  snapshot: configuration.ConfigurationSnapshot,
+): void {
+  try {
+    listener(snapshot);
+  } catch (error) {
+    const { revision } = snapshot;
+    logger.error('configuration listener failed', { revision, reason: (error as Error).message });
   }
 }
 
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -113,6 +113,11 @@
     this.network.connect([...peers, ...replicas]);
   }
 
+  /** The port that the operating system chose, when `listenPort` is 0. */
+  get listeningPort(): number {
+    return this.network.listeningPort;
+  }
+
   override async propose(
     proposal: command.Command,
     timeoutMilliseconds: number,
@@ -378,9 +383,7 @@
 
   /** Whether every peer was tried and none of the reachable ones has a higher revision. */
   private isCurrent(): boolean {
-    return (
-      this.network.everyPeerTried && this.directory.highestRevision() <= this.store.current.revision
-    );
+    return this.network.everyPeerTried && this.directory.isNoneAbove(this.store.current.revision);
   }
 }
 
--- a/src/control/peer-directory.ts
+++ b/src/control/peer-directory.ts
@@ -4,7 +4,8 @@
 
 interface PeerRecord {
   identity: wire.PeerIdentity;
-  revision: number;
+  /** Unknown until the first heartbeat. */
+  revision: number | undefined;
   connected: boolean;
   heardAt: number;
 }
@@ -21,7 +22,7 @@
   connected(identity: wire.PeerIdentity): void {
     const known = this.peers.get(identity.address);
     const isSame = known?.identity.daemonId === identity.daemonId;
-    const revision = isSame ? known.revision : 0;
+    const revision = isSame ? known.revision : undefined;
     const heardAt = this.time.monotonic();
     this.peers.set(identity.address, { identity, revision, connected: true, heardAt });
   }
@@ -48,12 +49,11 @@
     }
   }
 
-  /** Highest revision of the connected peers. */
-  highestRevision(): number {
-    const revisions = [...this.peers.values()]
+  /** Whether every connected peer has told its revision, and none is above `revision`. */
+  isNoneAbove(revision: number): boolean {
+    return [...this.peers.values()]
       .filter((peer) => peer.connected)
-      .map((peer) => peer.revision);
-    return Math.max(0, ...revisions);
+      .every((peer) => peer.revision !== undefined && peer.revision <= revision);
   }
 
   status(): controlPlane.PeerStatus[] {
@@ -62,7 +62,7 @@
       .filter((peer) => peer.connected || now - peer.heardAt < FORGET_MILLISECONDS)
       .map(({ identity, revision, connected, heardAt }) => ({
         ...identity,
-        revision,
+        revision: revision ?? 0,
         connected,
         millisecondsSinceHeard: Math.round(now - heardAt),
       }));
--- a/src/control/replica-task.ts
+++ b/src/control/replica-task.ts
@@ -43,6 +43,9 @@
 
 const MAXIMUM_PROPOSALS_PER_WRITE = 256;
 
+// While a disk hangs, messages of up to 1 MiB would otherwise pile up.
+const MAXIMUM_WAITING_EVENTS = 200;
+
 /**
  * Drives one replica: feeds events to the core one at a time, carries out its effects in order, and applies
  * committed entries to the control state.
@@ -130,8 +133,11 @@
     return this.control;
   }
 
+  /** Takes a message of another replica; what is dropped here is sent again. */
   receive(message: replica.Message): void {
-    this.enqueue({ kind: replica.EventKind.Receive, message, ...this.context() });
+    if (this.events.length < MAXIMUM_WAITING_EVENTS) {
+      this.enqueue({ kind: replica.EventKind.Receive, message, ...this.context() });
+    }
   }
 
   /** Writes a command if this replica is the leader. `Err` leaves open whether it will be committed. */
@@ -183,7 +189,7 @@
           this.wake = resolve;
         });
       } else {
-        await this.process(event);
+        await this.processSafely(event);
       }
     }
   }
@@ -204,6 +210,18 @@
     return event === undefined ? undefined : { ...event, ...this.context() };
   }
 
+  /** An error in the core or the state machine ends the replica, not the daemon. */
+  private async processSafely(event: replica.ReplicaEvent): Promise<void> {
+    try {
+      await this.process(event);
+    } catch (error) {
+      logger.error('internal error; the replica no longer votes, the daemon goes on', {
+        reason: (error as Error).message,
+      });
+      await this.process({ kind: replica.EventKind.StorageFailed, ...this.context() });
+    }
+  }
+
   private async process(event: replica.ReplicaEvent): Promise<void> {
     const { startState, state, effects } = replica.update(this.state, event);
     this.state = state;
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -123,7 +123,12 @@
     }
     this.closed = true;
     this.timer.cancel();
-    this.socket.destroy();
+    if (reason === LinkCloseReason.ClosedLocally) {
+      // Lets the last messages of a planned stop leave, for example the one that hands over leadership.
+      this.socket.destroySoon();
+    } else {
+      this.socket.destroy();
+    }
     this.handlers.onClosed(this, reason, detail);
   }
 
--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -70,11 +70,16 @@
     this.server.on('error', (error) =>
       logger.error('peer listener failed', { reason: error.message }),
     );
-    const { port } = this.server.address() as net.AddressInfo;
+    const port = this.listeningPort;
     this.ownAddress = this.options.advertisedAddress ?? addresses.formatAddress(listenHost, port);
     return this.ownAddress;
   }
 
+  /** The port of the listening socket, which differs from that of an advertised address. */
+  get listeningPort(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
   get address(): string {
     return this.ownAddress;
   }
@@ -188,7 +193,8 @@
     try {
       this.handlers.onMessage(from.peer!, message);
     } catch (error) {
-      from.close(link.LinkCloseReason.Malformed, (error as Error).message);
+      const detail = (error as Error).message.slice(0, MAXIMUM_DETAIL_CHARACTERS);
+      from.close(link.LinkCloseReason.Malformed, detail);
     }
   }
 
@@ -216,6 +222,8 @@
 
 const logger = new logging.Logger('wire');
 
+const MAXIMUM_DETAIL_CHARACTERS = 300;
+
 // While the peer's own connection is in use, its end is noticed at the longest reconnect delay.
 const RECHECK_FAILURES = 10;
 
--- a/test/control/control-node.test.ts
+++ b/test/control/control-node.test.ts
@@ -1,12 +1,17 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as control from '../../src/control';
+import * as memory from '../storage/memory-file-system';
 import * as builder from './group-builder';
 
 const suite = uvu.suite('control node');
+// More than the deltas that a daemon keeps, and than the entries between two snapshots.
+const CHANGES = 600;
+
 const { Claimed } = control.ClaimPhase;
 const { ClaimGranted, ClaimHeld, PublishAccepted } = control.CommandResultKind;
 
+/** Guards against a claim that only works next to a replica, and against granting a key twice. */
 suite('a daemon without a data folder can claim, and the key is granted only once', async () => {
   const group = await builder.TestGroup.start(3, 1);
   const first = await group.nodes[3].propose(builder.claim('key', 'one'), 10_000);
@@ -23,6 +28,7 @@
   await group.close();
 });
 
+/** Guards against daemons that stay on an old revision. */
 suite('a publish reaches every daemon, with and without a data folder', async () => {
   const group = await builder.TestGroup.start(3, 2);
   const result = await group.nodes[4].propose(builder.publish('first', 0), 10_000);
@@ -32,6 +38,7 @@
   await group.close();
 });
 
+/** Guards against waiting for a majority of others that do not exist. */
 suite('a single replica forms a group of its own', async () => {
   const group = await builder.TestGroup.start(1);
   const result = await group.nodes[0].propose(builder.publish('first', 0), 10_000);
@@ -39,4 +46,81 @@
   await group.close();
 });
 
+/** Guards against a restarted daemon that serves with an old configuration. */
+suite('after 600 changes, restarted and new daemons are current when ready', async () => {
+  const group = await builder.TestGroup.start(3);
+  const leader = await group.leaderIndex();
+  const away = (leader + 1) % 3;
+  await builder.until(() => group.nodes.every((node) => node.status().voters.length === 3));
+  await group.nodes[away].close();
+  for (let revision = 0; revision < CHANGES; revision += 1) {
+    const result = await group.nodes[leader].propose(builder.rename(revision), 10_000);
+    assert.equal(result.val, { kind: PublishAccepted, revision: revision + 1 });
+  }
+  const restarted = await group.restart(away);
+  assert.is(restarted.configuration().revision, CHANGES);
+  const { commitIndex } = group.nodes[leader].status();
+  await builder.until(() => restarted.status().commitIndex >= commitIndex);
+  const added = await group.restart(3);
+  assert.is(added.configuration().revision, CHANGES);
+  assert.equal([...added.configuration().documents.keys()], ['team/only']);
+  await group.close();
+});
+
+/** Guards against a vote or an acknowledgement that the disk did not keep, and against a daemon that stops. */
+suite('with a full disk the replica leaves the group and the daemon goes on', async () => {
+  const files = new memory.MemoryFileSystem();
+  const group = await builder.TestGroup.start(3, 0, [files]);
+  await builder.until(() => group.nodes.every((node) => node.status().voters.length === 3));
+  files.failFromNow();
+  const [broken, other] = group.nodes;
+  const published = await other.propose(builder.publish('first', 0), 10_000);
+  assert.equal(published.val, { kind: PublishAccepted, revision: 1 });
+  await builder.until(() => broken.configuration().revision === 1);
+  await builder.until(() => broken.status().role === control.ReplicaRole.None);
+  const claimed = await broken.propose(builder.claim('k', 'one'), 10_000);
+  assert.equal(claimed.val, { kind: ClaimGranted });
+  await group.close();
+});
+
+/** Guards against a daemon that does not start because its data folder is unusable. */
+suite('a data folder that cannot be opened leaves a daemon without a replica', async () => {
+  const files = new memory.MemoryFileSystem();
+  files.failFromNow();
+  const group = await builder.TestGroup.start(1, 0, [files]);
+  assert.is(group.nodes[0].status().role, control.ReplicaRole.None);
+  await group.close();
+});
+
+/** Guards against quarantine and membership news that reach a daemon twice, or its sender. */
+suite('a broadcast reaches every other daemon once', async () => {
+  const group = await builder.TestGroup.start(1, 2);
+  const received: string[] = [];
+  group.nodes.forEach((node, index) =>
+    node.onBroadcast(control.PeerTopic.Membership, (payload, from) =>
+      received.push(
+        `${index} ${JSON.stringify(payload)} ${from === group.nodes[1].status().daemonId}`,
+      ),
+    ),
+  );
+  await builder.until(() => connected(group.nodes[1]) === 2);
+  group.nodes[1].broadcast(control.PeerTopic.Membership, { leaving: 'runner' });
+  await builder.until(() => received.length >= 2);
+  await group.nodes[2].propose(builder.claim('k', 'one'), 10_000);
+  assert.equal(received.sort(), ['0 {"leaving":"runner"} true', '2 {"leaving":"runner"} true']);
+  await group.close();
+});
+
+/** Guards against a proposal that waits for ever, or is said to have failed when it may be committed. */
+suite('without a replica in reach a proposal ends at its time limit', async () => {
+  const group = await builder.TestGroup.start(0, 1);
+  const result = await group.nodes[0].propose(builder.claim('k', 'one'), 200);
+  assert.is(result.val, control.ProposalFailure.NoLeader);
+  await group.close();
+});
+
+function connected(node: control.ControlNode): number {
+  return node.status().peers.filter((peer) => peer.connected).length;
+}
+
 suite.run();
--- a/test/control/group-builder.ts
+++ b/test/control/group-builder.ts
@@ -5,6 +5,8 @@
 import * as configuration from '../../src/configuration';
 import * as control from '../../src/control';
 import * as lifecycle from '../../src/lifecycle';
+import * as storage from '../../src/storage';
+import * as wire from '../../src/wire';
 
 export const PRE_SHARED_KEY = 'test-key';
 
@@ -16,21 +18,39 @@
 
   addresses: string[] = [];
 
+  replicas: string[] = [];
+
   private constructor(readonly folder: string) {}
 
   /** Starts `replicas` nodes with a data folder and `others` without one. */
-  static async start(replicas: number, others = 0): Promise<TestGroup> {
+  static async start(
+    replicas: number,
+    others = 0,
+    fileSystems: readonly storage.FileSystem[] = [],
+  ): Promise<TestGroup> {
     const group = new TestGroup(await fs.mkdtemp(path.join(os.tmpdir(), 'figline-control-')));
     for (let index = 0; index < replicas + others; index += 1) {
-      const node = new control.ControlNode(group.options(index, index < replicas));
+      const options = group.options(index, index < replicas);
+      const node = new control.ControlNode({ ...options, fileSystem: fileSystems[index] });
       group.nodes.push(node);
       group.addresses.push(await node.listen());
     }
-    const initial = group.addresses.slice(0, replicas);
-    await Promise.all(group.nodes.map((node) => node.join(group.addresses, initial)));
+    group.replicas = group.addresses.slice(0, replicas);
+    await Promise.all(group.nodes.map((node) => node.join(group.addresses, group.replicas)));
     return group;
   }
 
+  /** Starts a node again under its old address and data folder, or a further one without a folder. */
+  async restart(index: number): Promise<control.ControlNode> {
+    const address = this.addresses[index];
+    const port = address === undefined ? 0 : wire.parseAddress(address).port;
+    const options = this.options(index, index < this.replicas.length, port);
+    const node = await control.ControlNode.start(options);
+    this.nodes[index] = node;
+    await node.ready();
+    return node;
+  }
+
   options(index: number, hasFolder: boolean, listenPort = 0): control.ControlNodeOptions {
     return {
       daemonId: `daemon-${index}-${Math.random()}`,
@@ -38,7 +58,7 @@
       listenHost: '127.0.0.1',
       listenPort,
       peers: this.addresses,
-      replicas: this.addresses,
+      replicas: this.replicas,
       preSharedKey: PRE_SHARED_KEY,
       dataFolder: hasFolder ? this.folderOf(index) : undefined,
       clock: time,
@@ -108,3 +128,9 @@
     daemonId: 'daemon',
   };
 }
+
+/** A publish that changes the one document of the configuration. */
+export function rename(baseRevision: number): control.PublishCommand {
+  const command = publish(`publish-${baseRevision}`, baseRevision);
+  return { ...command, upserts: [{ ...team('only'), share: baseRevision + 1 } as never] };
+}
--- a/test/storage/memory-file-system.ts
+++ b/test/storage/memory-file-system.ts
@@ -26,8 +26,8 @@
   private syncedNames = new Map<string, FileContent>();
 
   constructor(
-    private readonly faultAt = Number.POSITIVE_INFINITY,
-    private readonly fault = DiskFault.Crash,
+    private faultAt = Number.POSITIVE_INFINITY,
+    private fault = DiskFault.Crash,
   ) {
     super();
   }
@@ -45,7 +45,13 @@
     return survivor;
   }
 
-  /** Flips one bit of a file. */
+  /** Makes every later call fail, as on a full disk. */
+  failFromNow(): void {
+    this.faultAt = this.calls + 1;
+    this.fault = DiskFault.Crash;
+  }
+
+  /** Changes one byte of a file. */
   damage(name: string, offset: number): void {
     const content = this.names.get(name)!;
     content.data = Buffer.from(content.data);
