Measure the cost of one daemon with its peers and backend servers

The budget of a daemon (2.2% of a core, 32 MB, 4 KB/s for control) had no figures beside it. `npm run measure-daemon` starts a daemon, three replicas, further peers and emulated backend servers as processes on loopback, and measures added latency against the engines themselves, CPU time for each relayed token, and the cost of control while one quantity grows to 8 times today's. Peers are control nodes without the rest of a daemon, several to a process, so that 56 peers need 9 processes.

CPU time comes from the scheduler's statistics in /proc: an idle daemon uses a few of the 10 ms ticks of /proc/<pid>/stat in a window, which is too coarse. Links count their bytes for this, since several peers share a process; a relay before each backend server counts the bytes of polls.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -178,6 +178,11 @@
     };
   }
 
+  /** Bytes on the links to each peer by daemon id. */
+  peerTraffic(): ReadonlyMap<string, wire.LinkTraffic> {
+    return this.network.traffic();
+  }
+
   override async ready(): Promise<void> {
     const { clock: time } = this.options;
     while (!this.isCurrent() && time.monotonic() - this.startedAt < READY_MILLISECONDS) {
--- /dev/null
+++ b/src/load/measure/child.ts
@@ -0,0 +1,64 @@
+import * as childProcess from 'node:child_process';
+import * as path from 'node:path';
+import * as readline from 'node:readline';
+
+/** A process started for a measurement, whose output is JSON lines. */
+export class Child {
+  private readonly lines: string[] = [];
+
+  private readonly waiting: (() => void)[] = [];
+
+  private readonly ended: Promise<void>;
+
+  private isEnded = false;
+
+  private constructor(private readonly process: childProcess.ChildProcess) {
+    readline.createInterface({ input: process.stdout! }).on('line', (line) => {
+      this.lines.push(line);
+      this.waiting.splice(0).forEach((wake) => wake());
+    });
+    this.ended = new Promise((resolve) => {
+      process.once('exit', () => {
+        this.isEnded = true;
+        this.waiting.splice(0).forEach((wake) => wake());
+        resolve();
+      });
+    });
+  }
+
+  /**
+   * Starts a compiled module of this repository.
+   *
+   * @param module path below the compiled sources, for example `bin/figlined.js`
+   */
+  static start(module: string, commandArguments: readonly string[]): Child {
+    const file = path.join(__dirname, '..', '..', module);
+    const options: childProcess.SpawnOptions = { stdio: ['ignore', 'pipe', 'inherit'] };
+    return new Child(childProcess.spawn(process.execPath, [file, ...commandArguments], options));
+  }
+
+  get pid(): number {
+    return this.process.pid!;
+  }
+
+  /** The next line of output. Rejects when the process ended without one. */
+  async nextLine<Value>(): Promise<Value> {
+    while (this.lines.length === 0) {
+      if (this.isEnded) {
+        throw new Error(`process ${this.pid} ended without the expected output`);
+      }
+      await new Promise<void>((resolve) => {
+        this.waiting.push(resolve);
+      });
+    }
+    return JSON.parse(this.lines.shift()!);
+  }
+
+  /** Ends the process at once; graceful shutdown is not what is measured. */
+  async stop(): Promise<void> {
+    if (!this.isEnded) {
+      this.process.kill('SIGKILL');
+    }
+    await this.ended;
+  }
+}
--- /dev/null
+++ b/src/load/measure/control-point.ts
@@ -0,0 +1,127 @@
+import * as clock from '../../clock';
+import * as control from '../../control';
+import type * as byteCountingRelay from './byte-counting-relay';
+import * as processUsage from './process-usage';
+import * as standInMessage from './stand-in-message';
+import * as testGroup from './test-group';
+
+/** Cost of control on one process during a window. */
+export interface RoleCost {
+  readonly cpuPercent: number;
+  readonly residentMegabytes: number;
+  /** On links to peers, both directions. */
+  readonly linkBytesPerSecond: number;
+}
+
+/** One measured point: the daemon without a replica and the replicas' control nodes. */
+export interface ControlPoint {
+  readonly daemon: RoleCost;
+  /** Polls, probes and cache event reads of the daemon at backend servers, both directions. */
+  readonly backendBytesPerSecond: number;
+  readonly backendConnectionsPerSecond: number;
+  readonly leader: RoleCost;
+  /** Mean of the followers. */
+  readonly follower: RoleCost;
+  readonly proposer: RoleCost;
+  readonly proposalsPerSecond: number;
+  readonly failedProposals: number;
+}
+
+/** Measures a group for one window. */
+export async function measurePoint(
+  group: testGroup.TestGroup,
+  relays: readonly byteCountingRelay.ByteCountingRelay[],
+  windowMilliseconds: number,
+): Promise<ControlPoint> {
+  const time = new clock.SystemClock();
+  const before = await readAll(group, relays, time);
+  await time.sleep(windowMilliseconds);
+  const after = await readAll(group, relays, time);
+  const seconds = (after.at - before.at) / 1_000;
+  const nodes = after.standIns.slice(0, testGroup.REPLICAS + 1).map((sample, index) => ({
+    role: sample.role,
+    cost: standInCost(before.standIns[index], sample, seconds),
+  }));
+  const replicas = nodes.slice(0, testGroup.REPLICAS);
+  const { Leader } = control.ReplicaRole;
+  const proposer = after.standIns[testGroup.REPLICAS];
+  const proposed = before.standIns[testGroup.REPLICAS];
+  return {
+    daemon: {
+      cpuPercent: percent(after.usage.cpuMilliseconds - before.usage.cpuMilliseconds, seconds),
+      residentMegabytes: after.usage.residentBytes / MEGABYTE,
+      linkBytesPerSecond: (daemonBytes(after) - daemonBytes(before)) / seconds,
+    },
+    backendBytesPerSecond: (after.backendBytes - before.backendBytes) / seconds,
+    backendConnectionsPerSecond: (after.connections - before.connections) / seconds,
+    leader: meanCost(replicas.filter(({ role }) => role === Leader).map(({ cost }) => cost)),
+    follower: meanCost(replicas.filter(({ role }) => role !== Leader).map(({ cost }) => cost)),
+    proposer: nodes[testGroup.REPLICAS].cost,
+    proposalsPerSecond: (proposer.proposals - proposed.proposals) / seconds,
+    failedProposals: proposer.failedProposals - proposed.failedProposals,
+  };
+}
+
+interface Reading {
+  readonly at: number;
+  readonly usage: processUsage.ProcessUsage;
+  readonly standIns: readonly standInMessage.StandInSample[];
+  readonly backendBytes: number;
+  readonly connections: number;
+}
+
+const MEGABYTE = 1_000_000;
+
+async function readAll(
+  group: testGroup.TestGroup,
+  relays: readonly byteCountingRelay.ByteCountingRelay[],
+  time: clock.Clock,
+): Promise<Reading> {
+  const kind = standInMessage.StandInRequestKind.Sample;
+  const standIns = await Promise.all(
+    group.standIns.map((standIn) =>
+      standIn.call<standInMessage.StandInSample>({ kind, withHeap: false }),
+    ),
+  );
+  return {
+    at: time.monotonic(),
+    usage: processUsage.readUsage(group.daemon.pid),
+    standIns,
+    backendBytes: relays.reduce((sum, { counts }) => sum + counts.bytes, 0),
+    connections: relays.reduce((sum, { counts }) => sum + counts.connections, 0),
+  };
+}
+
+function daemonBytes(reading: Reading): number {
+  return reading.standIns.reduce(
+    (sum, sample) => sum + sample.daemonSentBytes + sample.daemonReceivedBytes,
+    0,
+  );
+}
+
+function standInCost(
+  before: standInMessage.StandInSample,
+  after: standInMessage.StandInSample,
+  seconds: number,
+): RoleCost {
+  const bytes = (sample: standInMessage.StandInSample) => sample.sentBytes + sample.receivedBytes;
+  return {
+    cpuPercent: percent(after.cpuMilliseconds - before.cpuMilliseconds, seconds),
+    residentMegabytes: after.residentBytes / MEGABYTE,
+    linkBytesPerSecond: (bytes(after) - bytes(before)) / seconds,
+  };
+}
+
+function percent(cpuMilliseconds: number, seconds: number): number {
+  return cpuMilliseconds / seconds / 10;
+}
+
+function meanCost(costs: readonly RoleCost[]): RoleCost {
+  const mean = (field: keyof RoleCost) =>
+    costs.reduce((sum, cost) => sum + cost[field], 0) / costs.length;
+  return {
+    cpuPercent: mean('cpuPercent'),
+    residentMegabytes: mean('residentMegabytes'),
+    linkBytesPerSecond: mean('linkBytesPerSecond'),
+  };
+}
--- /dev/null
+++ b/src/load/measure/emulators.ts
@@ -0,0 +1,68 @@
+import * as backend from '../../backend';
+import * as child from './child';
+import * as documents from './documents';
+
+/** One emulated backend server. */
+export interface Emulated {
+  readonly kind: backend.BackendKind;
+  readonly port: number;
+}
+
+/** How many emulated servers are wanted, and in how many processes. */
+export interface EmulatorPlan {
+  readonly engines: number;
+  readonly plainServices: number;
+  readonly engineProcesses: number;
+  /** Requests in the batch of one engine. */
+  readonly slots: number;
+  readonly decodeTokensPerSecond: number;
+}
+
+/** Processes of emulated backend servers. */
+export class Emulators {
+  readonly servers: Emulated[] = [];
+
+  private readonly children: child.Child[] = [];
+
+  /** Engines come first. */
+  async start(plan: EmulatorPlan): Promise<void> {
+    const options = {
+      model: documents.MODEL,
+      slots: plan.slots,
+      decodeTokensPerSecond: plan.decodeTokensPerSecond,
+      // The engine's own prefill is not what is measured.
+      prefillTokensPerSecond: 10_000_000,
+    };
+    const perProcess = Math.ceil(plan.engines / plan.engineProcesses);
+    for (let left = plan.engines; left > 0; left -= perProcess) {
+      const count = Math.min(left, perProcess);
+      await this.startKind(backend.BackendKind.ModelEngine, 'engine', count, options);
+    }
+    if (plan.plainServices > 0) {
+      await this.startKind(backend.BackendKind.PlainService, 'plain', plan.plainServices, {});
+    }
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.children.map((process) => process.stop()));
+  }
+
+  private async startKind(
+    kind: backend.BackendKind,
+    emulator: string,
+    count: number,
+    options: object,
+  ): Promise<void> {
+    const flags = ['--kind', emulator, '--count', String(count)];
+    const started = child.Child.start('emulator/run.js', [
+      ...flags,
+      '--options',
+      JSON.stringify(options),
+    ]);
+    this.children.push(started);
+    for (let index = 0; index < count; index += 1) {
+      const { port } = await started.nextLine<{ port: number }>();
+      this.servers.push({ kind, port });
+    }
+  }
+}
--- /dev/null
+++ b/src/load/measure/run.ts
@@ -0,0 +1,101 @@
+/**
+ * `npm run measure-daemon -- --part latency|relay|state|control [--dimension NAME] [--rounds N] [--json]`: cost of one
+ * daemon on this machine. All processes run on loopback and end with the measurement.
+ */
+import { cac } from 'cac';
+import * as controlMeasurement from './control-measurement';
+import * as controlReport from './control-report';
+import * as latencyMeasurement from './latency-measurement';
+import * as plans from './plans';
+import * as stateSize from './state-size';
+
+interface Flags {
+  readonly part: string;
+  readonly dimension: string;
+  readonly values: string;
+  readonly rounds: number;
+  readonly windowSeconds: number;
+  readonly json: boolean;
+  readonly help?: boolean;
+}
+
+const dimensions = Object.values(controlMeasurement.Dimension);
+const MAXIMUM_ROUNDS = 20;
+const MAXIMUM_WINDOW_SECONDS = 120;
+
+function readFlags(): Flags {
+  const command = cac('measure-daemon');
+  command.option('--part <name>', 'latency, relay, state or control; all by default', {
+    default: 'all',
+  });
+  command.option('--dimension <name>', `One of ${dimensions.join(', ')}`, { default: 'all' });
+  command.option('--values <list>', 'Values of the dimension, separated by commas', {
+    default: '',
+  });
+  command.option('--rounds <n>', 'Repetitions of each measurement', { default: 3 });
+  command.option('--window-seconds <n>', 'Length of one measurement', { default: 8 });
+  command.option('--json', 'Print JSON lines', { default: false });
+  command.help();
+  return command.parse().options as Flags;
+}
+
+function print(flags: Flags, text: string, value: unknown): void {
+  process.stdout.write(flags.json ? `${JSON.stringify(value)}\n` : `${text}\n`);
+}
+
+async function latency(flags: Flags, chosen: readonly plans.TimedPlan[]): Promise<void> {
+  const { rounds, windowSeconds: seconds } = flags;
+  await latencyMeasurement.measureLatency(
+    chosen.map((plan) => ({ ...plan, rounds, seconds })),
+    (plan, results) =>
+      print(flags, latencyMeasurement.formatLatency(plan, results), { plan, results }),
+  );
+}
+
+async function control(flags: Flags): Promise<void> {
+  const chosen = dimensions.filter((name) => ['all', name].includes(flags.dimension));
+  for (const dimension of chosen) {
+    const values =
+      flags.values === ''
+        ? controlMeasurement.DIMENSION_VALUES[dimension]
+        : String(flags.values).split(',').map(Number);
+    const points: controlMeasurement.DimensionPoint[] = [];
+    for (let round = 0; round < flags.rounds; round += 1) {
+      const window = flags.windowSeconds * 1_000;
+      points.push(...(await controlMeasurement.measureDimension(dimension, values, window)));
+    }
+    print(flags, controlReport.formatDimension(points), points);
+  }
+}
+
+async function main(): Promise<void> {
+  const flags = readFlags();
+  if (flags.help) {
+    return;
+  }
+  if (!(flags.rounds <= MAXIMUM_ROUNDS) || !(flags.windowSeconds <= MAXIMUM_WINDOW_SECONDS)) {
+    throw new Error(`use at most ${MAXIMUM_ROUNDS} rounds of ${MAXIMUM_WINDOW_SECONDS} s`);
+  }
+  if (['all', 'latency'].includes(flags.part)) {
+    await latency(flags, plans.LATENCY_PLANS);
+  }
+  if (['all', 'relay'].includes(flags.part)) {
+    await latency(flags, plans.RELAY_PLANS);
+  }
+  if (['all', 'state'].includes(flags.part)) {
+    const sizes = stateSize.measureStateSizes();
+    const listMilliseconds = stateSize.measureListReading();
+    print(flags, stateSize.formatStateSizes(sizes, listMilliseconds), { sizes, listMilliseconds });
+  }
+  if (['all', 'control'].includes(flags.part)) {
+    await control(flags);
+  }
+}
+
+main().then(
+  () => process.exit(0),
+  (error) => {
+    process.stderr.write(`measure-daemon: ${error.stack}\n`);
+    process.exit(1);
+  },
+);
--- /dev/null
+++ b/src/load/measure/stand-in-message.ts
@@ -0,0 +1,60 @@
+import type * as control from '../../control';
+
+/** Requests to a process of stand-ins. */
+export enum StandInRequestKind {
+  Listen = 'listen',
+  Join = 'join',
+  Propose = 'propose',
+  Generate = 'generate',
+  Sample = 'sample',
+}
+
+/** One control node without the rest of a daemon. */
+export interface StandInNode {
+  readonly daemonId: string;
+  readonly zone: string;
+  /** Hosts a replica when set. */
+  readonly dataFolder?: string;
+}
+
+export type StandInRequest =
+  | {
+      readonly kind: StandInRequestKind.Listen;
+      readonly nodes: readonly StandInNode[];
+      readonly preSharedKey: string;
+    }
+  | {
+      readonly kind: StandInRequestKind.Join;
+      readonly peers: readonly string[];
+      readonly replicas: readonly string[];
+    }
+  | { readonly kind: StandInRequestKind.Propose; readonly command: control.Command }
+  | {
+      readonly kind: StandInRequestKind.Generate;
+      readonly revisionsPerMinute: number;
+      readonly claimsPerSecond: number;
+    }
+  | { readonly kind: StandInRequestKind.Sample; readonly withHeap: boolean };
+
+/** Usage of a process of stand-ins, and bytes on the links of its nodes. */
+export interface StandInSample {
+  readonly cpuMilliseconds: number;
+  readonly residentBytes: number;
+  /** After a full garbage collection; 0 when it was not asked for. */
+  readonly heapBytes: number;
+  /** Role of the first node. */
+  readonly role: control.ReplicaRole;
+  readonly revision: number;
+  /** Sum over the nodes. */
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  /** Part of both that is on links to the daemon under test, as seen from the daemon. */
+  readonly daemonSentBytes: number;
+  readonly daemonReceivedBytes: number;
+  /** Commands that were proposed by `Generate`, and those without a result. */
+  readonly proposals: number;
+  readonly failedProposals: number;
+}
+
+/** Daemon id of the daemon under test. */
+export const MEASURED_DAEMON = 'measured';
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -28,6 +28,12 @@
   readonly heartbeat: () => object;
 }
 
+/** Bytes that a connection carried. */
+export interface LinkTraffic {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+}
+
 /** How a link reports to its owner. */
 export interface LinkHandlers {
   readonly onReady: (link: Link) => void;
@@ -94,6 +100,11 @@
     return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
   }
 
+  /** Bytes on the connection so far, frame lengths and handshake included. */
+  get traffic(): LinkTraffic {
+    return { sentBytes: this.socket.bytesWritten, receivedBytes: this.socket.bytesRead };
+  }
+
   /** Queues a message. Returns false when the link is closed or the message is too long to be sent. */
   send(message: frame.WireMessage): boolean {
     if (this.closed) {
--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -46,6 +46,8 @@
 
   private readonly dialers = new Map<string, Dialer>();
 
+  private readonly endedTraffic = new Map<string, link.LinkTraffic>();
+
   private ownAddress = '';
 
   private closed = false;
@@ -121,6 +123,13 @@
     return [...new Set(found)];
   }
 
+  /** Bytes of all links to each peer by daemon id, ended links included. */
+  traffic(): ReadonlyMap<string, link.LinkTraffic> {
+    const sums = new Map(this.endedTraffic);
+    this.links.forEach((entry) => addTraffic(sums, entry.peer, entry.traffic));
+    return sums;
+  }
+
   async close(): Promise<void> {
     this.closed = true;
     this.dialers.forEach((dialer) => dialer.timer?.cancel());
@@ -199,6 +208,7 @@
     dialer?: Dialer,
   ): void {
     const { peer, remote } = ended;
+    addTraffic(this.endedTraffic, peer, ended.traffic);
     this.links.delete(ended);
     if (this.closed) {
       return;
@@ -219,6 +229,20 @@
 // While the peer's own connection is in use, its end is noticed at the longest reconnect delay.
 const RECHECK_FAILURES = 10;
 
+function addTraffic(
+  sums: Map<string, link.LinkTraffic>,
+  peer: handshake.PeerIdentity | undefined,
+  traffic: link.LinkTraffic,
+): void {
+  if (peer !== undefined) {
+    const { sentBytes = 0, receivedBytes = 0 } = sums.get(peer.daemonId) ?? {};
+    sums.set(peer.daemonId, {
+      sentBytes: sentBytes + traffic.sentBytes,
+      receivedBytes: receivedBytes + traffic.receivedBytes,
+    });
+  }
+}
+
 const EXPECTED_REASONS = new Set([
   link.LinkCloseReason.EndedByPeer,
   link.LinkCloseReason.OwnConnection,
