Bound the probes of backend servers to 40 a second

A daemon probed every backend server once a second on a new connection. Load polls are not the cause of the growth: they are bounded to 40 a second already.

The time between two probes of a healthy server is now 25 ms for each server, at least 1 s as before, so that nothing changes up to 40 servers. Suspected servers are probed at once as before. A daemon that can neither read the list nor hear its peers learns of a leaving server later when there are more than 40.

--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -2,12 +2,17 @@
 import * as membershipView from './membership-view';
 import * as serverChange from './server-change';
 
-/** What an answered probe changes. */
+/**
+ * What an answered probe changes.
+ *
+ * @param servers number of servers that this daemon probes
+ */
 export function succeeded(
   server: membershipView.ServerState,
   probe: event.ProbeSucceeded,
+  servers: number,
 ): serverChange.ServerChange {
-  const seen = serverChange.seeIncarnation(endProbe(server, probe), probe.incarnation);
+  const seen = serverChange.seeIncarnation(endProbe(server, probe, servers), probe.incarnation);
   const alive = serverChange.then(seen, (next) => serverChange.unchanged(revive(next, probe)));
   return probe.leaving
     ? serverChange.then(alive, (next) =>
@@ -20,13 +25,14 @@
 export function failed(
   server: membershipView.ServerState,
   probe: event.ProbeFailed,
+  servers: number,
 ): serverChange.ServerChange {
   const { Dead, Suspected } = membershipView.ServerCondition;
   const failedProbes = server.failedProbes + 1;
   const isDead = failedProbes >= FAILED_PROBES_OF_A_DEAD_SERVER;
-  const delay = isDead ? spread(PROBE_INTERVAL_MILLISECONDS, probe.jitter) : RETRY_MILLISECONDS;
+  const delay = isDead ? spread(interval(servers), probe.jitter) : RETRY_MILLISECONDS;
   const next = {
-    ...endProbe(server, probe),
+    ...endProbe(server, probe, servers),
     condition: isDead ? Dead : Suspected,
     failedProbes,
     suspectedAt: probe.at,
@@ -39,11 +45,12 @@
 function endProbe(
   server: membershipView.ServerState,
   probe: event.ProbeSucceeded | event.ProbeFailed,
+  servers: number,
 ): membershipView.ServerState {
   const planned = server.nextProbeAt > probe.startedAt;
   const nextProbeAt = planned
     ? server.nextProbeAt
-    : probe.at + spread(PROBE_INTERVAL_MILLISECONDS, probe.jitter);
+    : probe.at + spread(interval(servers), probe.jitter);
   return { ...server, probeStartedAt: undefined, nextProbeAt };
 }
 
@@ -75,6 +82,11 @@
   return isOtherProcess ? { ...server, leaving: undefined } : server;
 }
 
+/** Time between two probes of a server that nobody suspects. */
+function interval(servers: number): number {
+  return Math.max(PROBE_INTERVAL_MILLISECONDS, servers * INTERVAL_PER_SERVER_MILLISECONDS);
+}
+
 /** Between three quarters and five quarters of an interval. */
 function spread(intervalMilliseconds: number, jitter: number): number {
   return intervalMilliseconds * (0.75 + jitter / 2);
@@ -88,3 +100,6 @@
 // A daemon that can neither read the list nor hear its peers learns of a leaving server by probe; the
 // last new work must have been sent within 3 s.
 const PROBE_INTERVAL_MILLISECONDS = 1_000;
+
+// Bounds the probes of one daemon to 40 a second, each on a new connection. Suspicions are probed at once.
+const INTERVAL_PER_SERVER_MILLISECONDS = 25;
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -28,13 +28,16 @@
         hearPeer(server, observed.report, observed.at),
       );
     default:
-      return changeOne(view, observed.serverId, (server) => observe(server, observed));
+      return changeOne(view, observed.serverId, (server) =>
+        observe(server, observed, view.servers.size),
+      );
   }
 }
 
 function observe(
   server: membershipView.ServerState,
   observed: Exclude<event.MembershipEvent, event.ListRead | event.Tick | event.PeerReported>,
+  servers: number,
 ): serverChange.ServerChange {
   const { MembershipEventKind } = event;
   switch (observed.kind) {
@@ -45,9 +48,9 @@
     case MembershipEventKind.IncarnationSeen:
       return serverChange.seeIncarnation(server, observed.incarnation);
     case MembershipEventKind.ProbeSucceeded:
-      return probeOutcome.succeeded(server, observed);
+      return probeOutcome.succeeded(server, observed, servers);
     default:
-      return probeOutcome.failed(server, observed);
+      return probeOutcome.failed(server, observed, servers);
   }
 }
 
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -65,6 +65,22 @@
   assert.equal(view.takeEffects(), [MembershipEffectKind.ReportToPeers]);
 });
 
+suite('probes of many healthy servers stay bounded: each one opens a connection', () => {
+  const ids = Array.from({ length: 400 }, (_unused, index) => `desk-${index}`);
+  const view = new builder.ViewBuilder().list(0, ...ids.map((id) => builder.machine(id)));
+  let probes = 0;
+  for (let at = 100; at <= 40_000; at += 100) {
+    const started = view
+      .tick(at)
+      .effects.splice(0)
+      .flatMap((effect) => (effect.kind === MembershipEffectKind.Probe ? [effect.serverId] : []));
+    started.forEach((id) => view.probed(id, at, 'a'));
+    probes += started.length;
+  }
+  // One probe of each server at first, then 40 a second; without a bound it would be 400 a second.
+  assert.ok(probes >= 4 * 400 && probes <= 400 + 40 * 40, String(probes));
+});
+
 suite('a failed connection only raises suspicion; the probe decides', () => {
   const view = alive();
   view.takeEffects();
