--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -46,6 +46,8 @@
 
   private readonly dialers = new Map<string, Dialer>();
 
+  private readonly endedTraffic = new Map<string, link.LinkTraffic>();
+
   private ownAddress = '';
 
   private closed = false;
@@ -84,9 +86,9 @@
     return this.ownAddress;
   }
 
-  /** Keeps a link to each address; the own address is skipped. */
+  /** Keeps one link to each address, however often it is given; the own address is skipped. */
   connect(peerAddresses: readonly string[]): void {
-    peerAddresses
+    [...new Set(peerAddresses)]
       .filter((address) => address !== this.ownAddress && !this.dialers.has(address))
       .forEach((address) => {
         const dialer = { address, failures: 0 };
@@ -126,6 +128,13 @@
     return [...new Set(found)];
   }
 
+  /** Bytes of all links to each peer by daemon id, ended links included. */
+  traffic(): ReadonlyMap<string, link.LinkTraffic> {
+    const sums = new Map(this.endedTraffic);
+    this.links.forEach((entry) => addTraffic(sums, entry.peer, entry.traffic));
+    return sums;
+  }
+
   async close(): Promise<void> {
     this.closed = true;
     this.dialers.forEach((dialer) => dialer.timer?.cancel());
@@ -205,6 +214,7 @@
     dialer?: Dialer,
   ): void {
     const { peer, remote } = ended;
+    addTraffic(this.endedTraffic, peer, ended.traffic);
     this.links.delete(ended);
     if (this.closed) {
       return;
@@ -227,6 +237,20 @@
 // While the peer's own connection is in use, its end is noticed at the longest reconnect delay.
 const RECHECK_FAILURES = 10;
 
+function addTraffic(
+  sums: Map<string, link.LinkTraffic>,
+  peer: handshake.PeerIdentity | undefined,
+  traffic: link.LinkTraffic,
+): void {
+  if (peer !== undefined) {
+    const { sentBytes = 0, receivedBytes = 0 } = sums.get(peer.daemonId) ?? {};
+    sums.set(peer.daemonId, {
+      sentBytes: sentBytes + traffic.sentBytes,
+      receivedBytes: receivedBytes + traffic.receivedBytes,
+    });
+  }
+}
+
 const EXPECTED_REASONS = new Set([
   link.LinkCloseReason.EndedByPeer,
   link.LinkCloseReason.OwnConnection,
