--- a/src/admission/service-queue.ts
+++ b/src/admission/service-queue.ts
@@ -11,6 +11,8 @@
   readonly costMilliseconds: number;
   /** Weight of the team in fair sharing. */
   readonly share: number;
+  /** The server that was the best at the arrival; the request probably waits for it. */
+  readonly target?: string;
 }
 
 interface TeamQueue {
@@ -65,7 +67,8 @@
 }
 
 /**
- * The heads of the teams' queues of a lane, the team with the least service for its share first.
+ * The first requests of each team in a lane, the team with the least service for its share first. More
+ * than one of a team, since the first may wait for a busy server while the next finds its own idle.
  *
  * @example
  * heads(queue, Lane.Short)[0]?.requestId;
@@ -79,7 +82,7 @@
     .sort(
       (left, right) => servedOf(queue, left) - servedOf(queue, right) || (left < right ? -1 : 1),
     )
-    .map((team) => teams.get(team)!.entries.first()!);
+    .flatMap((team) => teams.get(team)!.entries.take(HEADS_PER_TEAM).toArray());
 }
 
 /** Removes a request that is dispatched now, and counts its cost as service to its team. */
@@ -124,8 +127,21 @@
   return Math.max(0, servedOf(queue, team) - servedOf(queue, other));
 }
 
+/** The estimated time that requests which wait for one server will occupy its slots. */
+export function backlogFor(queue: ServiceQueue, target: string): number {
+  let sum = 0;
+  queue.lanes.forEach((teams) =>
+    teams.forEach((team) =>
+      team.entries.forEach((entry) => {
+        sum += entry.target === target ? entry.costMilliseconds : 0;
+      }),
+    ),
+  );
+  return sum;
+}
+
 function servedOf(queue: ServiceQueue, team: string): number {
-  return Math.max(queue.virtualTime, queue.served.get(team, 0));
+  return Math.max(queue.virtualTime - CREDIT_MILLISECONDS, queue.served.get(team, 0));
 }
 
 function changeTeam(
@@ -153,3 +169,7 @@
     : queue.lanes.set(entry.lane, changed);
   return { ...queue, lanes };
 }
+
+const HEADS_PER_TEAM = 6;
+/** Service that a team that asked for less than its share may catch up on; a few requests. */
+const CREDIT_MILLISECONDS = 8_000;
--- a/src/bench/cases/steady.ts
+++ b/src/bench/cases/steady.ts
@@ -55,7 +55,8 @@
 }
 
 function failedFraction(result: outcome.RunResult): number {
-  return result.outcomes.filter(({ failure }) => failure).length / result.outcomes.length;
+  const chosen = result.outcomes.filter(({ request }) => request.at >= WARM_UP_MILLISECONDS);
+  return chosen.filter(({ failure }) => failure).length / chosen.length;
 }
 
 function average(
--- a/src/bench/core-strategy.ts
+++ b/src/bench/core-strategy.ts
@@ -221,10 +221,12 @@
     const { requestId, attemptId, serverId } = effect;
     const request = daemon.requests.get(requestId)!;
     const { time } = this.world;
+    const engine = this.world.engines.find(({ id }) => id === serverId)!;
+    this.expectStored(engine, request);
     const base = () => ({ at: time.now, requestId, attemptId });
     const cancel = this.world.send({
       request,
-      engine: this.world.engines.find((engine) => engine.id === serverId)!,
+      engine,
       hedge: effect.hedge,
       resumeFrom: effect.resumeFrom,
       onHead: (cachedTokens, incarnation) =>
@@ -261,6 +263,14 @@
     daemon.cancels.set(attemptId, cancel);
   }
 
+  /** What is on its way belongs to full knowledge too, as it does to learned knowledge. */
+  private expectStored(engine: fakeEngine.FakeEngine, request: workload.BenchRequest): void {
+    this.knowledge = request.chain.reduce(
+      (index, hash) => index && placement.addPiece(index, engine.id, engine.incarnation, hash),
+      this.knowledge,
+    );
+  }
+
   private tellPeers(daemon: Daemon, report: decision.ReportCrash): void {
     const { crashId, serverId, fingerprints } = report;
     this.daemons
--- a/src/bench/full-index-strategy.ts
+++ b/src/bench/full-index-strategy.ts
@@ -7,7 +7,7 @@
   /** Cache events heard so far. */
   heard = 0;
 
-  protected override knowledge = {
+  protected override knowledge?: placement.PrefixIndex = {
     ...placement.EMPTY_INDEX,
     lifetimeMilliseconds: Infinity,
   };
@@ -15,6 +15,11 @@
   override cacheChanged(engine: fakeEngine.FakeEngine, hash: string, stored: boolean): void {
     this.heard += 1;
     const change = stored ? placement.addPiece : placement.forgetPiece;
-    this.knowledge = change(this.knowledge, engine.id, engine.incarnation, hash);
+    this.knowledge = change(
+      this.knowledge ?? placement.EMPTY_INDEX,
+      engine.id,
+      engine.incarnation,
+      hash,
+    );
   }
 }
--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -4,6 +4,7 @@
 import * as placement from '../placement';
 import * as verdict from '../verdict';
 import * as arrivalCheck from './arrival-check';
+import * as choosing from './choosing';
 import * as ending from './ending';
 import type * as event from './event';
 import type * as state from './state';
@@ -97,6 +98,7 @@
     priority: profile.priority,
     costMilliseconds: costOf(step.state.services.get(profile.service), profile),
     share: step.state.shares.get(profile.team, 1),
+    target: choosing.findTarget(step, request)?.server.record.id,
   };
 }
 
@@ -108,11 +110,17 @@
   });
 }
 
+/** Learns from the prompt which prefixes are shared and which of them are hot. */
 function recordHeat(step: steps.Step, request: state.RequestState): void {
-  const anchor = placement.anchorOf(request.profile.prefixChain);
-  if (anchor !== '') {
-    const cost = costOf(step.state.services.get(request.profile.service), request.profile);
-    step.change({ heat: placement.addHeat(step.state.heat, anchor, cost, step.at) });
+  const { service, prefixChain } = request.profile;
+  if (prefixChain.length > 0) {
+    const cost = costOf(step.state.services.get(service), request.profile);
+    const pieces = prefixChain.length;
+    const keys = [placement.wideDepth(pieces), placement.anchorDepth(pieces)]
+      .filter((depth) => depth > 0)
+      .map((depth) => prefixChain[depth - 1]);
+    const heat = placement.addHeat(step.state.heat, keys, cost, step.at);
+    step.change({ heat });
   }
 }
 
--- a/src/decision/candidate-filter.ts
+++ b/src/decision/candidate-filter.ts
@@ -6,6 +6,7 @@
   readonly server: state.ServerState;
   /** Requests that the server executes at the same time. */
   readonly slots: number;
+  readonly prefillTokensPerSecond: number;
   /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
   readonly suspect: boolean;
 }
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -3,6 +3,7 @@
 import * as health from '../health';
 import * as placement from '../placement';
 import * as prefix from '../prefix';
+import type * as candidateFilter from './candidate-filter';
 import * as standardFilters from './standard-filters';
 import type * as state from './state';
 import type * as steps from './step';
@@ -16,18 +17,68 @@
   readonly cost: number;
 }
 
-/** The cheapest server that all filters admit; undefined when there is none. */
+/**
+ * The cheapest server that can take the request now. Undefined when there is none, or when waiting for a
+ * busy server is cheaper: building the prefix elsewhere would cost the other requests more than the wait.
+ */
 export function choose(step: steps.Step, request: state.RequestState): Choice | undefined {
-  const admitted = admittedServers(step, request);
-  if (admitted.length === 0) {
+  const permitted = filterServers(
+    standardFilters.PERMISSION_FILTERS,
+    step,
+    request,
+    preferTrusted(step.pool(request.profile.service)),
+  );
+  const ready = filterServers(standardFilters.READINESS_FILTERS, step, request, permitted);
+  if (ready.length === 0) {
     return undefined;
   }
-  const probe = probeTarget(step, request, admitted);
   const context = contextOf(step, request);
-  const choices = (probe === undefined ? admitted : [probe]).map((server) =>
-    evaluate(step, context, request, server),
+  const probe = probeTarget(step, request, ready);
+  if (probe !== undefined) {
+    return evaluate(step, context, request, probe);
+  }
+  const evaluateAll = (servers: readonly state.ServerState[]) =>
+    servers.map((server) => evaluate(step, context, request, server));
+  const best = pickCheapest(step, evaluateAll(ready));
+  const mayWait =
+    request.attemptCount === 0 &&
+    ready.length < permitted.length &&
+    (isPatient(step, request) || isSaturated(ready.length, permitted.length));
+  return mayWait &&
+    evaluateAll(permitted).some((choice) => choice.cost < best.cost - MARGIN_MILLISECONDS)
+    ? undefined
+    : best;
+}
+
+/** The server that would be the best if it were free, and whether it or enough others are. */
+export function findTarget(
+  step: steps.Step,
+  request: state.RequestState,
+): { readonly server: state.ServerState; readonly ready: boolean } | undefined {
+  const permitted = filterServers(
+    standardFilters.PERMISSION_FILTERS,
+    step,
+    request,
+    preferTrusted(step.pool(request.profile.service)),
   );
-  return pickCheapest(step, choices);
+  if (permitted.length === 0) {
+    return undefined;
+  }
+  const context = contextOf(step, request);
+  const [best] = permitted
+    .map((server) => evaluate(step, context, request, server))
+    .sort((left, right) => left.cost - right.cost);
+  const ready = filterServers(standardFilters.READINESS_FILTERS, step, request, permitted);
+  return {
+    server: best.server,
+    ready: ready.includes(best.server) || !isSaturated(ready.length, permitted.length),
+  };
+}
+
+/** A request waits for a better server only during the first part of the time that it has. */
+function isPatient(step: steps.Step, request: state.RequestState): boolean {
+  const allowed = request.profile.firstTokenDeadline - request.arrivedAt;
+  return step.at - request.arrivedAt < allowed * PATIENT_FRACTION;
 }
 
 /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
@@ -41,25 +92,41 @@
   readonly prefillTokensPerSecond: number;
   readonly ranks: ReadonlyMap<string, number>;
   readonly spread: number;
+  /** Pieces of the prompt that other requests with the same anchor probably share. */
+  readonly sharedPieces: number;
   readonly meanRequests: number;
   readonly request: placement.PlacementRequest;
 }
 
-function admittedServers(
+/**
+ * While most servers are busy, spilling to another server would fill it with prefill work that the cache
+ * would have saved, and the hit rate would collapse when it is needed most.
+ */
+function isSaturated(ready: number, permitted: number): boolean {
+  return ready < permitted * READY_FRACTION;
+}
+
+function filterServers(
+  filters: readonly candidateFilter.CandidateFilter[],
   step: steps.Step,
   request: state.RequestState,
+  servers: readonly state.ServerState[],
 ): readonly state.ServerState[] {
-  const slots = step.state.services.get(request.profile.service)?.slotsPerRunner ?? 0;
+  const service = step.state.services.get(request.profile.service);
+  const slots = service?.slotsPerRunner ?? 0;
+  const prefillTokensPerSecond = prefillRate(service);
   const suspect = isSuspect(step, request);
-  const admitted = step
-    .pool(request.profile.service)
-    .filter((server) =>
-      standardFilters.STANDARD_FILTERS.every((filter) =>
-        filter.admits({ request, server, slots, suspect }),
-      ),
-    );
-  const trusted = admitted.filter((server) => !server.record.suspected);
-  return trusted.length > 0 ? trusted : admitted;
+  return servers.filter((server) =>
+    filters.every((filter) =>
+      filter.admits({ request, server, slots, prefillTokensPerSecond, suspect }),
+    ),
+  );
+}
+
+/** Servers that may be dead are used only when no other is left. */
+function preferTrusted(servers: readonly state.ServerState[]): readonly state.ServerState[] {
+  const trusted = servers.filter((server) => server.eligible && !server.record.suspected);
+  return trusted.length > 0 ? trusted : servers;
 }
 
 /** A straggler that a short request may try, so that its recovery is noticed. */
@@ -94,21 +161,26 @@
   const { profile } = request;
   const service = step.state.services.get(profile.service);
   const pool = step.pool(profile.service).filter((server) => server.eligible);
-  const anchor = placement.anchorOf(profile.prefixChain);
-  const ranked = placement.rankServers(
-    anchor,
-    pool.map((server) => server.record.id),
-  );
+  const anchorDepth = placement.anchorDepth(profile.prefixChain.length);
+  const anchor = profile.prefixChain[anchorDepth - 1] ?? '';
+  const wide = profile.prefixChain[placement.wideDepth(profile.prefixChain.length) - 1];
+  const serverIds = pool.map((server) => server.record.id);
+  const ranked =
+    wide === undefined
+      ? placement.rankServers(anchor, serverIds)
+      : placement.rankNested(
+          wide,
+          WIDE_RESERVE + placement.spread(step.state.heat, wide, pool.length, step.at),
+          anchor,
+          serverIds,
+        );
   const total = pool.reduce((sum, server) => sum + placement.totalWork(server.load).requests, 0);
   return {
     slots: service?.slotsPerRunner ?? 1,
-    prefillTokensPerSecond:
-      service?.type === configuration.ServiceType.ModelEngine
-        ? service.prefillTokensPerSecond
-        : PLAIN_TOKENS_PER_SECOND,
+    prefillTokensPerSecond: prefillRate(service),
     ranks: new Map(ranked.map((serverId, rank) => [serverId, rank])),
-    spread:
-      anchor === '' ? pool.length : placement.spread(step.state.heat, anchor, pool.length, step.at),
+    spread: homes(step, pool, ranked, anchor, total / Math.max(1, pool.length)),
+    sharedPieces: Math.max(anchorDepth, profile.prefixChain.length - 1),
     meanRequests: total / Math.max(1, pool.length),
     request: {
       promptTokens: profile.promptTokens,
@@ -121,6 +193,12 @@
   };
 }
 
+function prefillRate(service: configuration.ServiceDocument | undefined): number {
+  return service?.type === configuration.ServiceType.ModelEngine
+    ? service.prefillTokensPerSecond
+    : PLAIN_TOKENS_PER_SECOND;
+}
+
 function evaluate(
   step: steps.Step,
   context: Context,
@@ -146,7 +224,7 @@
     load: server.load,
     slots: context.slots,
     prefillTokensPerSecond: context.prefillTokensPerSecond,
-    cachedTokens,
+    cachedTokens: Math.max(cachedTokens, assumedTokens(context, request, serverId)),
     rank: context.ranks.get(serverId) ?? context.ranks.size,
     spread: context.spread,
     meanRequests: context.meanRequests,
@@ -164,6 +242,41 @@
   };
 }
 
+/**
+ * How many servers of the rendezvous order are homes of the prefix now. One that is in demand gets the
+ * next server too while its homes have more than their share of the load; the copy pays for itself.
+ */
+function homes(
+  step: steps.Step,
+  pool: readonly state.ServerState[],
+  ranked: readonly string[],
+  anchor: string,
+  meanRequests: number,
+): number {
+  if (anchor === '') {
+    return pool.length;
+  }
+  const spread = placement.spread(step.state.heat, anchor, pool.length, step.at);
+  const limit = Math.min(
+    ranked.length,
+    spread + placement.extraHomes(step.state.heat, anchor, step.at),
+  );
+  const bound = placement.loadBound(meanRequests);
+  const firstFree = ranked.findIndex((serverId, rank) => {
+    const server = step.state.servers.get(serverId)!;
+    return rank >= spread - 1 && placement.totalWork(server.load).requests < bound;
+  });
+  return firstFree < 0 ? limit : Math.min(limit, Math.max(spread, firstFree + 1));
+}
+
+/** Other daemons send the prefix to its homes too, so that these probably have it even if it is not known. */
+function assumedTokens(context: Context, request: state.RequestState, serverId: string): number {
+  const rank = context.ranks.get(serverId) ?? context.ranks.size;
+  return rank < context.spread && request.profile.prefixChain.length > 0
+    ? context.sharedPieces * prefix.TOKENS_PER_PIECE * HOME_PROBABILITY
+    : 0;
+}
+
 /** Equal costs are decided by chance, so that daemons do not all pick the same server. */
 function pickCheapest(step: steps.Step, choices: readonly Choice[]): Choice {
   const cheapest = Math.min(...choices.map((choice) => choice.cost));
@@ -172,6 +285,17 @@
 }
 
 const TIE_MILLISECONDS = 1;
+/** A wait must save at least this much. */
+const MARGIN_MILLISECONDS = 50;
+/** Part of the time until the deadline for which a request waits for a better server. */
+const PATIENT_FRACTION = 0.6;
+/** With fewer servers ready than this, the service is saturated. */
+const READY_FRACTION = 0.34;
 const PROBE_INTERVAL_MILLISECONDS = 5_000;
 /** Plain services have no prompt; any positive number gives a prefill cost of 0. */
 const PLAIN_TOKENS_PER_SECOND = 1;
+/** Most requests find their prefix at its home; the rest are the first ones of a session. */
+const HOME_PROBABILITY = 0.9;
+
+/** Servers that a wide prefix has beyond its demand, so that its deep prefixes can spread a little. */
+const WIDE_RESERVE = 1;
--- a/src/decision/deadline-check.ts
+++ b/src/decision/deadline-check.ts
@@ -2,6 +2,8 @@
 import * as placement from '../placement';
 import * as verdict from '../verdict';
 import * as arrivalCheck from './arrival-check';
+import * as choosing from './choosing';
+import * as serviceTiming from './service-timing';
 import type * as state from './state';
 import type * as steps from './step';
 
@@ -16,22 +18,27 @@
   ): verdict.RequestFailure | undefined {
     const wait = expectedWait(step, request);
     const available = request.profile.firstTokenDeadline - step.at;
-    const timing = step.state.serviceTimings.get(request.profile.service);
-    const needed = wait * WAIT_SAFETY + (timing?.firstPieceMilliseconds ?? 0);
+    const timing = serviceTiming.of(step, request.profile.service);
+    const needed = wait * timing.waitSafety + timing.firstPieceMilliseconds;
     if (available > 0 && (wait === 0 || needed <= available)) {
       return undefined;
     }
-    return verdict.failure(
-      verdict.FailureReason.DeadlineUnreachable,
-      verdict.Verdict.NotRun,
-      'The first token cannot be produced before the deadline.',
-      { retryAfterMilliseconds: retryAfter(needed - available) },
-    );
+    return unreachable(needed - available);
   }
 }
 
+/** The failure of a request whose first token would come too late. */
+export function unreachable(milliseconds: number): verdict.RequestFailure {
+  return verdict.failure(
+    verdict.FailureReason.DeadlineUnreachable,
+    verdict.Verdict.NotRun,
+    'The first token cannot be produced before the deadline.',
+    { retryAfterMilliseconds: retryAfter(milliseconds) },
+  );
+}
+
 /** The time after which a resend has a chance, within bounds that are useful to a caller. */
-export function retryAfter(milliseconds: number): number {
+function retryAfter(milliseconds: number): number {
   return Math.round(
     Math.min(
       MAXIMUM_RETRY_AFTER_MILLISECONDS,
@@ -40,26 +47,38 @@
   );
 }
 
-/** The expected time in the queue; 0 while there are free slots and nobody waits. */
+/** The expected time in the queue; 0 when the request can be dispatched at once. */
 function expectedWait(step: steps.Step, request: state.RequestState): number {
-  const { service, team } = request.profile;
-  const slots = step.state.services.get(service)?.slotsPerRunner ?? 1;
-  const queue = step.queue(service);
-  let own = 0;
-  let free = 0;
-  step.pool(service).forEach((server) => {
-    own += server.load.own.requests;
-    free += server.eligible ? Math.max(0, slots - placement.totalWork(server.load).requests) : 0;
-  });
-  if (free > 0 && admission.isEmpty(queue, request.lane)) {
+  const target = choosing.findTarget(step, request);
+  if (target === undefined || target.ready) {
     return 0;
   }
+  return Math.max(fairWait(step, request), targetWait(step, request, target.server));
+}
+
+/** The wait for a slot anywhere, behind the other requests of this daemon. */
+function fairWait(step: steps.Step, request: state.RequestState): number {
+  const { service, team } = request.profile;
+  const own = step.pool(service).reduce((sum, server) => sum + server.load.own.requests, 0);
   const share = step.state.shares.get(team, 1);
-  const stretch = step.state.serviceTimings.get(service)?.stretch ?? 1;
-  return admission.expectedWait(queue, request.lane, team, share, own) * stretch;
+  const { stretch } = serviceTiming.of(step, service);
+  return admission.expectedWait(step.queue(service), request.lane, team, share, own) * stretch;
+}
+
+/** The wait for the best server, of which this daemon gets the part that its running requests have. */
+function targetWait(
+  step: steps.Step,
+  request: state.RequestState,
+  server: state.ServerState,
+): number {
+  const { service } = request.profile;
+  const slots = step.state.services.get(service)?.slotsPerRunner ?? 1;
+  const total = Math.max(1, placement.totalWork(server.load).requests);
+  const part = Math.max(1, server.load.own.requests) / total;
+  const { stretch } = serviceTiming.of(step, service);
+  const backlog = admission.backlogFor(step.queue(service), server.record.id);
+  return (backlog * stretch) / (slots * part);
 }
 
-/** The estimate of the wait has an error of about this size. */
-const WAIT_SAFETY = 1.2;
 const MINIMUM_RETRY_AFTER_MILLISECONDS = 100;
 const MAXIMUM_RETRY_AFTER_MILLISECONDS = 30_000;
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -1,9 +1,12 @@
 import * as admission from '../admission';
 import * as health from '../health';
+import * as placement from '../placement';
 import * as choosing from './choosing';
 import * as arrival from './arrival';
+import * as deadlineCheck from './deadline-check';
 import * as effect from './effect';
 import * as ending from './ending';
+import * as serviceTiming from './service-timing';
 import * as slots from './slots';
 import type * as state from './state';
 import type * as steps from './step';
@@ -24,19 +27,22 @@
   choice: choosing.Choice,
   hedge: boolean,
 ): void {
-  const { requestId } = request.profile;
+  const { requestId, prefixChain } = request.profile;
+  const { incarnation } = choice.server;
   const serverId = choice.server.record.id;
   const attempt: state.AttemptState = {
     attemptId: `${requestId}/${request.attemptCount}`,
     serverId,
-    incarnation: choice.server.incarnation,
+    incarnation,
     dispatchedAt: step.at,
     hedge,
     suspect: choosing.isSuspect(step, request),
     expectedMilliseconds: choice.expectedMilliseconds,
     prefillTokens: Math.max(0, request.profile.promptTokens - choice.cachedTokens),
+    lastSeen: placement.lastSeen(step.state.index, serverId, incarnation, prefixChain),
     nextPiece: request.nextPiece,
   };
+  expectCached(step, serverId, incarnation, prefixChain);
   slots.occupy(step, request, attempt);
   step.setRequest({
     ...request,
@@ -56,6 +62,19 @@
   });
 }
 
+function expectCached(
+  step: steps.Step,
+  serverId: string,
+  incarnation: string | undefined,
+  chain: readonly string[],
+): void {
+  if (incarnation !== undefined && chain.length > 0) {
+    step.change({
+      index: placement.learnDispatch(step.state.index, serverId, incarnation, chain, step.at),
+    });
+  }
+}
+
 function dispatchLane(step: steps.Step, service: string, lane: admission.Lane): void {
   let progressed = true;
   while (progressed) {
@@ -82,9 +101,28 @@
   if (choice === undefined) {
     return false;
   }
+  if (isTooLate(step, request, choice)) {
+    serviceTiming.raiseSafety(step, service);
+    ending.fail(step, request, deadlineCheck.unreachable(step.at - request.arrivedAt));
+    return true;
+  }
+  serviceTiming.lowerSafety(step, service);
   step.setQueue(service, admission.take(step.queue(service), entry));
   dispatch(step, request, choice, false);
   return true;
 }
 
+/** Work for a caller that no longer waits would delay the requests that can still be in time. */
+function isTooLate(
+  step: steps.Step,
+  request: state.RequestState,
+  choice: choosing.Choice,
+): boolean {
+  return (
+    request.attemptCount === 0 &&
+    step.at > request.arrivedAt &&
+    step.at + choice.expectedMilliseconds > request.profile.firstTokenDeadline
+  );
+}
+
 const LANES = [admission.Lane.Short, admission.Lane.Long];
--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -6,6 +6,7 @@
 import * as ending from './ending';
 import type * as event from './event';
 import * as fleet from './fleet';
+import * as serviceTiming from './service-timing';
 import * as slots from './slots';
 import type * as state from './state';
 import type * as steps from './step';
@@ -18,7 +19,7 @@
   }
   const { request, attempt } = found;
   fleet.observeIncarnation(step, attempt.serverId, given.incarnation);
-  learnCache(step, request, attempt.serverId, given);
+  learnCache(step, request, attempt, given);
   const service = step.state.services.get(request.profile.service);
   if (service?.type === configuration.ServiceType.ModelEngine) {
     const uncached = Math.max(0, given.promptTokens - given.cachedTokens);
@@ -103,10 +104,11 @@
 function learnCache(
   step: steps.Step,
   request: state.RequestState,
-  serverId: string,
+  attempt: state.AttemptState,
   given: event.AnswerStarted,
 ): void {
   const { service, prefixChain } = request.profile;
+  const { serverId, lastSeen } = attempt;
   const document = step.state.services.get(service);
   const server = step.state.servers.get(serverId);
   if (
@@ -123,6 +125,7 @@
       incarnation: given.incarnation,
       chain: prefixChain,
       cachedPieces: Math.floor(given.cachedTokens / prefix.TOKENS_PER_PIECE),
+      lastSeen,
       at: step.at,
     }),
   });
@@ -135,11 +138,13 @@
 ): void {
   slots.endPrefill(step, attempt);
   const elapsed = step.at - attempt.dispatchedAt;
-  const ratio = elapsed / (attempt.expectedMilliseconds + EXPECTED_BASE_MILLISECONDS);
+  const ratio =
+    (elapsed + EXPECTED_BASE_MILLISECONDS) /
+    (attempt.expectedMilliseconds + EXPECTED_BASE_MILLISECONDS);
   step.change({
     timings: health.recordFirstPiece(step.state.timings, attempt.serverId, ratio, step.at),
   });
-  changeTiming(step, request.profile.service, (timing) => ({
+  serviceTiming.change(step, request.profile.service, (timing) => ({
     ...timing,
     firstPieceMilliseconds:
       timing.firstPieceMilliseconds + GAIN * (elapsed - timing.firstPieceMilliseconds),
@@ -154,23 +159,13 @@
   const { profile } = request;
   const cost = arrival.costOf(step.state.services.get(profile.service), profile);
   const stretch = (step.at - attempt.dispatchedAt) / Math.max(1, cost);
-  changeTiming(step, profile.service, (timing) => ({
+  serviceTiming.change(step, profile.service, (timing) => ({
     ...timing,
     stretch: timing.stretch + GAIN * (stretch - timing.stretch),
   }));
 }
 
-function changeTiming(
-  step: steps.Step,
-  service: string,
-  change: (timing: state.ServiceTiming) => state.ServiceTiming,
-): void {
-  const timing = step.state.serviceTimings.get(service, NEW_SERVICE);
-  step.change({ serviceTimings: step.state.serviceTimings.set(service, change(timing)) });
-}
-
-const NEW_SERVICE: state.ServiceTiming = { firstPieceMilliseconds: 0, stretch: 1 };
 /** Smooths over about 20 requests. */
-const GAIN = 0.05;
-/** Network and one engine step, so that ratios of very short times are not noise. */
-const EXPECTED_BASE_MILLISECONDS = 100;
+const GAIN = 0.1;
+/** The unknown work of other daemons delays a first piece by about this; less is not a sign of a straggler. */
+const EXPECTED_BASE_MILLISECONDS = 500;
--- a/src/decision/standard-filters.ts
+++ b/src/decision/standard-filters.ts
@@ -1,11 +1,17 @@
 import type * as candidateFilter from './candidate-filter';
 import * as eligibleFilter from './eligible-filter';
 import * as isolationFilter from './isolation-filter';
+import * as prefillFilter from './prefill-filter';
 import * as slotFilter from './slot-filter';
 
-/** The filters that the daemon uses. */
-export const STANDARD_FILTERS: readonly candidateFilter.CandidateFilter[] = [
+/** Which servers a request may run at. */
+export const PERMISSION_FILTERS: readonly candidateFilter.CandidateFilter[] = [
   new eligibleFilter.EligibleFilter(),
-  new slotFilter.SlotFilter(),
   new isolationFilter.IsolationFilter(),
 ];
+
+/** Which of them can take it now. */
+export const READINESS_FILTERS: readonly candidateFilter.CandidateFilter[] = [
+  new slotFilter.SlotFilter(),
+  new prefillFilter.PrefillFilter(),
+];
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -22,6 +22,8 @@
   readonly expectedMilliseconds: number;
   /** Prompt tokens counted as waiting for prefill at the server; 0 after the first piece. */
   readonly prefillTokens: number;
+  /** What the prefix index knew about the prompt's pieces at the dispatch. */
+  readonly lastSeen: placement.LastSeen;
   /** When the last piece arrived. */
   readonly lastPieceAt?: number;
   /** Number of the next piece of this attempt. */
@@ -67,6 +69,8 @@
   readonly firstPieceMilliseconds: number;
   /** Time that a request occupied a slot, divided by its estimated cost. */
   readonly stretch: number;
+  /** Factor on expected waits; rises when requests expire in the queue, and falls slowly. */
+  readonly waitSafety: number;
 }
 
 /** The whole state of the decision core of one daemon. */
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -24,7 +24,9 @@
 ): transaction.Transaction<state.DecisionState, effect.DecisionEffect> {
   const step = new steps.Step(start, given.at);
   apply(step, given);
-  dispatching.dispatchQueued(step);
+  if (given.kind !== event.DecisionEventKind.PieceReceived) {
+    dispatching.dispatchQueued(step);
+  }
   return step.transaction();
 }
 
--- a/src/placement/affinity-cost.ts
+++ b/src/placement/affinity-cost.ts
@@ -6,7 +6,7 @@
  */
 export class AffinityCost extends costRule.CostRule {
   override milliseconds(request: costRule.PlacementRequest, candidate: costRule.Candidate): number {
-    const bound = Math.max(MINIMUM_BOUND, candidate.meanRequests * LOAD_BOUND);
+    const bound = loadBound(candidate.meanRequests);
     const overloaded = candidate.load.own.requests + candidate.load.others.requests >= bound;
     if (candidate.rank < candidate.spread && !overloaded) {
       return 0;
@@ -17,12 +17,17 @@
   }
 }
 
+/** The number of requests from which a home has more than its share. */
+export function loadBound(meanRequests: number): number {
+  return Math.max(MINIMUM_BOUND, meanRequests * LOAD_BOUND);
+}
+
 /** A home may have this many times the mean number of requests. */
 const LOAD_BOUND = 1.5;
 /** Below this many requests a mean is too small to call a server overloaded. */
 const MINIMUM_BOUND = 4;
-/** Part of the rebuilding cost that a displaced prefix causes later. */
-const COPY_FRACTION = 0.5;
+/** The copy displaces another prefix, and daemons that look at the home miss it: one to two rebuilds later. */
+const COPY_FRACTION = 1.5;
 /** Makes daemons overflow to the same next server. */
 const RANK_MILLISECONDS = 20;
 const MAXIMUM_RANK = 8;
--- a/src/placement/anchor.ts
+++ b/src/placement/anchor.ts
@@ -16,5 +16,10 @@
   return STEPS.findLast((step) => step <= Math.max(1, pieces - 1)) ?? 1;
 }
 
-/** Each step is 1.3 to 2 times the one before, so that a prompt that doubles moves only a few times. */
-const STEPS = [1, 2, 3, 4, 6, 8, 12, 16, 24, 32, 48, 64, 96, 128];
+/** The depth of the shorter prefix, one step above the anchor, that its siblings share. */
+export function wideDepth(pieces: number): number {
+  return STEPS.findLast((step) => step < anchorDepth(pieces)) ?? 0;
+}
+
+/** Each step is twice the one before: with closer steps, more histories have prompts on both sides of one. */
+const STEPS = [1, 2, 4, 8, 16, 32, 64, 128];
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,4 +1,5 @@
 /** Where a request should run: learned prefix index, rendezvous hashing, load and added-up costs. */
+export * from './affinity-cost';
 export * from './anchor';
 export * from './cost-rule';
 export * from './heat';
--- a/src/placement/prefix-index.ts
+++ b/src/placement/prefix-index.ts
@@ -24,9 +24,14 @@
   readonly chain: readonly string[];
   /** Pieces at the start of the chain that were cached. */
   readonly cachedPieces: number;
+  /** When each piece was last known to be cached, as of the dispatch. */
+  readonly lastSeen: LastSeen;
   readonly at: number;
 }
 
+/** For each piece of a chain, when it was last known to be cached. */
+export type LastSeen = readonly (number | undefined)[];
+
 /** Engines evict within seconds; the lifetime is corrected by answers from this start. */
 const INITIAL_LIFETIME_MILLISECONDS = 15_000;
 
@@ -60,6 +65,39 @@
   return depth;
 }
 
+/** When each piece of a chain was last known to be cached at an incarnation of a server. */
+export function lastSeen(
+  index: PrefixIndex,
+  serverId: string,
+  incarnation: string | undefined,
+  chain: readonly string[],
+): LastSeen {
+  const entries = index.servers.get(serverId);
+  return entries?.incarnation === incarnation
+    ? chain.map((hash) => entries?.pieces.get(hash))
+    : chain.map(() => undefined);
+}
+
+/**
+ * Notes that a request was sent: once its prefill is done, its whole chain is cached at the server. The
+ * next request with the same prefix must not wait for the answer to know that.
+ */
+export function learnDispatch(
+  index: PrefixIndex,
+  serverId: string,
+  incarnation: string,
+  chain: readonly string[],
+  at: number,
+): PrefixIndex {
+  const known = index.servers.get(serverId);
+  const before =
+    known?.incarnation === incarnation ? known.pieces : immutable.Map<string, number>();
+  const pieces = before.withMutations((mutable) => {
+    chain.forEach((hash) => mutable.set(hash, at));
+  });
+  return { ...index, servers: index.servers.set(serverId, { incarnation, pieces }) };
+}
+
 /**
  * Learns from an answer. After it, the whole chain is cached at the server; what was cached before it
  * shows whether entries of that age survive.
@@ -69,15 +107,9 @@
  */
 export function learnAnswer(index: PrefixIndex, observation: CacheObservation): PrefixIndex {
   const { serverId, incarnation, chain, at } = observation;
-  const known = index.servers.get(serverId);
-  const pieces =
-    known?.incarnation === incarnation ? known.pieces : immutable.Map<string, number>();
-  const learned = pieces.withMutations((mutable) => {
-    chain.forEach((hash) => mutable.set(hash, at));
-  });
   return {
-    servers: index.servers.set(serverId, { incarnation, pieces: learned }),
-    lifetimeMilliseconds: correctLifetime(index.lifetimeMilliseconds, pieces, observation),
+    ...learnDispatch(index, serverId, incarnation, chain, at),
+    lifetimeMilliseconds: correctLifetime(index.lifetimeMilliseconds, observation),
   };
 }
 
@@ -123,7 +155,7 @@
 export function pruneIndex(index: PrefixIndex, at: number): PrefixIndex {
   const oldest = at - index.lifetimeMilliseconds;
   const servers = index.servers.map((entries) => {
-    const pieces = entries.pieces.filter((lastSeen) => lastSeen >= oldest);
+    const pieces = entries.pieces.filter((seen) => seen >= oldest);
     return pieces.size === entries.pieces.size ? entries : { ...entries, pieces };
   });
   return { ...index, servers };
@@ -133,14 +165,10 @@
  * Moves the lifetime towards the age of an entry that contradicts it. The first piece after the cached
  * ones was evicted; the last cached one survived.
  */
-function correctLifetime(
-  lifetime: number,
-  pieces: immutable.Map<string, number>,
-  observation: CacheObservation,
-): number {
+function correctLifetime(lifetime: number, observation: CacheObservation): number {
   const age = (depth: number) => {
-    const lastSeen = pieces.get(observation.chain[depth - 1]);
-    return lastSeen === undefined ? undefined : observation.at - lastSeen;
+    const seen = observation.lastSeen[depth - 1];
+    return seen === undefined ? undefined : observation.at - seen;
   };
   const evictedAge = age(observation.cachedPieces + 1);
   const survivedAge = age(observation.cachedPieces);
--- a/src/placement/rendezvous.ts
+++ b/src/placement/rendezvous.ts
@@ -29,6 +29,27 @@
     .map((ranked) => ranked.serverId);
 }
 
+/**
+ * Orders servers for a prefix that is nested in a shorter, wider shared one. The wide prefix has `width`
+ * servers, and the deep one has its home among these, so that a new deep prefix finds the wide one cached.
+ *
+ * @example
+ * rankNested('rules', 2, 'history', serverIds)[0]; // one of the two first servers of 'rules'
+ */
+export function rankNested(
+  wideKey: string,
+  width: number,
+  deepKey: string,
+  serverIds: readonly string[],
+): string[] {
+  const wide = new Set(rankServers(wideKey, serverIds).slice(0, width));
+  const ranked = rankServers(deepKey, serverIds);
+  return [
+    ...ranked.filter((serverId) => wide.has(serverId)),
+    ...ranked.filter((serverId) => !wide.has(serverId)),
+  ];
+}
+
 function weigh(keyHash: number, serverId: string): number {
   // eslint-disable-next-line no-bitwise
   return mix(keyHash ^ hashText(serverId));
--- a/src/placement/server-load.ts
+++ b/src/placement/server-load.ts
@@ -20,6 +20,8 @@
   /** Own requests of the class for long work. */
   readonly ownLong: number;
   readonly others: Work;
+  /** When the report about the others was measured. */
+  readonly measuredAt: number;
   /** Own work after each change, oldest first. */
   readonly samples: immutable.List<Sample>;
 }
@@ -35,6 +37,7 @@
   own: NO_WORK,
   ownLong: 0,
   others: NO_WORK,
+  measuredAt: 0,
   samples: immutable.List<Sample>(),
 };
 
@@ -68,6 +71,7 @@
   const then = ownAt(load, measurement.measuredAt);
   return {
     ...load,
+    measuredAt: measurement.measuredAt,
     others: {
       requests: Math.max(0, measurement.requests - then.requests),
       prefillTokens: Math.max(0, measurement.prefillTokens - then.prefillTokens),
@@ -75,6 +79,15 @@
   };
 }
 
+/**
+ * Drops what an old report said about other daemons. If reports stop, the work that they counted would
+ * otherwise keep slots closed for ever.
+ */
+export function expireMeasurement(load: ServerLoad, at: number): ServerLoad {
+  const isOld = at - load.measuredAt > EXPIRY_MILLISECONDS;
+  return isOld && load.others !== NO_WORK ? { ...load, others: NO_WORK } : load;
+}
+
 /** The estimate of all work at the server now. */
 export function totalWork(load: ServerLoad): Work {
   return {
@@ -89,3 +102,5 @@
 
 /** Reports are up to 2 s late; work older than this needs no history. */
 const HISTORY_MILLISECONDS = 4_000;
+/** Reports come several times a second and are up to 2 s late. */
+const EXPIRY_MILLISECONDS = 5_000;
