--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -46,6 +46,8 @@
 
   private readonly dialers = new Map<string, Dialer>();
 
+  private readonly endedTraffic = new Map<string, link.LinkTraffic>();
+
   private ownAddress = '';
 
   private closed = false;
@@ -70,18 +72,23 @@
     this.server.on('error', (error) =>
       logger.error('peer listener failed', { reason: error.message }),
     );
-    const { port } = this.server.address() as net.AddressInfo;
+    const port = this.listeningPort;
     this.ownAddress = this.options.advertisedAddress ?? addresses.formatAddress(listenHost, port);
     return this.ownAddress;
   }
 
+  /** The port of the listening socket, which differs from that of an advertised address. */
+  get listeningPort(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
   get address(): string {
     return this.ownAddress;
   }
 
-  /** Keeps a link to each address; the own address is skipped. */
+  /** Keeps one link to each address, however often it is given; the own address is skipped. */
   connect(peerAddresses: readonly string[]): void {
-    peerAddresses
+    [...new Set(peerAddresses)]
       .filter((address) => address !== this.ownAddress && !this.dialers.has(address))
       .forEach((address) => {
         const dialer = { address, failures: 0 };
@@ -121,6 +128,13 @@
     return [...new Set(found)];
   }
 
+  /** Bytes of all links to each peer by daemon id, ended links included. */
+  traffic(): ReadonlyMap<string, link.LinkTraffic> {
+    const sums = new Map(this.endedTraffic);
+    this.links.forEach((entry) => addTraffic(sums, entry.peer, entry.traffic));
+    return sums;
+  }
+
   async close(): Promise<void> {
     this.closed = true;
     this.dialers.forEach((dialer) => dialer.timer?.cancel());
@@ -188,7 +202,8 @@
     try {
       this.handlers.onMessage(from.peer!, message);
     } catch (error) {
-      from.close(link.LinkCloseReason.Malformed, (error as Error).message);
+      const detail = (error as Error).message.slice(0, MAXIMUM_DETAIL_CHARACTERS);
+      from.close(link.LinkCloseReason.Malformed, detail);
     }
   }
 
@@ -199,6 +214,7 @@
     dialer?: Dialer,
   ): void {
     const { peer, remote } = ended;
+    addTraffic(this.endedTraffic, peer, ended.traffic);
     this.links.delete(ended);
     if (this.closed) {
       return;
@@ -216,9 +232,25 @@
 
 const logger = new logging.Logger('wire');
 
+const MAXIMUM_DETAIL_CHARACTERS = 300;
+
 // While the peer's own connection is in use, its end is noticed at the longest reconnect delay.
 const RECHECK_FAILURES = 10;
 
+function addTraffic(
+  sums: Map<string, link.LinkTraffic>,
+  peer: handshake.PeerIdentity | undefined,
+  traffic: link.LinkTraffic,
+): void {
+  if (peer !== undefined) {
+    const { sentBytes = 0, receivedBytes = 0 } = sums.get(peer.daemonId) ?? {};
+    sums.set(peer.daemonId, {
+      sentBytes: sentBytes + traffic.sentBytes,
+      receivedBytes: receivedBytes + traffic.receivedBytes,
+    });
+  }
+}
+
 const EXPECTED_REASONS = new Set([
   link.LinkCloseReason.EndedByPeer,
   link.LinkCloseReason.OwnConnection,
