Relay configuration inside an availability zone; test the replacement of voters

Cause: every daemon asked the first daemon that announced a revision, which at the design scale is a replica for all of them.

Change: only the daemon with the lowest id asks across the border of its zone; the others follow after 500 ms if it does not deliver, and a starting daemon does not wait. Unit tests drive the core through replacements.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,6 +12,7 @@
 import * as peerDirectory from './peer-directory';
 import * as peerMessage from './peer-message';
 import * as proposalForwarder from './proposal-forwarder';
+import * as relay from './relay';
 import * as replicaTask from './replica-task';
 
 /** Everything a control node needs to know. */
@@ -61,6 +62,9 @@
 
   private requestedAt = Number.NEGATIVE_INFINITY;
 
+  /** When a peer first announced a revision above the present one. */
+  private behindSince: number | undefined;
+
   private startedAt: number;
 
   private closing: Promise<void> | undefined;
@@ -314,9 +318,25 @@
       this.heardLeader = leader;
       this.leaderMayHaveChanged();
     }
-    const now = this.options.clock.monotonic();
-    const isWaiting = now - this.requestedAt < REQUEST_MILLISECONDS;
-    if (revision > this.store.current.revision && !isWaiting) {
+    if (revision > this.store.current.revision) {
+      this.requestConfiguration(peer);
+    }
+  }
+
+  private requestConfiguration(peer: wire.PeerIdentity): void {
+    const { clock: time, daemonId: ownDaemonId, zone: ownZone } = this.options;
+    const now = time.monotonic();
+    this.behindSince ??= now;
+    const mayRequest = relay.mayRequest({
+      ownDaemonId,
+      ownZone,
+      fromZone: peer.zone,
+      peers: this.directory.status(),
+      behindMilliseconds: now - this.behindSince,
+    });
+    // A daemon that has to become ready does not wait for others of its zone.
+    const isStarting = now - this.startedAt < READY_MILLISECONDS;
+    if ((mayRequest || isStarting) && now - this.requestedAt >= REQUEST_MILLISECONDS) {
       this.requestedAt = now;
       this.network.send(peer.address, {
         kind: peerMessage.PeerMessageKind.ConfigurationRequest,
@@ -363,6 +383,7 @@
   private changed(isNew: boolean): void {
     if (isNew) {
       this.requestedAt = Number.NEGATIVE_INFINITY;
+      this.behindSince = undefined;
       this.network.announce();
     }
   }
--- /dev/null
+++ b/test/replica/replacement.test.ts
@@ -0,0 +1,73 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as replica from '../../src/replica';
+import * as builder from './replica-builder';
+
+const suite = uvu.suite('replacement of a voter');
+const { MessageKind } = replica;
+const [, FOLLOWER, LOST] = builder.MEMBERS;
+const { REPLACEMENT } = builder;
+const TERM = 3;
+
+function appendReply(matchIndex: number): replica.Body {
+  return { kind: MessageKind.AppendReply, success: true, matchIndex, heartbeat: false };
+}
+
+/** The leader `a` of the group a, b and c; `b` has everything, and `d` asks to join. */
+function leaderWithLearner(): builder.ReplicaBuilder {
+  const leader = builder.ReplicaBuilder.inGroup(0, TERM - 1, []).elect(1);
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(2));
+  return leader.receiveFrom(REPLACEMENT, 0, { kind: MessageKind.Join });
+}
+
+function voterIds(leader: builder.ReplicaBuilder): string {
+  return replica
+    .voters(leader.state)
+    .map((voter) => voter.replicaId)
+    .join('');
+}
+
+/** Guards against a voter without the log, and against two changes whose majorities do not overlap. */
+suite('a learner is added once it has caught up, and only then the lost id is removed', () => {
+  const leader = leaderWithLearner().pass([FOLLOWER, REPLACEMENT]);
+  assert.is(voterIds(leader), 'abc');
+  leader.receiveFrom(REPLACEMENT, TERM, appendReply(2));
+  assert.is(voterIds(leader), 'abcd');
+  leader.pass([FOLLOWER, REPLACEMENT]);
+  assert.is(voterIds(leader), 'abcd', 'second change before the first is committed');
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(3));
+  assert.is(voterIds(leader), 'abcd', 'two of four are no majority');
+  leader.receiveFrom(REPLACEMENT, TERM, appendReply(3));
+  assert.is(voterIds(leader), 'abd');
+});
+
+/** Guards against replacing a voter that is well, when two daemons are given one address. */
+suite('a voter that is heard is not replaced', () => {
+  const leader = leaderWithLearner().pass([FOLLOWER, LOST, REPLACEMENT]);
+  leader.receiveFrom(REPLACEMENT, TERM, appendReply(2)).pass([FOLLOWER, LOST, REPLACEMENT]);
+  assert.is(voterIds(leader), 'abc');
+});
+
+/** Guards against a group of four of which only two are alive, which could commit nothing any more. */
+suite('a learner is not added while the larger group would have no majority', () => {
+  const leader = leaderWithLearner();
+  // No tick has noticed yet that the other voters are silent.
+  leader.now += leader.state.parameters.electionTimeoutMilliseconds;
+  leader.receiveFrom(REPLACEMENT, TERM, appendReply(2));
+  assert.is(leader.state.role, replica.Role.Leader);
+  assert.is(voterIds(leader), 'abc');
+});
+
+/** Guards against a change that a leader of an older term can undo (correction of July 2015 to Raft). */
+suite('no change before an entry of the own term is committed', () => {
+  const snapshot = { index: 1, term: 1, timestamp: 1, group: builder.GROUP, data: Buffer.alloc(0) };
+  const durable = { hardState: { term: TERM - 1 }, snapshot, entries: [] };
+  const leader = new builder.ReplicaBuilder(0, durable).elect(1);
+  leader.receiveFrom(REPLACEMENT, 0, { kind: MessageKind.Join }).pass([FOLLOWER, REPLACEMENT]);
+  leader.receiveFrom(REPLACEMENT, TERM, appendReply(2));
+  assert.is(voterIds(leader), 'abc');
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(2)).tick(10);
+  assert.is(voterIds(leader), 'abcd');
+});
+
+suite.run();
--- a/test/replica/replica-builder.ts
+++ b/test/replica/replica-builder.ts
@@ -5,6 +5,11 @@
   address: `10.0.0.${index}:7000`,
 }));
 
+export const GROUP = { voters: MEMBERS };
+
+/** The replica that took the place of `c` after its disk was lost. */
+export const REPLACEMENT = { replicaId: 'd', address: MEMBERS[2].address };
+
 const REPLICAS = MEMBERS.map((member) => member.address);
 
 /** Drives one replica core by hand. */
@@ -38,12 +43,28 @@
 
   /** Receives a message from another member. */
   receive(from: number, term: number, body: replica.Body): this {
+    return this.receiveFrom(MEMBERS[from], term, body);
+  }
+
+  receiveFrom(from: replica.Member, term: number, body: replica.Body): this {
     const { self } = this.state;
-    const envelope = { from: MEMBERS[from], toAddress: self.address, toId: self.replicaId, term };
+    const envelope = { from, toAddress: self.address, toId: self.replicaId, term };
     const message = { ...envelope, ...body } as replica.Message;
     return this.feed({ kind: replica.EventKind.Receive, message, ...this.context() });
   }
 
+  /** Lets a second pass in which the given replicas answer every heartbeat. */
+  pass(answering: readonly replica.Member[]): this {
+    const body = { kind: replica.MessageKind.AppendReply as const, success: true, matchIndex: 0 };
+    for (let step = 0; step < 10; step += 1) {
+      this.tick(100);
+      answering.forEach((member) =>
+        this.receiveFrom(member, this.state.term, { ...body, heartbeat: true }),
+      );
+    }
+    return this;
+  }
+
   propose(): this {
     const proposals = [{ proposalId: 'p', data: Buffer.from('x') }];
     return this.feed({ kind: replica.EventKind.Propose, proposals, ...this.context() });
@@ -90,6 +111,6 @@
 }
 
 function groupEntry(): replica.Entry {
-  const group = { voters: MEMBERS };
-  return { index: 1, term: 1, timestamp: 1, kind: replica.EntryKind.Group, group };
+  const kind = replica.EntryKind.Group;
+  return { index: 1, term: 1, timestamp: 1, kind, group: GROUP };
 }
