--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -180,6 +180,8 @@
       replicaId: state?.self.replicaId,
       leaderReplicaId: leader?.replicaId,
       term: Math.max(state?.term ?? 0, leader?.term ?? 0),
+      leaseRemainingMilliseconds:
+        state === undefined ? 0 : replica.leaseRemaining(state, this.options.clock.monotonic()),
       commitIndex: state?.commitIndex ?? 0,
       voters: state === undefined ? [] : replica.voters(state).map((voter) => voter.replicaId),
       revision: this.store.current.revision,
@@ -187,6 +189,11 @@
     };
   }
 
+  /** Bytes on the links to each peer by daemon id. */
+  peerTraffic(): ReadonlyMap<string, wire.LinkTraffic> {
+    return this.network.traffic();
+  }
+
   override async ready(): Promise<void> {
     const { clock: time } = this.options;
     while (!this.isCurrent() && time.monotonic() - this.startedAt < READY_MILLISECONDS) {
