--- a/src/bench/comparison.ts
+++ b/src/bench/comparison.ts
@@ -24,7 +24,7 @@
   router: strategy.Strategy,
   requests: readonly workload.BenchRequest[],
   seed: number,
-  incidents: readonly runSimulation.Incident[] = [],
+  options: Pick<runSimulation.RunOptions, 'incidents' | 'resend'> = {},
 ): outcome.RunResult {
   const last = requests[requests.length - 1]?.at ?? 0;
   return runSimulation.runSimulation({
@@ -32,7 +32,7 @@
     strategy: router,
     requests,
     seed,
-    incidents,
+    ...options,
     untilMilliseconds: last + DRAIN_MILLISECONDS,
   });
 }
--- a/src/bench/run-simulation.ts
+++ b/src/bench/run-simulation.ts
@@ -16,6 +16,11 @@
   readonly untilMilliseconds: number;
   /** Things that happen at given times, such as an engine becoming slow. */
   readonly incidents?: readonly Incident[];
+  /** What a caller sends after one of its requests failed; `at` is the time of the resend. */
+  readonly resend?: (
+    failed: workload.BenchRequest,
+    now: number,
+  ) => workload.BenchRequest | undefined;
 }
 
 export interface Incident {
@@ -119,14 +124,15 @@
     const record = outcomes.get(request.requestId)!;
     record.failedAt ??= time.now + place.clientDelayMilliseconds;
     record.failure ??= failure;
+    const again = options.resend?.(request, time.now);
+    if (again !== undefined) {
+      arrive(again);
+    }
   };
 
   const world: strategy.World = { time, place, engines, seed: options.seed, send, fail };
   router.start(world);
-  requests.forEach((request) => {
-    outcomes.set(request.requestId, { request, attempts: 0, hedges: 0 });
-    time.after(request.at + place.clientDelayMilliseconds, () => router.route(request));
-  });
+  requests.forEach(arrive);
   (options.incidents ?? []).forEach((incident) =>
     time.after(incident.at, () => incident.run(engines, router)),
   );
@@ -134,6 +140,12 @@
   time.runUntil(options.untilMilliseconds);
   return { outcomes: [...outcomes.values()], prefills, loads, ...totals };
 
+  function arrive(request: workload.BenchRequest): void {
+    outcomes.set(request.requestId, { request, attempts: 0, hedges: 0 });
+    const delay = request.at - time.now + place.clientDelayMilliseconds;
+    time.after(delay, () => router.route(request));
+  }
+
   /** Samples loads, and brings crashed engines back as the platform would. */
   function watchEngines(): void {
     const known = engines.map(() => true);
--- a/src/decision/hedging.ts
+++ b/src/decision/hedging.ts
@@ -28,8 +28,9 @@
 
 /** How long a first token may take; a server known to be slow gets less time. */
 function patience(step: steps.Step, attempt: state.AttemptState): number {
-  const factor = step.state.slowdowns.has(attempt.serverId) ? 1 : PATIENCE_FACTOR;
-  return attempt.expectedMilliseconds * factor + PATIENCE_MILLISECONDS;
+  return step.state.slowdowns.has(attempt.serverId)
+    ? attempt.expectedMilliseconds + SLOW_PATIENCE_MILLISECONDS
+    : attempt.expectedMilliseconds + PATIENCE_MILLISECONDS;
 }
 
 function hedge(step: steps.Step, request: state.RequestState): void {
@@ -44,5 +45,6 @@
   dispatching.dispatch(step, request, choice, true);
 }
 
-const PATIENCE_FACTOR = 2;
-const PATIENCE_MILLISECONDS = 400;
+const SLOW_PATIENCE_MILLISECONDS = 400;
+/** Unknown work of other daemons delays a first token by up to this; hedges for less use up the budget. */
+const PATIENCE_MILLISECONDS = 1_000;
--- a/src/placement/prefix-index.ts
+++ b/src/placement/prefix-index.ts
@@ -58,11 +58,13 @@
     return 0;
   }
   const oldest = at - index.lifetimeMilliseconds;
-  let depth = chain.length;
-  while (depth > 0 && !((entries.pieces.get(chain[depth - 1]) ?? -Infinity) >= oldest)) {
-    depth -= 1;
-  }
-  return depth;
+  return (
+    1 +
+    chain.findLastIndex((hash) => {
+      const seen = entries.pieces.get(hash);
+      return seen !== undefined && seen >= oldest;
+    })
+  );
 }
 
 /** When each piece of a chain was last known to be cached at an incarnation of a server. */
--- /dev/null
+++ b/test/admission/admission.test.ts
@@ -0,0 +1,93 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as admission from '../../src/admission';
+
+const suite = uvu.suite('admission');
+const { Short } = admission.Lane;
+
+const entry = (team: string, share = 1, number = 0): admission.QueueEntry => ({
+  requestId: `${team}-${number}`,
+  team,
+  lane: Short,
+  priority: 5,
+  costMilliseconds: 1_000,
+  share,
+});
+
+function fill(teams: readonly [team: string, share: number, count: number][]) {
+  return teams
+    .flatMap(([team, share, count]) =>
+      Array.from({ length: count }, (_, number) => entry(team, share, number)),
+    )
+    .reduce(admission.push, admission.EMPTY_QUEUE);
+}
+
+function takeMany(queue: admission.ServiceQueue, count: number): string[] {
+  let rest = queue;
+  return Array.from({ length: count }, () => {
+    const [next] = admission.heads(rest, Short);
+    rest = admission.take(rest, next);
+    return next.team;
+  });
+}
+
+suite('teams are served by their shares, however much one of them asks for', () => {
+  const served = takeMany(
+    fill([
+      ['big', 3, 400],
+      ['small', 1, 40],
+    ]),
+    80,
+  );
+  const small = served.filter((team) => team === 'small').length;
+  assert.ok(small >= 18 && small <= 30, `${small} of 80`);
+});
+
+suite('a small team does not wait for the backlog of a large one', () => {
+  const queue = fill([['big', 1, 200]]);
+  const small = admission.expectedWait(queue, Short, 'small', 1, 8);
+  const big = admission.expectedWait(queue, Short, 'big', 1, 8);
+  assert.is(small, 0);
+  assert.is(big, 25_000);
+});
+
+suite(
+  'removing a queued request leaves no backlog that later requests would be refused for',
+  () => {
+    const queue = admission.remove(
+      admission.push(admission.EMPTY_QUEUE, entry('depot')),
+      entry('depot'),
+    );
+    assert.is(admission.expectedWait(queue, Short, 'depot', 1, 1), 0);
+    assert.is(admission.isEmpty(queue, Short), true);
+  },
+);
+
+suite('a higher priority of the same team goes first, and equal ones keep their order', () => {
+  const queue = [
+    entry('depot', 1, 0),
+    entry('depot', 1, 1),
+    { ...entry('depot', 1, 2), priority: 9 },
+  ].reduce(admission.push, admission.EMPTY_QUEUE);
+  const order = admission.heads(queue, Short).map(({ requestId }) => requestId);
+  assert.equal(order, ['depot-2', 'depot-0', 'depot-1']);
+});
+
+suite('a budget pays for no more than its part of the requests', () => {
+  let budget = admission.HEDGE_BUDGET;
+  let spent = 0;
+  for (let request = 0; request < 1_000; request += 1) {
+    budget = admission.earn(budget);
+    if (admission.affordable(budget)) {
+      budget = admission.spend(budget);
+      spent += 1;
+    }
+  }
+  assert.ok(spent > 40 && spent < 50, `${spent} hedges`);
+});
+
+suite('long work leaves slots free for short work on servers of any size', () => {
+  assert.equal([1, 2, 8, 64].map(admission.longSlots), [1, 1, 5, 40]);
+});
+
+suite.run();
--- /dev/null
+++ b/test/health/health.test.ts
@@ -0,0 +1,70 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as health from '../../src/health';
+
+const suite = uvu.suite('health');
+const { Clear, Suspect, Held, Refused } = health.Standing;
+
+const crash = (quarantine: health.Quarantine, server: string, fingerprints: string[]) =>
+  health.recordCrash(quarantine, health.crashIdOf(server, 'first'), fingerprints, 0);
+
+suite('only the intersection of two crashes is refused', () => {
+  const once = crash(health.EMPTY_QUARANTINE, 'runner-0', ['bad', 'bystander']);
+  assert.is(health.standing(once, 'bad', 0), Suspect);
+  const twice = crash(once, 'runner-1', ['bad', 'other']);
+  assert.equal(
+    ['bad', 'bystander', 'other', 'new'].map((name) => health.standing(twice, name, 0)),
+    [Refused, Suspect, Suspect, Clear],
+  );
+});
+
+suite('reports of several daemons about one crash count once', () => {
+  const reported = crash(crash(health.EMPTY_QUARANTINE, 'runner-0', ['request']), 'runner-0', [
+    'request',
+  ]);
+  assert.is(health.standing(reported, 'request', 0), Suspect);
+});
+
+suite('a request whose connections to two servers broke waits until probes have decided', () => {
+  const lost = ['runner-0', 'runner-1'].reduce(
+    (quarantine, server) =>
+      health.recordLoss(quarantine, 'request', health.crashIdOf(server, 'first'), 0),
+    health.EMPTY_QUARANTINE,
+  );
+  assert.is(health.standing(lost, 'request', 1_000), Held);
+  assert.is(health.standing(lost, 'request', 4_000), Clear);
+});
+
+suite('a suspect that ran to its end is cleared, a refused fingerprint is not', () => {
+  const once = crash(health.EMPTY_QUARANTINE, 'runner-0', ['request']);
+  assert.is(health.standing(health.clear(once, 'request'), 'request', 0), Clear);
+  const twice = crash(once, 'runner-1', ['request']);
+  assert.is(health.standing(health.clear(twice, 'request'), 'request', 0), Refused);
+});
+
+const PEERS = ['runner-0', 'runner-1', 'runner-2', 'runner-3'];
+
+function timings(gaps: readonly number[], at = 0): health.Timings {
+  return gaps.reduce(
+    (all, gap, server) =>
+      [1, 2, 3].reduce((sum) => health.recordPieceGap(sum, PEERS[server], gap, at), all),
+    health.EMPTY_TIMINGS,
+  );
+}
+
+const slowdowns = (known: health.Timings, at = 0) =>
+  PEERS.map((server) => health.slowdown(known, server, PEERS, at));
+
+suite('a server much slower than its peers is a straggler after three samples', () => {
+  assert.equal(slowdowns(timings([100, 100, 800, 110])), [1, 1, 8, 1]);
+});
+
+suite('a general rise of load makes no server a straggler', () => {
+  assert.equal(slowdowns(timings([800, 700, 900, 800])), [1, 1, 1, 1]);
+});
+
+suite('a straggler without work counts as recovered at last, else it is lost for ever', () => {
+  assert.equal(slowdowns(timings([100, 100, 800, 100]), 31_000), [1, 1, 1, 1]);
+});
+
+suite.run();
