--- /dev/null
+++ b/src/replica/snapshotting.ts
@@ -0,0 +1,138 @@
+import * as immutable from 'immutable';
+import type * as events from './event';
+import * as logs from './log';
+import * as message from './message';
+import * as progresses from './progress';
+import * as roles from './role';
+import * as sending from './sending';
+import * as states from './state';
+import * as steps from './step';
+
+/** Stores the adapter's snapshot and drops old entries except a few that slow followers may need. */
+export function onSnapshotTaken(step: steps.Step, taken: events.SnapshotTaken): steps.Step {
+  const { state } = step;
+  const base = logs.at(state.log, taken.index);
+  const inForce = state.groups.filter((known) => known.index <= taken.index).last();
+  const isUsable =
+    base !== undefined &&
+    taken.index <= state.commitIndex &&
+    taken.index > (state.snapshot?.index ?? 0) &&
+    !isTransferring(step);
+  if (!isUsable || inForce === undefined) {
+    return step;
+  }
+  const { index, term, timestamp } = base;
+  const snapshot = { index, term, timestamp, group: inForce.group, data: taken.data };
+  const compactTo = Math.max(state.log.baseIndex, index - state.parameters.trailingEntries);
+  return steps.withState(step, { snapshot, log: logs.compact(state.log, compactTo) });
+}
+
+/**
+ * Whether a replica that answers is receiving the present snapshot. A newer one would start the transfer
+ * again, and under constant load the replica would never catch up.
+ */
+function isTransferring(step: steps.Step): boolean {
+  const { progress, log, parameters } = step.state;
+  return [...progress.values()].some(
+    ({ member, nextIndex }) =>
+      nextIndex <= log.baseIndex &&
+      progresses.isRecent(step, member.replicaId, parameters.electionTimeoutMilliseconds),
+  );
+}
+
+/** Collects chunks; the last one replaces the log and the state machine's state. */
+export function onChunk(step: steps.Step, chunk: message.SnapshotChunk): steps.Step {
+  if (chunk.term < step.state.term) {
+    return step;
+  }
+  const followed = roles.follow(step, chunk.from);
+  const { state } = followed;
+  if (chunk.index <= state.commitIndex) {
+    return answer(followed, chunk, chunk.totalBytes, true);
+  }
+  const collected = collect(state.incoming, chunk);
+  const received = collected.receivedBytes;
+  if (received < chunk.totalBytes) {
+    return answer(steps.withState(followed, { incoming: collected }), chunk, received, false);
+  }
+  return answer(install(followed, chunk, collected), chunk, received, true);
+}
+
+export function onChunkReply(step: steps.Step, reply: message.SnapshotReply): steps.Step {
+  const { state, context } = step;
+  const known = state.progress.get(reply.from.replicaId);
+  if (state.role !== states.Role.Leader || reply.term !== state.term || known === undefined) {
+    return step;
+  }
+  const heard = { ...known, heardAt: context.now };
+  // Only the answer to the chunk in flight counts: sending again on a duplicate would multiply messages.
+  const isCurrent = reply.index === known.snapshotIndex && reply.offset === known.snapshotOffset;
+  const isFirst = isCurrent && known.sentAt !== undefined;
+  const progress = isFirst ? advance(heard, reply) : heard;
+  return sending.sendNext(progresses.withProgress(step, progress), known.member.replicaId);
+}
+
+function advance(known: states.Progress, reply: message.SnapshotReply): states.Progress {
+  const snapshotOffset = reply.installed ? 0 : reply.receivedBytes;
+  const matchIndex = reply.installed ? Math.max(known.matchIndex, reply.index) : known.matchIndex;
+  const nextIndex = Math.max(known.nextIndex, matchIndex + 1);
+  return { ...known, matchIndex, nextIndex, snapshotOffset, sentAt: undefined };
+}
+
+function collect(
+  incoming: states.IncomingSnapshot | undefined,
+  chunk: message.SnapshotChunk,
+): states.IncomingSnapshot {
+  const { index, snapshotTerm: term } = chunk;
+  const isContinued = incoming?.index === index && incoming.term === term;
+  const base = isContinued
+    ? incoming
+    : { index, term, chunks: immutable.List<Uint8Array>(), receivedBytes: 0 };
+  if (chunk.offset !== base.receivedBytes) {
+    return base;
+  }
+  return {
+    ...base,
+    chunks: base.chunks.push(chunk.data),
+    receivedBytes: base.receivedBytes + chunk.data.length,
+  };
+}
+
+function install(
+  step: steps.Step,
+  chunk: message.SnapshotChunk,
+  collected: states.IncomingSnapshot,
+): steps.Step {
+  const { state } = step;
+  const { index, snapshotTerm: term, timestamp, group } = chunk;
+  const data = Buffer.concat([...collected.chunks]);
+  const snapshot = { index, term, timestamp, group, data };
+  // Entries after the snapshot are kept when the log agrees with it; otherwise they are dropped on disk too.
+  const isAgreed = logs.termAt(state.log, index) === term;
+  const log: logs.Log = isAgreed
+    ? logs.compact(state.log, index)
+    : { ...logs.EMPTY_LOG, baseIndex: index, baseTerm: term, baseTimestamp: timestamp };
+  const later = logs.slice(log, index + 1, logs.lastIndex(log));
+  const groups = states.groupsAfter(immutable.List([{ index, group }]), index, later);
+  const changes = { snapshot, log, groups, commitIndex: index, incoming: undefined };
+  return roles.refreshRole({
+    ...steps.withState(step, changes),
+    changedFrom: isAgreed ? step.changedFrom : state.commitIndex + 1,
+    isRestored: true,
+  });
+}
+
+function answer(
+  step: steps.Step,
+  chunk: message.SnapshotChunk,
+  receivedBytes: number,
+  installed: boolean,
+): steps.Step {
+  return steps.send(step, chunk.from, {
+    kind: message.MessageKind.SnapshotReply,
+    index: chunk.index,
+    offset: chunk.offset,
+    receivedBytes,
+    installed,
+  });
+}
