Bring engines to the configured weights with orders of the control leader

A published weights version changed only what daemons ask for: no engine ever loaded it, and every request was refused with "other_weights" until the attempts were used up. The new package `orders` reconciles: a pure core (leadership, desired weights, observations, answers, ticks; orders, read-backs, reports) and a task in the daemon. One issuer by lease, the term as fencing number, one order at a time to an engine, two loads at once, half of a service's live engines loaded.

Ruled out: orders of a new leader to checking engines without a wait. An order of the old leader may be on its way then, so two loads and half of the runners could not be kept; all engines wait 5.5 s instead. Ruled out: an early end of an order without an answer by read-back, since it may still arrive.

Small changes elsewhere. Membership keeps weights and loading of a server and probes one that refuses, at most every 200 ms: a loading engine looks idle and drew requests. Router asks for the version that engines have until the configured one is known. The probe report and the emulator have `loading`. Operator status counts engines with other weights.

--- a/src/backend/management-client.ts
+++ b/src/backend/management-client.ts
@@ -113,6 +113,7 @@
   incarnation: zod.string().min(1),
   weightsVersion: zod.string(),
   leaving: zod.boolean(),
+  loading: zod.boolean().optional(),
 });
 
 function parseJson(body: Buffer): unknown {
--- a/src/backend/probe-report.ts
+++ b/src/backend/probe-report.ts
@@ -4,4 +4,6 @@
   /** Empty for a plain service. */
   readonly weightsVersion: string;
   readonly leaving: boolean;
+  /** Whether the engine loads weights at the moment; absent when it does not say. */
+  readonly loading?: boolean;
 }
--- a/src/command/inspect.ts
+++ b/src/command/inspect.ts
@@ -106,12 +106,16 @@
     `requests: ${answer.runningRequests} running, ${answer.queuedRequests} queued`,
     ...answer.backendServers.map(
       (entry) =>
-        `service ${entry.service}: ${entry.eligible} eligible, ${entry.suspected} suspected`,
+        `service ${entry.service}: ${entry.eligible} eligible, ${entry.suspected} suspected${otherWeights(entry)}`,
     ),
     ...outcome.table(['DAEMON', 'ZONE', 'ADDRESS', 'REVISION', 'LINK'], rows),
   ];
 }
 
+function otherWeights(entry: operatorApi.StatusResponse['backendServers'][number]): string {
+  return entry.otherWeights === undefined ? '' : `, ${entry.otherWeights} with other weights`;
+}
+
 function phaseOf(answer: operatorApi.StatusResponse): string {
   if (answer.shuttingDown) {
     return 'shutting down';
--- a/src/command/operator-api.ts
+++ b/src/command/operator-api.ts
@@ -112,6 +112,8 @@
     zod.object({
       service: zod.string(),
       eligible: zod.int().min(0),
+      /** Engines that are known to have other weights than the service's document. */
+      otherWeights: zod.int().min(0).optional(),
       suspected: zod.int().min(0),
     }),
   ),
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import * as command from '../command';
 import * as lifecycle from '../lifecycle';
 import * as logging from '../logging';
+import * as orders from '../orders';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
 import * as callerContext from './caller-context';
@@ -55,7 +56,14 @@
     );
     this.followUp = new routing.ClaimFollowUp(plane, time);
     this.router = new routing.Router(
-      { task, pool, observer: this.membership, meter, time },
+      {
+        task,
+        pool,
+        observer: this.membership,
+        servingWeights: (service) => this.membership.servingWeights(service),
+        meter,
+        time,
+      },
       new routing.ClaimKeeper(plane, this.followUp, time),
       ports.hasher,
       plane.configuration(),
@@ -129,6 +137,21 @@
     const polls = new routing.PollTask({ pool, task, observer: membership, time, random });
     this.lifecycle.own('polls', () => polls.close());
     polls.start();
+    this.startOrders();
+  }
+
+  private startOrders(): void {
+    const { plane, time } = this.ports;
+    const { pool, membership } = this;
+    const task = new orders.OrderTask({
+      plane,
+      time,
+      engine: (serverId) => pool.engine(serverId),
+      servers: () => membership.servers(),
+      observed: (...probe) => membership.probed(...probe),
+    });
+    this.lifecycle.own('orders', () => task.close());
+    task.start();
   }
 
   private async openOperatorListener(): Promise<void> {
--- a/src/daemon/operator-status.ts
+++ b/src/daemon/operator-status.ts
@@ -40,7 +40,7 @@
     daemons: daemonRevisions(status, sources.peerAddress),
     queuedRequests: queued,
     runningRequests: running,
-    backendServers: serverCounts(sources.servers()),
+    backendServers: serverCounts(sources.servers(), sources.plane.configuration()),
   };
 }
 
@@ -60,11 +60,35 @@
 
 function serverCounts(
   servers: readonly membership.EligibleServer[],
+  snapshot: configuration.ConfigurationSnapshot,
 ): command.StatusResponse['backendServers'] {
   const services = [...new Set(servers.map((server) => server.service))].sort();
   return services.map((service) => {
     const members = servers.filter((server) => server.service === service);
     const suspected = members.filter((server) => server.suspected).length;
-    return { service, eligible: members.length, suspected };
+    const counts = { service, eligible: members.length, suspected };
+    const otherWeights = otherWeightsCount(members, configuredWeights(snapshot, service));
+    return otherWeights === undefined ? counts : { ...counts, otherWeights };
   });
 }
+
+function configuredWeights(
+  snapshot: configuration.ConfigurationSnapshot,
+  service: string,
+): string | undefined {
+  const kind = configuration.DocumentKind.Service;
+  const document = snapshot.documents.get(configuration.documentKey({ kind, name: service }));
+  return document?.kind === kind && document.type === configuration.ServiceType.ModelEngine
+    ? document.weightsVersion
+    : undefined;
+}
+
+/** Engines of a service that a roll-out has yet to reach; `undefined` for a plain service. */
+function otherWeightsCount(
+  members: readonly membership.EligibleServer[],
+  configured: string | undefined,
+): number | undefined {
+  return configured === undefined
+    ? undefined
+    : members.filter(({ weightsVersion = configured }) => weightsVersion !== configured).length;
+}
--- a/src/decision/candidate-filter.ts
+++ b/src/decision/candidate-filter.ts
@@ -8,6 +8,8 @@
   readonly slots: number;
   /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
   readonly suspect: boolean;
+  /** Whether servers with the request's weights are known or, after a publish, to be expected. */
+  readonly weightsExpected: boolean;
 }
 
 /** A condition that a server must meet to get a request; all filters must admit it. */
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -6,6 +6,7 @@
 import * as standardFilters from './standard-filters';
 import type * as state from './state';
 import type * as steps from './step';
+import * as weightsFilter from './weights-filter';
 
 /** A server for a request, and what is expected of it. */
 export interface Choice {
@@ -51,11 +52,12 @@
 ): readonly state.ServerState[] {
   const slots = step.state.services.get(request.profile.service)?.slotsPerRunner ?? 0;
   const suspect = isSuspect(step, request);
+  const weightsExpected = weightsFilter.expectsWeights(step, request);
   const admitted = step
     .pool(request.profile.service)
     .filter((server) =>
       standardFilters.STANDARD_FILTERS.every((filter) =>
-        filter.admits({ request, server, slots, suspect }),
+        filter.admits({ request, server, slots, suspect, weightsExpected }),
       ),
     );
   const trusted = admitted.filter((server) => !server.record.suspected);
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -8,6 +8,8 @@
   readonly team: string;
   /** Name of the service document. */
   readonly service: string;
+  /** Weights that must answer; absent for plain services. */
+  readonly weightsVersion?: string;
   readonly class: configuration.RequestClass;
   /** Chain hashes of the prompt's cache pieces in hexadecimal, shortest prefix first. */
   readonly prefixChain: readonly string[];
--- /dev/null
+++ b/src/decision/weights-filter.ts
@@ -0,0 +1,35 @@
+import * as configuration from '../configuration';
+import * as candidateFilter from './candidate-filter';
+import type * as state from './state';
+import type * as steps from './step';
+
+/**
+ * Keeps requests away from servers that load weights or are known to have other weights, and would refuse
+ * them. A request rather waits in its queue than uses up its attempts.
+ */
+export class WeightsFilter extends candidateFilter.CandidateFilter {
+  override admits({ request, server, weightsExpected }: candidateFilter.Pairing): boolean {
+    const { weightsVersion: known, loading } = server.record;
+    const isOther = known !== undefined && known !== request.profile.weightsVersion;
+    return loading !== true && !(weightsExpected && isOther);
+  }
+}
+
+/**
+ * Whether it makes sense to wait for a server with the request's weights. A stream that has started has
+ * no deadline of its own, so it waits only for servers that are known.
+ */
+export function expectsWeights(step: steps.Step, request: state.RequestState): boolean {
+  const { service, weightsVersion } = request.profile;
+  const document = step.state.services.get(service);
+  if (weightsVersion === undefined || document?.type !== configuration.ServiceType.ModelEngine) {
+    return false;
+  }
+  const isConfigured = document.weightsVersion === weightsVersion;
+  return (
+    (isConfigured && request.nextPiece === 0) ||
+    step
+      .pool(service)
+      .some((server) => server.eligible && server.record.weightsVersion === weightsVersion)
+  );
+}
--- a/src/emulator/emulated-engine.ts
+++ b/src/emulator/emulated-engine.ts
@@ -102,6 +102,10 @@
     return this.state.loadReport(this.options.loadLagMilliseconds);
   }
 
+  protected override probeReport(): backend.ProbeReport {
+    return { ...super.probeReport(), loading: this.state.loadingWeights };
+  }
+
   protected override weightsVersion(): string {
     return this.state.weightsVersion;
   }
--- a/src/emulator/emulated-server.ts
+++ b/src/emulator/emulated-server.ts
@@ -247,12 +247,16 @@
     await this.execute(request, response);
   }
 
+  protected probeReport(): backend.ProbeReport {
+    const { incarnation, leaving } = this;
+    return { incarnation, leaving, weightsVersion: this.weightsVersion() };
+  }
+
   private managementAnswer(
     request: receivedRequest.ReceivedRequest,
   ): wholeAnswer.WholeAnswer | undefined {
     if (request.path === '/backend/probe') {
-      const { incarnation, leaving } = this;
-      return { status: 200, body: { incarnation, leaving, weightsVersion: this.weightsVersion() } };
+      return { status: 200, body: this.probeReport() };
     }
     return request.path === '/backend/load' ? { status: 200, body: this.loadReport() } : undefined;
   }
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -4,6 +4,7 @@
 export enum MembershipEventKind {
   ListRead = 'list-read',
   RefusedAsLeaving = 'refused-as-leaving',
+  Refused = 'refused',
   ConnectionFailed = 'connection-failed',
   IncarnationSeen = 'incarnation-seen',
   ProbeSucceeded = 'probe-succeeded',
@@ -32,6 +33,11 @@
   readonly kind: MembershipEventKind.RefusedAsLeaving;
 }
 
+/** A server refused a request for another reason; it may be loading weights. */
+export interface Refused extends ServerEvent {
+  readonly kind: MembershipEventKind.Refused;
+}
+
 /** A connect failed, a connection broke, or it was silent for too long. */
 export interface ConnectionFailed extends ServerEvent {
   readonly kind: MembershipEventKind.ConnectionFailed;
@@ -50,6 +56,7 @@
   readonly incarnation: string;
   readonly weightsVersion: string;
   readonly leaving: boolean;
+  readonly loading?: boolean;
   /** Uniform from 0 to 1; spreads the next probes of many daemons. */
   readonly jitter: number;
 }
@@ -75,6 +82,7 @@
 export type MembershipEvent =
   | ListRead
   | RefusedAsLeaving
+  | Refused
   | ConnectionFailed
   | IncarnationSeen
   | ProbeSucceeded
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -3,4 +3,5 @@
 export * from './event';
 export * from './effect';
 export * from './report';
+export * from './serving-weights';
 export * from './update';
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -5,6 +5,10 @@
 export interface EligibleServer extends backend.MachineRecord {
   /** Last incarnation seen, if any. */
   readonly incarnation?: string;
+  /** Weights version of the last answered probe, if any; empty for a plain service. */
+  readonly weightsVersion?: string;
+  /** Set while the server loads weights and refuses every request. */
+  readonly loading?: true;
   /** True while probes decide whether the server is dead; used only when no other server is left. */
   readonly suspected: boolean;
 }
@@ -43,6 +47,9 @@
   /** The incarnation before; what still arrives from it is ignored. */
   readonly previousIncarnation?: string;
   readonly weightsVersion?: string;
+  readonly loading?: boolean;
+  /** Last refusal that led to a probe. */
+  readonly refusedAt?: number;
   readonly leaving?: LeavingMark;
   readonly failedProbes: number;
   readonly suspectedAt: number;
@@ -97,6 +104,8 @@
   return {
     ...server.machine,
     ...(server.incarnation === undefined ? {} : { incarnation: server.incarnation }),
+    ...(server.weightsVersion === undefined ? {} : { weightsVersion: server.weightsVersion }),
+    ...(server.loading === true ? { loading: true } : {}),
     suspected: server.condition === ServerCondition.Suspected,
   };
 }
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -7,7 +7,8 @@
   server: membershipView.ServerState,
   probe: event.ProbeSucceeded,
 ): serverChange.ServerChange {
-  const seen = serverChange.seeIncarnation(endProbe(server, probe), probe.incarnation);
+  const ended = repeatWhileLoading(endProbe(server, probe), probe);
+  const seen = serverChange.seeIncarnation(ended, probe.incarnation);
   const alive = serverChange.then(seen, (next) => serverChange.unchanged(revive(next, probe)));
   return probe.leaving
     ? serverChange.then(alive, (next) =>
@@ -47,6 +48,17 @@
   return { ...server, probeStartedAt: undefined, nextProbeAt };
 }
 
+/** Every daemon has to learn soon that the server serves again. */
+function repeatWhileLoading(
+  server: membershipView.ServerState,
+  probe: event.ProbeSucceeded,
+): membershipView.ServerState {
+  const nextProbeAt = probe.at + spread(LOADING_INTERVAL_MILLISECONDS, probe.jitter);
+  return probe.loading === true
+    ? { ...server, nextProbeAt: Math.min(server.nextProbeAt, nextProbeAt) }
+    : server;
+}
+
 /** A probe that started before the suspicion says nothing about it. */
 function revive(
   server: membershipView.ServerState,
@@ -59,6 +71,7 @@
     condition: isOlder ? Suspected : Alive,
     failedProbes: 0,
     weightsVersion: probe.weightsVersion,
+    loading: probe.loading,
   };
 }
 
@@ -85,6 +98,9 @@
 
 const RETRY_MILLISECONDS = 100;
 
+// A load takes 0.4 s.
+const LOADING_INTERVAL_MILLISECONDS = 200;
+
 // A daemon that can neither read the list nor hear its peers learns of a leaving server by probe; the
 // last new work must have been sent within 3 s.
 const PROBE_INTERVAL_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/membership/serving-weights.ts
@@ -0,0 +1,28 @@
+import type * as membershipView from './membership-view';
+
+/**
+ * The weights version that a request to a service should ask for: the configured one as soon as a server
+ * is known to have it, and until then the one that most servers have. A publish of new weights therefore
+ * stops no traffic while the first server loads them.
+ *
+ * @example
+ * servingWeights(membership.eligible(view), 'inspection-desk', 'v2');
+ */
+export function servingWeights(
+  servers: readonly membershipView.EligibleServer[],
+  service: string,
+  configured: string,
+): string {
+  const counts = new Map<string, number>();
+  servers
+    .filter((server) => server.service === service && server.loading !== true)
+    .forEach(({ weightsVersion }) => {
+      if (weightsVersion !== undefined) {
+        counts.set(weightsVersion, (counts.get(weightsVersion) ?? 0) + 1);
+      }
+    });
+  if (counts.size === 0 || counts.has(configured)) {
+    return configured;
+  }
+  return [...counts].reduce((best, entry) => (entry[1] > best[1] ? entry : best))[0];
+}
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -40,6 +40,8 @@
   switch (observed.kind) {
     case MembershipEventKind.RefusedAsLeaving:
       return serverChange.markLeaving(server, observed.at, server.incarnation);
+    case MembershipEventKind.Refused:
+      return probeRefusing(server, observed.at);
     case MembershipEventKind.ConnectionFailed:
       return suspect(server, observed.at);
     case MembershipEventKind.IncarnationSeen:
@@ -91,6 +93,14 @@
   return { ...probing, effects: [...probing.effects, serverChange.suspicionReport(server)] };
 }
 
+/** Finds out why a server refuses. An overloaded one refuses often, so the probes are rationed. */
+function probeRefusing(server: membershipView.ServerState, at: number): serverChange.ServerChange {
+  const { refusedAt = Number.NEGATIVE_INFINITY } = server;
+  return at - refusedAt < REFUSAL_PROBE_MILLISECONDS
+    ? serverChange.unchanged(server)
+    : serverChange.probeNow({ ...server, refusedAt: at }, at);
+}
+
 function hearPeer(
   server: membershipView.ServerState,
   heard: report.MembershipReport,
@@ -162,5 +172,8 @@
 // A daemon that starts among thousands of backend servers must not open all connections at once.
 const PROBE_SPACING_MILLISECONDS = 5;
 
+// Without a probe, a server that loads weights looks idle and draws requests that it refuses.
+const REFUSAL_PROBE_MILLISECONDS = 200;
+
 // A leaving server must get its last new work within 3 s even when one or two broadcasts are lost.
 const REPORT_REPEAT_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/orders/desired-service.ts
@@ -0,0 +1,24 @@
+import * as configuration from '../configuration';
+
+/** What the active configuration says about the weights of one service. */
+export interface DesiredService {
+  readonly name: string;
+  readonly weightsVersion: string;
+}
+
+/**
+ * The desired state of all model services in a configuration.
+ *
+ * @example
+ * desiredServices(plane.configuration()); // [{ name: 'inspection-desk', weightsVersion: 'v2' }]
+ */
+export function desiredServices(
+  snapshot: configuration.ConfigurationSnapshot,
+): readonly DesiredService[] {
+  return [...snapshot.documents.values()].flatMap((document) =>
+    document.kind === configuration.DocumentKind.Service &&
+    document.type === configuration.ServiceType.ModelEngine
+      ? [{ name: document.name, weightsVersion: document.weightsVersion }]
+      : [],
+  );
+}
--- /dev/null
+++ b/src/orders/engine-lease.ts
@@ -0,0 +1,7 @@
+import type * as backend from '../backend';
+
+/** The right to use the client of an engine; `routing.BackendPool` gives it. */
+export interface EngineLease {
+  readonly client: backend.ModelEngine;
+  release(): void;
+}
--- /dev/null
+++ b/src/orders/event.ts
@@ -0,0 +1,105 @@
+import type * as verdict from '../verdict';
+import type * as desiredService from './desired-service';
+
+export enum OrderEventKind {
+  BecameLeader = 'became-leader',
+  LostLeadership = 'lost-leadership',
+  DesiredChanged = 'desired-changed',
+  ServersChanged = 'servers-changed',
+  Observed = 'observed',
+  ProbeFailed = 'probe-failed',
+  OrderAccepted = 'order-accepted',
+  OrderRefused = 'order-refused',
+  OrderFailed = 'order-failed',
+  Tick = 'tick',
+}
+
+interface EventBase {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+}
+
+/** This daemon's replica leads the control group in `term`. */
+export interface BecameLeader extends EventBase {
+  readonly kind: OrderEventKind.BecameLeader;
+  readonly term: number;
+}
+
+export interface LostLeadership extends EventBase {
+  readonly kind: OrderEventKind.LostLeadership;
+}
+
+/** Replaces the desired state of all model services. */
+export interface DesiredChanged extends EventBase {
+  readonly kind: OrderEventKind.DesiredChanged;
+  readonly services: readonly desiredService.DesiredService[];
+}
+
+/** A live engine as membership knows it. */
+export interface ListedEngine {
+  readonly id: string;
+  readonly service: string;
+  readonly suspected: boolean;
+  /** Weights version of the last probe, if any. */
+  readonly weightsVersion?: string;
+}
+
+/** Replaces the list of live engines. */
+export interface ServersChanged extends EventBase {
+  readonly kind: OrderEventKind.ServersChanged;
+  readonly engines: readonly ListedEngine[];
+}
+
+/** A read-back was answered. */
+export interface Observed extends EventBase {
+  readonly kind: OrderEventKind.Observed;
+  readonly serverId: string;
+  readonly startedAt: number;
+  readonly incarnation: string;
+  readonly weightsVersion: string;
+  /** Absent when the engine does not say whether it is loading weights. */
+  readonly loading?: boolean;
+}
+
+export interface ProbeFailed extends EventBase {
+  readonly kind: OrderEventKind.ProbeFailed;
+  readonly serverId: string;
+}
+
+interface OrderAnswer extends EventBase {
+  readonly serverId: string;
+  readonly orderId: number;
+}
+
+export interface OrderAccepted extends OrderAnswer {
+  readonly kind: OrderEventKind.OrderAccepted;
+}
+
+/** The engine has seen a higher fencing number. */
+export interface OrderRefused extends OrderAnswer {
+  readonly kind: OrderEventKind.OrderRefused;
+}
+
+/** The order has no answer. Unless the verdict is "not run", it may still be executed. */
+export interface OrderFailed extends OrderAnswer {
+  readonly kind: OrderEventKind.OrderFailed;
+  readonly verdict: verdict.Verdict;
+}
+
+export interface Tick extends EventBase {
+  readonly kind: OrderEventKind.Tick;
+  /** Until when this daemon is sure of its leadership. */
+  readonly leaseEndsAt: number;
+}
+
+export type OrderEvent =
+  | BecameLeader
+  | LostLeadership
+  | DesiredChanged
+  | ServersChanged
+  | Observed
+  | ProbeFailed
+  | OrderAccepted
+  | OrderRefused
+  | OrderFailed
+  | Tick;
--- /dev/null
+++ b/src/orders/notice.ts
@@ -0,0 +1,13 @@
+import * as effects from './effect';
+import type * as states from './state';
+
+/** A report about the order of an engine. */
+export function report(
+  notice: effects.OrderNotice,
+  engine: states.EngineState,
+  order: states.PendingOrder,
+): effects.Report {
+  const { weightsVersion, fencingNumber } = order;
+  const { serverId } = engine;
+  return { kind: effects.OrderEffectKind.Report, notice, serverId, weightsVersion, fencingNumber };
+}
--- /dev/null
+++ b/src/orders/order-task.ts
@@ -0,0 +1,208 @@
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as logging from '../logging';
+import * as membership from '../membership';
+import * as verdict from '../verdict';
+import * as desiredService from './desired-service';
+import * as effects from './effect';
+import type * as engineLease from './engine-lease';
+import * as events from './event';
+import * as parametersModule from './parameters';
+import * as progressModule from './progress';
+import * as states from './state';
+import * as updateModule from './update';
+
+/** What the order task works with. */
+export interface OrderPorts {
+  readonly plane: control.ControlPlane;
+  readonly time: clock.Clock;
+  /** Borrows the client of an engine; `undefined` when the engine is gone. */
+  readonly engine: (serverId: string) => engineLease.EngineLease | undefined;
+  /** Backend servers that may get new work. */
+  readonly servers: () => readonly membership.EligibleServer[];
+  /** Takes over a read-back, which is newer than what membership's own probes have shown. */
+  readonly observed: (serverId: string, startedAt: number, report: backend.ProbeReport) => void;
+}
+
+/**
+ * Drives the order core of one daemon. The daemon whose replica leads the control group brings the engines
+ * of each service to the weights version of its document; all others do nothing.
+ *
+ * @example
+ * const task = new OrderTask({ plane, time, engine, servers, observed });
+ * task.start();
+ */
+export class OrderTask {
+  private state: states.OrderState;
+
+  private timer: clock.Timer | undefined;
+
+  private serversReadAt = Number.NEGATIVE_INFINITY;
+
+  private known = '';
+
+  private isClosed = false;
+
+  constructor(
+    private readonly ports: OrderPorts,
+    parameters: parametersModule.OrderParameters = parametersModule.DEFAULT_PARAMETERS,
+  ) {
+    this.state = states.initialState(parameters);
+  }
+
+  /** How far the roll-outs are; without meaning on a daemon that does not lead. */
+  progress(): readonly progressModule.ServiceProgress[] {
+    return progressModule.progress(this.state);
+  }
+
+  start(): void {
+    if (this.isClosed) {
+      return;
+    }
+    this.tick();
+    this.timer = this.ports.time.setTimer(TICK_MILLISECONDS, () => this.start());
+  }
+
+  /** Sends no more orders. Orders that were sent may still be executed. */
+  close(): void {
+    this.isClosed = true;
+    this.timer?.cancel();
+  }
+
+  private tick(): void {
+    const status = this.ports.plane.status();
+    this.followLeadership(status);
+    if (this.state.issuer !== undefined) {
+      this.readDesired();
+      this.readServers();
+    }
+    const at = this.now();
+    const leaseEndsAt = at + (status.leaseRemainingMilliseconds ?? 0);
+    this.apply({ kind: events.OrderEventKind.Tick, at, leaseEndsAt });
+    this.logProgress();
+  }
+
+  private followLeadership({ role, term }: control.ControlStatus): void {
+    const at = this.now();
+    const isLeader = role === control.ReplicaRole.Leader;
+    const { issuer } = this.state;
+    if (!isLeader && issuer !== undefined) {
+      this.apply({ kind: events.OrderEventKind.LostLeadership, at });
+      logger.information('no longer issues orders', { term: issuer.term });
+    }
+    if (isLeader && issuer?.term !== term) {
+      this.apply({ kind: events.OrderEventKind.BecameLeader, at, term });
+      logger.information('issues orders once those of earlier leaders have ended', { term });
+    }
+  }
+
+  private readDesired(): void {
+    const services = desiredService.desiredServices(this.ports.plane.configuration());
+    this.apply({ kind: events.OrderEventKind.DesiredChanged, at: this.now(), services });
+  }
+
+  private readServers(): void {
+    const at = this.now();
+    if (at - this.serversReadAt < SERVERS_MILLISECONDS) {
+      return;
+    }
+    this.serversReadAt = at;
+    const engines = this.ports
+      .servers()
+      .filter(({ kind }) => kind === backend.BackendKind.ModelEngine);
+    this.apply({ kind: events.OrderEventKind.ServersChanged, at, engines });
+  }
+
+  private apply(event: events.OrderEvent): void {
+    const step = updateModule.update(this.state, event);
+    this.state = step.state;
+    step.effects.forEach((effect) => this.carryOut(effect));
+  }
+
+  private carryOut(effect: effects.OrderEffect): void {
+    switch (effect.kind) {
+      case effects.OrderEffectKind.SendOrder:
+        this.sendOrder(effect);
+        break;
+      case effects.OrderEffectKind.ReadBack:
+        this.readBack(effect.serverId);
+        break;
+      default:
+        logReport(effect);
+    }
+  }
+
+  private async sendOrder(order: effects.SendOrder): Promise<void> {
+    const { serverId, orderId } = order;
+    const { OrderAccepted, OrderFailed, OrderRefused } = events.OrderEventKind;
+    const lease = this.ports.engine(serverId);
+    const isSure = this.now() < order.sendBefore && !this.isClosed;
+    if (lease === undefined || !isSure) {
+      lease?.release();
+      const base = { kind: OrderFailed, at: this.now(), serverId, orderId } as const;
+      this.apply({ ...base, verdict: verdict.Verdict.NotRun });
+      return;
+    }
+    const { fencingNumber, weightsVersion } = order;
+    logger.information('order sent', { backendServer: serverId, fencingNumber, weightsVersion });
+    const kind = backend.OrderKind.LoadWeights;
+    const answer = await lease.client.order({ kind, fencingNumber, value: weightsVersion });
+    lease.release();
+    const base = { at: this.now(), serverId, orderId };
+    if (answer.err) {
+      this.apply({ kind: OrderFailed, ...base, verdict: answer.val.verdict });
+      return;
+    }
+    const isAccepted = answer.val === backend.OrderOutcome.Accepted;
+    this.apply({ kind: isAccepted ? OrderAccepted : OrderRefused, ...base });
+  }
+
+  private async readBack(serverId: string): Promise<void> {
+    const startedAt = this.now();
+    const lease = this.ports.engine(serverId);
+    const outcome = await lease?.client.probe();
+    lease?.release();
+    if (this.isClosed) {
+      return;
+    }
+    const base = { at: this.now(), serverId };
+    if (outcome === undefined || outcome.err) {
+      this.apply({ kind: events.OrderEventKind.ProbeFailed, ...base });
+      return;
+    }
+    this.ports.observed(serverId, startedAt, outcome.val);
+    this.apply({ kind: events.OrderEventKind.Observed, ...base, startedAt, ...outcome.val });
+  }
+
+  private logProgress(): void {
+    const services = this.state.issuer === undefined ? [] : this.progress();
+    const description = JSON.stringify(services);
+    if (description !== this.known) {
+      this.known = description;
+      services.forEach((service) => logger.information('weights of a service', { ...service }));
+    }
+  }
+
+  private now(): number {
+    return this.ports.time.monotonic();
+  }
+}
+
+function logReport(report: effects.Report): void {
+  const { notice, serverId, weightsVersion, fencingNumber } = report;
+  const fields = { backendServer: serverId, weightsVersion, fencingNumber };
+  if (notice === effects.OrderNotice.Switched) {
+    logger.information(notice, fields);
+  } else {
+    logger.warning(notice, fields);
+  }
+}
+
+const logger = new logging.Logger('orders');
+
+// An order must follow within a small part of the lease, and a load takes 0.4 s.
+const TICK_MILLISECONDS = 50;
+
+// At the design size the list has 2,400 entries; reading it in each tick would cost too much.
+const SERVERS_MILLISECONDS = 250;
--- a/src/routing/engine-execution.ts
+++ b/src/routing/engine-execution.ts
@@ -1,5 +1,6 @@
 import * as backend from '../backend';
 import * as clock from '../clock';
+import * as configuration from '../configuration';
 import * as decision from '../decision';
 import * as logging from '../logging';
 import * as metrics from '../metrics';
@@ -27,6 +28,8 @@
   readonly task: decisionTask.DecisionTask;
   readonly pool: backendPool.BackendPool;
   readonly observer: serverObserver.ServerObserver;
+  /** The weights version to ask for during a roll-out; by default the configured one. */
+  readonly servingWeights?: (service: configuration.ModelServiceDocument) => string;
   readonly meter: metrics.Metrics;
   readonly time: clock.Clock;
 }
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -1,5 +1,6 @@
 import * as backend from '../backend';
 import * as clock from '../clock';
+import * as configuration from '../configuration';
 import * as control from '../control';
 import * as decision from '../decision';
 import * as logging from '../logging';
@@ -33,6 +34,8 @@
 
   private known = '';
 
+  private current: readonly membership.EligibleServer[] = [];
+
   private isClosed = false;
 
   private readonly timers = new Map<TimerName, clock.Timer>();
@@ -63,6 +66,18 @@
     return membership.eligible(this.view);
   }
 
+  /** Takes over a probe that another task of this daemon has made. */
+  probed(serverId: string, startedAt: number, report: backend.ProbeReport): void {
+    const kind = membership.MembershipEventKind.ProbeSucceeded;
+    const base = { at: this.now(), serverId, startedAt, jitter: this.ports.random.uniform() };
+    this.apply({ kind, ...base, ...report });
+  }
+
+  /** The weights version that the next request to a service should ask for. */
+  servingWeights(service: configuration.ModelServiceDocument): string {
+    return membership.servingWeights(this.current, service.name, service.weightsVersion);
+  }
+
   override incarnationSeen(serverId: string, incarnation: string): void {
     const kind = membership.MembershipEventKind.IncarnationSeen;
     this.apply({ kind, at: this.now(), serverId, incarnation });
@@ -73,6 +88,8 @@
     if (failure.reason === verdict.FailureReason.BackendLeaving) {
       const kind = membership.MembershipEventKind.RefusedAsLeaving;
       this.apply({ kind, at, serverId });
+    } else if (failure.reason === verdict.FailureReason.BackendRefused) {
+      this.apply({ kind: membership.MembershipEventKind.Refused, at, serverId });
     } else if (CONNECTION_REASONS.has(failure.reason)) {
       this.apply({ kind: membership.MembershipEventKind.ConnectionFailed, at, serverId });
     }
@@ -165,6 +182,7 @@
       return;
     }
     this.known = description;
+    this.current = servers;
     const { task } = this.ports;
     task.feed({ kind: decision.DecisionEventKind.ServersChanged, at: task.now(), servers });
   }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -198,13 +198,15 @@
     { intent, service }: catalogModule.ResolvedIntent,
     prompt: Uint8Array,
   ): engineExecution.EngineCall {
-    const { model, weightsVersion } = service;
+    const { model } = service;
+    const weightsVersion = this.context.servingWeights?.(service) ?? service.weightsVersion;
     const identity = { team: call.team.name, model, weightsVersion };
     const body = JSON.stringify(engineBody(call.request, model));
     const profile: decision.RequestProfile = {
       requestId: call.requestId,
       team: call.team.name,
       service: service.name,
+      weightsVersion,
       class: intent.class,
       prefixChain: this.hasher.chain(identity, prompt),
       promptTokens: prefix.estimateTokens(prompt),
--- /dev/null
+++ b/test/orders/roll-out.test.ts
@@ -0,0 +1,43 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as groupBuilder from '../control/group-builder';
+import * as rollOutBuilder from './roll-out-builder';
+
+const suite = uvu.suite('roll-out of weights');
+
+const CALLERS = 4;
+
+const LONGEST_ROLL_OUT_MILLISECONDS = 45_000;
+
+/**
+ * Guards against refusals while engines load, more loads than the weight store bears, and answers of
+ * older weights after the daemon has seen a switched engine.
+ */
+suite('published weights reach every engine while every request is answered', async () => {
+  const builder = new rollOutBuilder.RollOutBuilder();
+  await builder.run(4, async () => {
+    const load = builder.load(CALLERS);
+    await groupBuilder.until(() => builder.answers.length > 10);
+    const before = builder.answers[0].text;
+    await builder.publish('v2', 1);
+    await groupBuilder.until(() => builder.haveWeights('v2'), LONGEST_ROLL_OUT_MILLISECONDS);
+    const answered = builder.answers.length;
+    await groupBuilder.until(() => builder.answers.length > answered + CALLERS * 2);
+    builder.stopLoad();
+    await load;
+    const { answers } = builder;
+    assert.equal(
+      answers.filter(({ status, isComplete }) => status !== 200 || !isComplete),
+      [],
+    );
+    const newer = answers.filter(({ text }) => text !== before);
+    assert.is(new Set(newer.map(({ text }) => text)).size, 1);
+    const known = Math.min(...newer.map(({ endedAt }) => endedAt));
+    const late = answers.filter(({ sentAt, text }) => sentAt > known && text === before);
+    assert.equal(late, []);
+    assert.is(answers[answers.length - 1].text, newer[0].text);
+    assert.ok(builder.mostLoads <= 2, `${builder.mostLoads} loads at once`);
+  });
+});
+
+suite.run();
