--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -7,6 +7,7 @@
 import * as standardFilters from './standard-filters';
 import type * as state from './state';
 import type * as steps from './step';
+import * as weightsFilter from './weights-filter';
 
 /** A server for a request, and what is expected of it. */
 export interface Choice {
@@ -116,9 +117,10 @@
   const slots = service?.slotsPerRunner ?? 0;
   const prefillTokensPerSecond = prefillRate(service);
   const suspect = isSuspect(step, request);
+  const weightsExpected = weightsFilter.expectsWeights(step, request);
   return servers.filter((server) =>
     filters.every((filter) =>
-      filter.admits({ request, server, slots, prefillTokensPerSecond, suspect }),
+      filter.admits({ request, server, slots, prefillTokensPerSecond, suspect, weightsExpected }),
     ),
   );
 }
--- a/src/decision/standard-filters.ts
+++ b/src/decision/standard-filters.ts
@@ -3,10 +3,12 @@
 import * as isolationFilter from './isolation-filter';
 import * as prefillFilter from './prefill-filter';
 import * as slotFilter from './slot-filter';
+import * as weightsFilter from './weights-filter';
 
 /** Which servers a request may run at. */
 export const PERMISSION_FILTERS: readonly candidateFilter.CandidateFilter[] = [
   new eligibleFilter.EligibleFilter(),
+  new weightsFilter.WeightsFilter(),
   new isolationFilter.IsolationFilter(),
 ];
 
--- a/test/support/fake-engine.ts
+++ b/test/support/fake-engine.ts
@@ -76,7 +76,7 @@
     after: number,
   ): Promise<results.Result<backend.CacheEventPage, verdict.RequestFailure>> {
     const events = this.events.filter((event) => event.sequence > after);
-    const nextSequence = (events.at(-1)?.sequence ?? after) + 1;
+    const nextSequence = events.at(-1)?.sequence ?? after;
     return new results.Ok({ incarnation: 'a', events, nextSequence });
   }
 
