--- a/src/load/measure/run.ts
+++ b/src/load/measure/run.ts
@@ -85,7 +85,9 @@
   if (['all', 'state'].includes(flags.part)) {
     const sizes = stateSize.measureStateSizes();
     const listMilliseconds = stateSize.measureListReading();
-    print(flags, stateSize.formatStateSizes(sizes, listMilliseconds), { sizes, listMilliseconds });
+    const tickMilliseconds = stateSize.measureTick();
+    const text = stateSize.formatStateSizes(sizes, listMilliseconds, tickMilliseconds);
+    print(flags, text, { sizes, listMilliseconds, tickMilliseconds });
   }
   if (['all', 'control'].includes(flags.part)) {
     await control(flags);
--- a/src/load/measure/state-size.ts
+++ b/src/load/measure/state-size.ts
@@ -50,7 +50,30 @@
   return leastSquares.median(times);
 }
 
-export function formatStateSizes(sizes: readonly StateSize[], listMilliseconds: number): string {
+/** CPU time of one tick of the membership view at the same size, in milliseconds (median). */
+export function measureTick(): number {
+  let view = membership.EMPTY_VIEW;
+  const { ListRead, ProbeSucceeded, Tick } = membership.MembershipEventKind;
+  const list = machines(DESIGN_SERVERS);
+  view = membership.update(view, { kind: ListRead, at: 0, machines: list }).state;
+  list.forEach(({ id: serverId }) => {
+    const report = { incarnation: 'incarnation', weightsVersion: 'weights-1', leaving: false };
+    const probe = { serverId, startedAt: 1, jitter: 0.5, ...report };
+    view = membership.update(view, { kind: ProbeSucceeded, at: 1, ...probe }).state;
+  });
+  const times = Array.from({ length: LIST_READINGS }, (_unused, at) => {
+    const { user } = process.cpuUsage();
+    view = membership.update(view, { kind: Tick, at: at + 2 }).state;
+    return (process.cpuUsage().user - user) / MICROSECONDS;
+  });
+  return leastSquares.median(times);
+}
+
+export function formatStateSizes(
+  sizes: readonly StateSize[],
+  listMilliseconds: number,
+  tickMilliseconds: number,
+): string {
   const rows = sizes.map(
     ({ state, items, heapBytesPerItem, encodedBytesPerItem }) =>
       `  ${state.padEnd(40)}${items.toString().padStart(8)}${heapBytesPerItem.toFixed(0).padStart(10)}${encodedBytesPerItem.toFixed(0).padStart(10)}`,
@@ -59,6 +82,7 @@
     `  ${''.padEnd(40)}${'items'.padStart(8)}${'heap B'.padStart(10)}${'encoded B'.padStart(10)}`,
     ...rows,
     `  reading a list of ${DESIGN_SERVERS} VMs: ${listMilliseconds.toFixed(1)} ms CPU (median of ${LIST_READINGS})`,
+    `  tick of the membership view of ${DESIGN_SERVERS} servers: ${tickMilliseconds.toFixed(2)} ms CPU`,
     '',
   ].join('\n');
 }
