--- a/test/backend/verdict-truth.test.ts
+++ b/test/backend/verdict-truth.test.ts
@@ -2,6 +2,8 @@
 import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as connection from '../../src/backend/connection';
+import * as clock from '../../src/clock';
 import * as emulator from '../../src/emulator';
 import type * as lifecycle from '../../src/lifecycle';
 import * as verdict from '../../src/verdict';
@@ -52,16 +54,18 @@
 
 EXPECTATIONS.forEach((expected) => {
   [true, false].forEach((freshConnection) => {
-    const connection = freshConnection ? 'a fresh' : 'a reused';
-    suite(`a charge under ${expected.fault.kind} on ${connection} connection`, async () => {
+    const label = freshConnection ? 'a fresh' : 'a reused';
+    suite(`a charge under ${expected.fault.kind} on ${label} connection`, async () => {
       const owner = build.buildOwner();
       const { service, adapter } = await build.buildPlain(owner);
       if (!freshConnection && expected.fault.kind !== FaultKind.ResetOnAccept) {
         await adapter.call(build.charge());
       }
       service.faults.add(expected.fault);
+      const silent = expected.fault.kind === FaultKind.NoAnswer;
       const request = build.charge({
         freshConnection,
+        timeoutMilliseconds: silent ? 300 : 5_000,
         body: expected.fault.kind === FaultKind.ResetMidBody ? LARGE_BODY : build.charge().body,
       });
       const result = await adapter.call(request);
@@ -106,12 +110,35 @@
   assert.is(service.wholeRequestCount(second.requestId), 0);
 });
 
+suite(
+  'a request that HTTP cannot carry is not run and does not make the server suspect',
+  async () => {
+    const owner = build.buildOwner();
+    const { adapter } = await build.buildPlain(owner);
+    const faulty = [{ path: '/with space' }, { headers: { 'x-note': 'line\nbreak' } }];
+    for (const change of faulty) {
+      const failure = (await adapter.call(build.charge(change))).val as verdict.RequestFailure;
+      assert.is(failure.reason, FailureReason.BadRequest);
+      assert.is(failure.verdict, NotRun);
+    }
+  },
+);
+
+suite('a request after the adapter was closed is not run and opens no connection', async () => {
+  const owner = build.buildOwner();
+  const { service, adapter } = await build.buildPlain(owner);
+  await adapter.close();
+  const failure = (await adapter.call(build.charge())).val as verdict.RequestFailure;
+  assert.is(failure.verdict, NotRun);
+  assert.is(service.report().acceptedConnections, 0);
+});
+
 suite('a refusal that names another request does not count as not run', async () => {
   const owner = build.buildOwner();
   const answers = [
     'HTTP/1.1 503 No\r\nx-not-run: true\r\ncontent-length: 0\r\n\r\n',
     'HTTP/1.1 503 No\r\nx-not-run: true\r\nx-request-id: other\r\ncontent-length: 0\r\n\r\n',
-    'HTTP/1.1 200 OK\r\nx-not-run: true\r\nx-request-id: ID\r\n\r\n',
+    'HTTP/1.1 503 No\r\nx-not-run: true\r\nx-request-id: ID\r\n\r\n',
     'HTTP/1.1 503 No\r\nx-not-run: true\r\nx-request-id: ID\r\nx-request-id: ID\r\ncontent-length: 0\r\n\r\n',
     'nonsense\r\n\r\n',
   ];
@@ -123,6 +150,37 @@
   }
 });
 
+suite('a successful answer counts as run, whatever its headers say', async () => {
+  const owner = build.buildOwner();
+  const port = await rawServer(
+    owner,
+    'HTTP/1.1 200 OK\r\nx-not-run: true\r\nx-request-id: ID\r\ncontent-length: 0\r\n\r\n',
+  );
+  assert.ok((await build.buildPlainAdapter(owner, port).call(build.charge())).ok);
+});
+
+suite('a connection never connects a second time, so that undici cannot send again', async () => {
+  const owner = build.buildOwner();
+  const { service } = await build.buildPlain(owner);
+  const address = build.address(service.port);
+  const time = new clock.SystemClock();
+  const used = new connection.Connection(address, build.QUICK_LIMITS, time, () => {});
+  const send = (requestId: string) =>
+    new Promise<string>((resolve) => {
+      const headers = { 'x-request-id': requestId };
+      const handler = {
+        onRequestStart: () => {},
+        onResponseEnd: () => resolve('answered'),
+        onResponseError: () => resolve('failed'),
+      };
+      used.dispatch({ method: 'GET', path: '/orders/1', headers, reset: true }, handler);
+    });
+  assert.is(await send('first'), 'answered');
+  assert.is(await send('second'), 'failed');
+  assert.is(service.wholeRequestCount('second'), 0);
+  assert.is(service.report().acceptedConnections, 1);
+});
+
 suite('an oversized answer or header is cut off, so that a server cannot fill memory', async () => {
   const owner = build.buildOwner();
   const { service } = await build.buildPlain(owner);
@@ -148,7 +206,7 @@
     const adapter = build.buildPlainAdapter(owner, await proxy.listen());
     await adapter.call(build.charge());
     proxy.silence(direction);
-    const request = build.charge();
+    const request = build.charge({ timeoutMilliseconds: 300 });
     const failure = (await adapter.call(request)).val as verdict.RequestFailure;
     assert.is(failure.reason, FailureReason.Timeout);
     assert.is(failure.verdict, MayHaveRun);
