--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -86,9 +86,9 @@
     return this.ownAddress;
   }
 
-  /** Keeps one link to each address, however often it is given; the own address is skipped. */
+  /** Keeps a link to each address; the own address is skipped. */
   connect(peerAddresses: readonly string[]): void {
-    [...new Set(peerAddresses)]
+    peerAddresses
       .filter((address) => address !== this.ownAddress && !this.dialers.has(address))
       .forEach((address) => {
         const dialer = { address, failures: 0 };
