Keep the last 100 publishes with the configuration, for figline history

Cause: figline history was always empty, because the control state remembered neither the time nor the documents of a publish.

Ruled out: a query to the leader, since a zone without a majority could not answer it; a log of its own, since the records fit beside the configuration.

Seen: the tests of a publish on five daemons and of 600 changes now check the records on restarted and new daemons; control, daemon, command, configuration and documentation tests pass (76 of 76).

--- a/src/configuration/snapshot.ts
+++ b/src/configuration/snapshot.ts
@@ -1,10 +1,25 @@
 import * as document from './document';
 
+/** Who published a revision, when, and which documents it changed. */
+export interface PublishRecord {
+  readonly revision: number;
+  readonly publishId: string;
+  readonly author: string;
+  /** The leader's time in the log entry, in milliseconds since the Unix epoch. */
+  readonly committedAtMilliseconds: number;
+  /** Keys of documents that were added or changed. */
+  readonly upserts: readonly string[];
+  /** Keys of removed documents. */
+  readonly removals: readonly string[];
+}
+
 /** The whole configuration at one revision. Revision 0 is empty and precedes the first publish. */
 export interface ConfigurationSnapshot {
   readonly revision: number;
   /** Documents by `documentKey`. */
   readonly documents: ReadonlyMap<string, document.ConfigurationDocument>;
+  /** The last publishes that led to this revision, oldest first; shown to operators. */
+  readonly recentPublishes?: readonly PublishRecord[];
 }
 
 /** What changes between two revisions. */
@@ -14,8 +29,13 @@
   readonly upserts: readonly document.ConfigurationDocument[];
   /** Keys of removed documents. */
   readonly removals: readonly string[];
+  /** The publishes between the two revisions, oldest first. */
+  readonly publishes?: readonly PublishRecord[];
 }
 
+/** Every daemon keeps this many publishes; with a few document keys each they take some 20 KB. */
+const REMEMBERED_PUBLISHES = 100;
+
 /** The configuration before the first publish. */
 export const EMPTY_SNAPSHOT: ConfigurationSnapshot = { revision: 0, documents: new Map() };
 
@@ -36,5 +56,10 @@
   const documents = new Map(snapshot.documents);
   delta.removals.forEach((key) => documents.delete(key));
   delta.upserts.forEach((entry) => documents.set(document.documentKey(entry), entry));
-  return { revision: delta.to, documents };
+  const publishes = [...(snapshot.recentPublishes ?? []), ...(delta.publishes ?? [])];
+  return {
+    revision: delta.to,
+    documents,
+    recentPublishes: publishes.slice(-REMEMBERED_PUBLISHES),
+  };
 }
--- a/src/control/configuration-store.ts
+++ b/src/control/configuration-store.ts
@@ -96,5 +96,6 @@
     to: second.to,
     upserts: [...upserts.values()],
     removals: [...removals],
+    publishes: [...(first.publishes ?? []), ...(second.publishes ?? [])],
   };
 }
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -306,7 +306,7 @@
         this.changed(this.store.offerDelta(message));
         break;
       case peerMessage.PeerMessageKind.ConfigurationSnapshot:
-        this.changed(this.store.offerSnapshot(toSnapshot(message.revision, message.documents)));
+        this.changed(this.store.offerSnapshot(toSnapshot(message)));
         break;
       default:
         this.broadcastListeners
@@ -364,6 +364,7 @@
             kind: peerMessage.PeerMessageKind.ConfigurationSnapshot,
             revision: current.revision,
             documents: [...current.documents.values()],
+            recentPublishes: current.recentPublishes ?? [],
           }
         : { kind: peerMessage.PeerMessageKind.ConfigurationDelta, ...delta };
     if (!this.network.send(peer.address, message as unknown as wire.WireMessage)) {
@@ -448,12 +449,14 @@
     : results.Ok(result);
 }
 
-function toSnapshot(
-  revision: number,
-  documents: readonly configuration.ConfigurationDocument[],
-): configuration.ConfigurationSnapshot {
-  const byKey = new Map(
-    documents.map((document) => [configuration.documentKey(document), document]),
+function toSnapshot(message: {
+  readonly revision: number;
+  readonly documents: readonly configuration.ConfigurationDocument[];
+  readonly recentPublishes?: readonly configuration.PublishRecord[];
+}): configuration.ConfigurationSnapshot {
+  const { revision, recentPublishes } = message;
+  const documents = new Map(
+    message.documents.map((document) => [configuration.documentKey(document), document]),
   );
-  return { revision, documents: byKey };
+  return { revision, documents, recentPublishes };
 }
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -21,6 +21,14 @@
 const bytes = zod.instanceof(Uint8Array);
 const member = zod.object({ replicaId: zod.string(), address: zod.string() });
 const group = zod.object({ voters: zod.array(member) });
+const publishRecord = zod.object({
+  revision: counter,
+  publishId: zod.string(),
+  author: zod.string(),
+  committedAtMilliseconds: zod.number(),
+  upserts: zod.array(zod.string()),
+  removals: zod.array(zod.string()),
+});
 const envelope = {
   from: member,
   toAddress: zod.string(),
@@ -177,10 +185,12 @@
     to: counter,
     upserts: zod.array(document),
     removals: zod.array(zod.string()),
+    publishes: zod.array(publishRecord).optional(),
   }),
   zod.object({
     kind: zod.literal(PeerMessageKind.ConfigurationSnapshot),
     revision: counter,
+    recentPublishes: zod.array(publishRecord).optional(),
     documents: zod.array(document),
   }),
   zod.object({
--- a/src/control/revisions.ts
+++ b/src/control/revisions.ts
@@ -81,7 +81,15 @@
 ): Published {
   const from = state.snapshot.revision;
   const { upserts, removals, publishId, author } = request;
-  const delta = { from, to: from + 1, upserts, removals };
+  const record: configuration.PublishRecord = {
+    revision: from + 1,
+    publishId,
+    author,
+    committedAtMilliseconds: timestamp,
+    upserts: upserts.map(configuration.documentKey),
+    removals,
+  };
+  const delta = { from, to: from + 1, upserts, removals, publishes: [record] };
   const snapshot = configuration.applyDelta(state.snapshot, delta);
   const winners = state.winners
     .set(snapshot.revision, { publishId, author })
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -58,6 +58,7 @@
   return wire.encode({
     documents: [...state.revisions.snapshot.documents.values()],
     revision: state.revisions.snapshot.revision,
+    recentPublishes: state.revisions.snapshot.recentPublishes ?? [],
     publishes: [...state.revisions.publishes.entries()],
     publishOrder: [...state.revisions.publishOrder],
     winners: [...state.revisions.winners.entries()],
@@ -74,7 +75,11 @@
   );
   return {
     revisions: {
-      snapshot: { revision: value.revision, documents },
+      snapshot: {
+        revision: value.revision,
+        documents,
+        recentPublishes: value.recentPublishes,
+      },
       publishes: immutable.Map(value.publishes),
       publishOrder: immutable.List(value.publishOrder),
       winners: immutable.Map(value.winners),
@@ -86,6 +91,7 @@
 interface EncodedState {
   readonly documents: readonly configuration.ConfigurationDocument[];
   readonly revision: number;
+  readonly recentPublishes: readonly configuration.PublishRecord[];
   readonly publishes: readonly [string, command.CommandResult][];
   readonly publishOrder: readonly revisions.PublishTime[];
   readonly winners: readonly [number, revisions.Winner][];
--- /dev/null
+++ b/src/daemon/published-history.ts
@@ -0,0 +1,21 @@
+import * as command from '../command';
+import * as control from '../control';
+
+/** Answers `GET /operator/history` from the publishes that come with the configuration. */
+export class PublishedHistory extends command.RevisionHistory {
+  constructor(private readonly plane: control.ControlPlane) {
+    super();
+  }
+
+  override recent(limit: number): readonly command.HistoryEntry[] {
+    const publishes = this.plane.configuration().recentPublishes ?? [];
+    return publishes
+      .slice(-limit)
+      .reverse()
+      .map((record) => ({
+        ...record,
+        upserts: [...record.upserts],
+        removals: [...record.removals],
+      }));
+  }
+}
--- a/src/daemon/start-daemon.ts
+++ b/src/daemon/start-daemon.ts
@@ -10,7 +10,7 @@
 import * as daemonModule from './daemon';
 import type * as daemonPorts from './daemon-ports';
 import * as httpBackendFactory from './http-backend-factory';
-import * as unrecordedHistory from './unrecorded-history';
+import * as publishedHistory from './published-history';
 
 /**
  * Builds the adapters from the settings and starts a daemon with them. Rejects when a port is taken.
@@ -33,7 +33,7 @@
     backends: new httpBackendFactory.HttpBackendFactory(time),
     core: { startState: startState(settings, random), update: decision.update },
     hasher,
-    history: new unrecordedHistory.UnrecordedHistory(),
+    history: new publishedHistory.PublishedHistory(plane),
     meter: meterOf(settings),
     time,
     random,
--- a/test/control/control-node.test.ts
+++ b/test/control/control-node.test.ts
@@ -35,6 +35,11 @@
   assert.equal(result.val, { kind: PublishAccepted, revision: 1 });
   await builder.until(() => group.nodes.every((node) => node.configuration().revision === 1));
   assert.equal([...group.nodes[3].configuration().documents.keys()], ['team/first']);
+  group.nodes.forEach((node) => {
+    const [record] = node.configuration().recentPublishes ?? [];
+    const { revision, publishId, author, upserts } = record;
+    assert.equal([revision, publishId, author, upserts], [1, 'first', 'operator', ['team/first']]);
+  });
   await group.close();
 });
 
@@ -64,6 +69,11 @@
   const added = await group.restart(3);
   assert.is(added.configuration().revision, CHANGES);
   assert.equal([...added.configuration().documents.keys()], ['team/only']);
+  [restarted, added].forEach((node) => {
+    const publishes = node.configuration().recentPublishes ?? [];
+    assert.is(publishes.length, 100, 'the history is lost with a snapshot');
+    assert.is(publishes.at(-1)?.publishId, `publish-${CHANGES - 1}`);
+  });
   await group.close();
 });
 
