--- a/src/bench/cases/crashing-request.ts
+++ b/src/bench/cases/crashing-request.ts
@@ -3,9 +3,13 @@
 import * as comparison from '../comparison';
 import * as coreStrategy from '../core-strategy';
 import * as deployment from '../deployment';
+import * as outcome from '../outcome';
 import * as workload from '../workload';
 
-/** A request that crashes every engine that runs it, sent again half a second after each failure for a minute. */
+/**
+ * A request that crashes every engine that runs it, sent again for a minute: half a second after each
+ * failure, or every half a second whatever became of the earlier copies.
+ */
 export class CrashingRequest extends benchCase.BenchCase {
   override readonly name = 'crashing-request';
 
@@ -16,32 +20,61 @@
       durationMilliseconds: START + 80_000,
       rate: () => rate,
     });
-    const first = poison(place, normal[0], 0, START);
-    const requests = [...normal, first].sort((left, right) => left.at - right.at);
-    let sent = 1;
-    const resend = (failed: workload.BenchRequest, now: number) => {
-      if (!failed.poison || now >= START + RESEND_FOR_MILLISECONDS) {
-        return undefined;
-      }
-      sent += 1;
-      return poison(place, failed, sent, now + RESEND_MILLISECONDS);
-    };
-    const result = comparison.runOne(place, new coreStrategy.CoreStrategy(), requests, seed, {
-      resend,
-    });
-    const others = result.outcomes.filter(({ request }) => !request.poison && request.at >= START);
-    const served = others.filter((entry) => entry.finishedAt !== undefined);
     return [
-      benchCase.atMost('runners lost', result.crashes, 2),
-      benchCase.atLeast('success of other requests', served.length / others.length, 0.999, {
-        requests: others.length,
-        failed: others.filter(({ failure }) => failure).length,
-        sent,
-      }),
+      ...figures('after each failure', resendAfterFailure(place, normal, seed)),
+      ...figures('every 0.5 s', resendBlindly(place, normal, seed)),
     ];
   }
 }
 
+function figures(manner: string, result: outcome.RunResult): benchCase.Figure[] {
+  const others = result.outcomes.filter(({ request }) => !request.poison && request.at >= START);
+  const served = others.filter((entry) => entry.finishedAt !== undefined);
+  const failed = others.filter(({ failure }) => failure).length;
+  return [
+    benchCase.atMost(`runners lost, resent ${manner}`, result.crashes, 2),
+    benchCase.atLeast(`success of others, resent ${manner}`, served.length / others.length, 0.999, {
+      requests: others.length,
+      failed,
+      sent:
+        result.outcomes.length - result.outcomes.filter(({ request }) => !request.poison).length,
+    }),
+  ];
+}
+
+function resendAfterFailure(
+  place: deployment.Deployment,
+  normal: readonly workload.BenchRequest[],
+  seed: number,
+): outcome.RunResult {
+  let sent = 1;
+  const resend = (failed: workload.BenchRequest, now: number) => {
+    if (!failed.poison || now >= START + RESEND_FOR_MILLISECONDS) {
+      return undefined;
+    }
+    sent += 1;
+    return poison(place, failed, sent, now + RESEND_MILLISECONDS);
+  };
+  const requests = inOrder([...normal, poison(place, normal[0], 0, START)]);
+  return comparison.runOne(place, new coreStrategy.CoreStrategy(), requests, seed, { resend });
+}
+
+function resendBlindly(
+  place: deployment.Deployment,
+  normal: readonly workload.BenchRequest[],
+  seed: number,
+): outcome.RunResult {
+  const copies = Array.from({ length: RESEND_FOR_MILLISECONDS / RESEND_MILLISECONDS }, (_, index) =>
+    poison(place, normal[0], index, START + index * RESEND_MILLISECONDS),
+  );
+  const requests = inOrder([...normal, ...copies]);
+  return comparison.runOne(place, new coreStrategy.CoreStrategy(), requests, seed);
+}
+
+function inOrder(requests: readonly workload.BenchRequest[]): workload.BenchRequest[] {
+  return [...requests].sort((left, right) => left.at - right.at);
+}
+
 /** Each time through another daemon, as the platform's load balancer would send it. */
 function poison(
   place: deployment.Deployment,
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -290,7 +290,7 @@
 /** A wait must save at least this much. */
 const MARGIN_MILLISECONDS = 50;
 /** Part of the time until the deadline for which a request waits for a better server. */
-const PATIENT_FRACTION = 0.2;
+const PATIENT_FRACTION = 0.4;
 /** With fewer servers ready than this, the service is saturated. */
 const READY_FRACTION = 0.34;
 const PROBE_INTERVAL_MILLISECONDS = 5_000;
