Go on with a stream whose server is found dead while its connection is silent

Cause: found while the code that engine and plain executions had twice was moved to one class. When the core cancels the delivering attempt, because probes found the server dead before the silence limit of 3.25 s, no other attempt could take over the stream, and the caller waited for ever. Besides, an attempt sent before the server's incarnation was known was not found by the crash at all.

Change: a cancelled attempt gives up the stream; the head of an answer tells the incarnation of its attempt. AttemptExecution holds what both kinds of execution share.

--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -17,7 +17,10 @@
   if (found === undefined) {
     return;
   }
-  const { request, attempt } = found;
+  const { request } = found;
+  // The request may have been sent before the incarnation was known; a crash looks for it by incarnation.
+  const attempt = { ...found.attempt, incarnation: given.incarnation };
+  replaceAttempt(step, request, attempt);
   fleet.observeIncarnation(step, attempt.serverId, given.incarnation);
   learnCache(step, request, attempt, given);
   const service = step.state.services.get(request.profile.service);
--- /dev/null
+++ b/src/routing/attempt-execution.ts
@@ -0,0 +1,122 @@
+import * as decision from '../decision';
+import * as logging from '../logging';
+import * as verdict from '../verdict';
+import type * as executionContext from './execution-context';
+import * as requestExecution from './request-execution';
+import * as streamMeter from './stream-meter';
+
+/**
+ * The part of an execution that does not depend on what is called: keeps the running attempts, and tells
+ * the decision task how each of them ended.
+ */
+export abstract class AttemptExecution extends requestExecution.RequestExecution {
+  protected readonly meter: streamMeter.StreamMeter;
+
+  protected isOver = false;
+
+  private readonly attempts = new Map<string, AbortController>();
+
+  constructor(
+    override readonly profile: decision.RequestProfile,
+    protected readonly context: executionContext.ExecutionContext,
+  ) {
+    super();
+    this.meter = new streamMeter.StreamMeter(context.meter, context.time, profile);
+  }
+
+  override get isRunning(): boolean {
+    return this.attempts.size > 0;
+  }
+
+  override dispatch(effect: decision.Dispatch): void {
+    this.meter.dispatched(effect);
+    const controller = new AbortController();
+    this.attempts.set(effect.attemptId, controller);
+    this.runAttempt(effect, controller.signal).catch((error: Error) => {
+      logger.error('attempt ended with an exception', { ...this.fields(), reason: error.message });
+      this.attemptFailed(effect, INTERNAL_FAULT);
+    });
+  }
+
+  override cancelAttempt(attemptId: string): void {
+    this.attempts.get(attemptId)?.abort();
+    this.attempts.delete(attemptId);
+  }
+
+  /** Runs one attempt to its end; reports a failure with `attemptFailed`. */
+  protected abstract runAttempt(effect: decision.Dispatch, signal: AbortSignal): Promise<void>;
+
+  /** Tells the core that an attempt failed, unless it was cancelled or the request is over. */
+  protected attemptFailed(effect: decision.Dispatch, failure: verdict.RequestFailure): void {
+    const { attemptId, serverId } = effect;
+    if (this.isOver || !this.attempts.delete(attemptId)) {
+      return;
+    }
+    const { reason, verdict: outcome } = failure;
+    logger.information('attempt failed', {
+      ...this.fields(),
+      backendServer: serverId,
+      verdict: outcome,
+      reason,
+    });
+    this.context.observer.attemptFailed(serverId, failure);
+    const { task } = this.context;
+    task.feed({
+      kind: decision.DecisionEventKind.AttemptFailed,
+      at: task.now(),
+      requestId: this.profile.requestId,
+      attemptId,
+      failure,
+    });
+  }
+
+  /** Ends the request with the whole answer; false when the attempt or the request is over already. */
+  protected finishAttempt({ attemptId }: decision.Dispatch): boolean {
+    if (this.isOver || !this.attempts.delete(attemptId)) {
+      return false;
+    }
+    const { task } = this.context;
+    const { requestId } = this.profile;
+    const kind = decision.DecisionEventKind.AttemptFinished;
+    task.feed({ kind, at: task.now(), requestId, attemptId });
+    task.forget(requestId);
+    this.end();
+    this.meter.finished();
+    return true;
+  }
+
+  /** The caller has gone: stops every attempt and tells the core. */
+  protected abandon(): void {
+    this.end();
+    const { task } = this.context;
+    const { requestId } = this.profile;
+    task.feed({ kind: decision.DecisionEventKind.RequestCancelled, at: task.now(), requestId });
+    task.forget(requestId);
+  }
+
+  protected end(): void {
+    this.isOver = true;
+    this.attempts.forEach((controller) => controller.abort());
+    this.attempts.clear();
+  }
+
+  private fields(): logging.LogFields {
+    const { requestId, team, service } = this.profile;
+    return { requestId, team, service };
+  }
+}
+
+const logger = new logging.Logger('routing');
+
+/** The chosen server was removed from the list before the attempt could start. */
+export const SERVER_GONE = verdict.failure(
+  verdict.FailureReason.NoBackendServer,
+  verdict.Verdict.NotRun,
+  'The chosen backend server is gone.',
+);
+
+const INTERNAL_FAULT = verdict.failure(
+  verdict.FailureReason.Internal,
+  verdict.Verdict.MayHaveRun,
+  'The router failed while it handled the request.',
+);
--- a/src/routing/engine-execution.ts
+++ b/src/routing/engine-execution.ts
@@ -1,17 +1,10 @@
 import * as backend from '../backend';
-import * as clock from '../clock';
-import * as configuration from '../configuration';
 import * as decision from '../decision';
-import * as logging from '../logging';
-import * as metrics from '../metrics';
 import * as stream from '../stream';
 import * as verdict from '../verdict';
 import type * as answerSink from './answer-sink';
-import type * as backendPool from './backend-pool';
-import type * as decisionTask from './decision-task';
-import * as requestExecution from './request-execution';
-import type * as serverObserver from './server-observer';
-import * as streamMeter from './stream-meter';
+import * as attemptExecution from './attempt-execution';
+import type * as executionContext from './execution-context';
 
 /** A generation request after admission to the router. */
 export interface EngineCall {
@@ -23,17 +16,6 @@
   readonly weightsVersion: string;
 }
 
-/** What executions share. */
-export interface ExecutionContext {
-  readonly task: decisionTask.DecisionTask;
-  readonly pool: backendPool.BackendPool;
-  readonly observer: serverObserver.ServerObserver;
-  /** The weights version to ask for during a roll-out; by default the configured one. */
-  readonly servingWeights?: (service: configuration.ModelServiceDocument) => string;
-  readonly meter: metrics.Metrics;
-  readonly time: clock.Clock;
-}
-
 interface RunningAttempt {
   readonly effect: decision.Dispatch;
   /** First piece that the attempt sends. */
@@ -45,72 +27,46 @@
  * One generation request: streams from the servers that the core chose into one sink. Pieces reach the
  * sink once each and in order, whatever became of single attempts.
  */
-export class EngineExecution extends requestExecution.RequestExecution {
-  readonly profile: decision.RequestProfile;
-
-  private readonly attempts = new Map<string, AbortController>();
-
-  private readonly streamMeter: streamMeter.StreamMeter;
-
+export class EngineExecution extends attemptExecution.AttemptExecution {
   /** How far the answer was delivered, over all attempts. */
   private delivered = stream.start();
 
   /** The attempt whose pieces are delivered; another attempt may take over when it has failed. */
   private deliveringAttempt: string | undefined;
 
-  private isOver = false;
-
   constructor(
     private readonly call: EngineCall,
-    private readonly context: ExecutionContext,
+    context: executionContext.ExecutionContext,
     private readonly sink: answerSink.AnswerSink,
   ) {
-    super();
-    this.profile = call.profile;
-    this.streamMeter = new streamMeter.StreamMeter(context.meter, context.time, call.profile);
-  }
-
-  override get isRunning(): boolean {
-    return this.attempts.size > 0;
-  }
-
-  override dispatch(effect: decision.Dispatch): void {
-    this.streamMeter.dispatched(effect);
-    const controller = new AbortController();
-    this.attempts.set(effect.attemptId, controller);
-    this.runAttempt(effect, controller.signal).catch((error: Error) => {
-      logger.error('attempt ended with an exception', { ...this.fields(), reason: error.message });
-      this.attemptFailed(effect, BROKEN_STREAM);
-    });
+    super(call.profile, context);
   }
 
   override cancelAttempt(attemptId: string): void {
-    this.attempts.get(attemptId)?.abort();
-    this.attempts.delete(attemptId);
+    this.stopDelivering(attemptId);
+    super.cancelAttempt(attemptId);
   }
 
   override fail(failure: verdict.RequestFailure): void {
     this.end();
-    this.streamMeter.failed(failure);
+    this.meter.failed(failure);
     this.sink.fail(failure);
   }
 
   /** The caller has gone: stops every attempt and tells the core. */
   cancel(): void {
-    if (this.isOver) {
-      return;
+    if (!this.isOver) {
+      this.abandon();
     }
-    this.end();
-    const { task } = this.context;
-    const { requestId } = this.profile;
-    task.feed({ kind: decision.DecisionEventKind.RequestCancelled, at: task.now(), requestId });
-    task.forget(requestId);
   }
 
-  private async runAttempt(effect: decision.Dispatch, signal: AbortSignal): Promise<void> {
+  protected override async runAttempt(
+    effect: decision.Dispatch,
+    signal: AbortSignal,
+  ): Promise<void> {
     const lease = this.context.pool.engine(effect.serverId);
     if (lease === undefined) {
-      this.attemptFailed(effect, SERVER_GONE);
+      this.attemptFailed(effect, attemptExecution.SERVER_GONE);
       return;
     }
     try {
@@ -209,7 +165,7 @@
   }
 
   private reportPiece(effect: decision.Dispatch): void {
-    this.streamMeter.pieceReceived();
+    this.meter.pieceReceived();
     const { task } = this.context;
     task.feed({
       kind: decision.DecisionEventKind.PieceReceived,
@@ -221,26 +177,15 @@
   }
 
   private finish(effect: decision.Dispatch): void {
-    const { task } = this.context;
-    const { requestId } = this.profile;
-    const { attemptId } = effect;
-    this.attempts.delete(attemptId);
-    task.feed({
-      kind: decision.DecisionEventKind.AttemptFinished,
-      at: task.now(),
-      requestId,
-      attemptId,
-    });
-    task.forget(requestId);
-    this.end();
-    this.streamMeter.finished();
-    this.sink.complete();
+    if (this.finishAttempt(effect)) {
+      this.sink.complete();
+    }
   }
 
   private answerStarted(effect: decision.Dispatch, head: backend.EngineAnswerHead): void {
     const { task, observer } = this.context;
     observer.incarnationSeen(effect.serverId, head.incarnation);
-    this.streamMeter.answerStarted(head);
+    this.meter.answerStarted(head);
     task.feed({
       kind: decision.DecisionEventKind.AnswerStarted,
       at: task.now(),
@@ -253,54 +198,24 @@
     });
   }
 
-  private attemptFailed(effect: decision.Dispatch, failure: verdict.RequestFailure): void {
-    const { attemptId, serverId } = effect;
-    if (this.isOver || !this.attempts.delete(attemptId)) {
-      return;
-    }
+  protected override attemptFailed(
+    effect: decision.Dispatch,
+    failure: verdict.RequestFailure,
+  ): void {
+    this.stopDelivering(effect.attemptId);
+    super.attemptFailed(effect, failure);
+  }
+
+  /** Lets another attempt take over the stream. */
+  private stopDelivering(attemptId: string): void {
     if (this.deliveringAttempt === attemptId) {
       this.deliveringAttempt = undefined;
     }
-    const { reason, verdict: outcome } = failure;
-    logger.information('attempt failed', {
-      ...this.fields(),
-      backendServer: serverId,
-      verdict: outcome,
-      reason,
-    });
-    this.context.observer.attemptFailed(serverId, failure);
-    const { task } = this.context;
-    task.feed({
-      kind: decision.DecisionEventKind.AttemptFailed,
-      at: task.now(),
-      requestId: this.profile.requestId,
-      attemptId,
-      failure,
-    });
-  }
-
-  private end(): void {
-    this.isOver = true;
-    this.attempts.forEach((controller) => controller.abort());
-    this.attempts.clear();
-  }
-
-  private fields(): logging.LogFields {
-    const { requestId, team, service } = this.profile;
-    return { requestId, team, service };
   }
 }
 
-const logger = new logging.Logger('routing');
-
 const { FailureReason, Verdict } = verdict;
 
-const SERVER_GONE = verdict.failure(
-  FailureReason.NoBackendServer,
-  Verdict.NotRun,
-  'The chosen backend server is gone.',
-);
-
 const BROKEN_STREAM = verdict.failure(
   FailureReason.StreamBroken,
   Verdict.MayHaveRun,
--- /dev/null
+++ b/src/routing/execution-context.ts
@@ -0,0 +1,17 @@
+import * as clock from '../clock';
+import type * as configuration from '../configuration';
+import * as metrics from '../metrics';
+import type * as backendPool from './backend-pool';
+import type * as decisionTask from './decision-task';
+import type * as serverObserver from './server-observer';
+
+/** What executions share. */
+export interface ExecutionContext {
+  readonly task: decisionTask.DecisionTask;
+  readonly pool: backendPool.BackendPool;
+  readonly observer: serverObserver.ServerObserver;
+  /** The weights version to ask for during a roll-out; by default the configured one. */
+  readonly servingWeights?: (service: configuration.ModelServiceDocument) => string;
+  readonly meter: metrics.Metrics;
+  readonly time: clock.Clock;
+}
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -9,6 +9,7 @@
 export * from './decision-core';
 export * from './decision-task';
 export * from './engine-execution';
+export * from './execution-context';
 export * from './membership-task';
 export * from './poll-task';
 export * from './router';
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -10,6 +10,7 @@
 import type * as claimKeeper from './claim-keeper';
 import * as completionRequest from './completion-request';
 import * as engineExecution from './engine-execution';
+import type * as executionContext from './execution-context';
 import * as idempotencyKey from './idempotency-key';
 import * as plainExecution from './plain-execution';
 
@@ -49,7 +50,7 @@
   private current: catalogModule.Catalog;
 
   constructor(
-    private readonly context: engineExecution.ExecutionContext,
+    private readonly context: executionContext.ExecutionContext,
     private readonly claims: claimKeeper.ClaimKeeper,
     private readonly hasher: Pick<prefix.ChainHasher, 'chain'>,
     snapshot: configuration.ConfigurationSnapshot,
--- a/test/support/fake-engine-stream.ts
+++ b/test/support/fake-engine-stream.ts
@@ -12,6 +12,7 @@
     readonly head: backend.EngineAnswerHead,
     private readonly script: readonly Piece[],
     private readonly delayMilliseconds = 0,
+    private readonly isSilent = false,
   ) {
     super();
   }
@@ -25,6 +26,9 @@
       }
       yield piece;
     }
+    if (this.isSilent) {
+      await new Promise(() => {});
+    }
   }
 
   override async cancel(): Promise<void> {
--- a/test/support/fake-engine.ts
+++ b/test/support/fake-engine.ts
@@ -15,6 +15,8 @@
   readonly delayMilliseconds?: number;
   /** Length of each piece, to fill the caller's connection. */
   readonly pieceLength?: number;
+  /** After the pieces the connection stays open and silent. */
+  readonly isSilent?: boolean;
   /** The answer carries another request's id. */
   readonly isCrossed?: boolean;
 }
@@ -64,6 +66,7 @@
       head,
       [...pieces, ...ending],
       behaviour.delayMilliseconds ?? 0,
+      behaviour.isSilent,
     );
     return new results.Ok(this.stream);
   }
--- a/test/support/routing-builder.ts
+++ b/test/support/routing-builder.ts
@@ -83,6 +83,8 @@
 
   private nextRequest = 0;
 
+  private task: routing.DecisionTask<unknown> | undefined;
+
   engine(id: string, ...behaviours: fakeEngine.EngineBehaviour[]): this {
     const machine = machineOf(id, MODEL_SERVICE.name, backend.BackendKind.ModelEngine);
     this.engines.set(id, new fakeEngine.FakeEngine(machine, behaviours));
@@ -102,6 +104,7 @@
       plainService: (machine) => services.get(machine.id)!,
     });
     const task = new routing.DecisionTask<unknown>(realCore(), time, () => {});
+    this.task = task;
     this.control.publish(...DOCUMENTS);
     const router = new routing.Router(
       { task, pool, observer: this.observer, meter: this.meter, time },
@@ -122,6 +125,12 @@
     }
   }
 
+  /** Tells the core that a server crashed, as the membership task does after two failed probes. */
+  crash(serverId: string): void {
+    const at = this.task?.now() ?? 0;
+    this.task?.feed({ kind: decision.DecisionEventKind.ServerCrashed, at, serverId });
+  }
+
   /** Starts a chat request and waits for its end. */
   async complete(router: routing.Router): Promise<collectingSink.CollectingSink> {
     const sink = new collectingSink.CollectingSink();
