--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -12,11 +12,9 @@
 export enum Counter {
   Requests = 'requests',
   Failures = 'failures',
-  Retries = 'retries',
   Resumes = 'resumes',
   Hedges = 'hedges',
   Refusals = 'refusals',
-  PeerLinksLost = 'peer_links_lost',
 }
 
 /** Tags that split a histogram or counter. */
--- a/src/replica/state.ts
+++ b/src/replica/state.ts
@@ -72,7 +72,7 @@
   readonly heardAt: number;
 }
 
-/** The group in force from `index` on. */
+/** The group that applies from `index` on. */
 export interface GroupAt {
   readonly index: number;
   readonly group: entry.Group;
@@ -90,7 +90,7 @@
   readonly leader?: entry.Member;
   readonly log: logs.Log;
   readonly snapshot?: entry.Snapshot;
-  /** Groups in the log and in the snapshot, the one in force last. */
+  /** Groups in the log and in the snapshot, the current one last. */
   readonly groups: immutable.List<GroupAt>;
   readonly commitIndex: number;
   readonly leaderHeardAt: number;
@@ -158,7 +158,7 @@
   };
 }
 
-/** The voters in force: those of the latest group entry, committed or not. */
+/** The current voters: those of the latest group entry, committed or not. */
 export function voters(state: ReplicaState): readonly entry.Member[] {
   return state.groups.last()?.group.voters ?? [];
 }
