--- a/src/emulator/emulated-kept-cache.ts
+++ b/src/emulator/emulated-kept-cache.ts
@@ -13,21 +13,6 @@
     super(time);
   }
 
-  protected override loadReport(): backend.LoadReport {
-    return {
-      incarnation: this.incarnation,
-      weightsVersion: '',
-      ageMilliseconds: 0,
-      runningRequests: this.requestsInProgress,
-      queuedRequests: 0,
-      queuedPrefillTokens: 0,
-    };
-  }
-
-  protected override weightsVersion(): string {
-    return '';
-  }
-
   protected override async handle(
     request: receivedRequest.ReceivedRequest,
   ): Promise<wholeAnswer.WholeAnswer> {
--- a/src/emulator/emulated-plain-service.ts
+++ b/src/emulator/emulated-plain-service.ts
@@ -1,5 +1,4 @@
 import * as zod from 'zod';
-import * as backend from '../backend';
 import * as clock from '../clock';
 import * as emulatedServer from './emulated-server';
 import * as ledger from './ledger';
@@ -34,21 +33,6 @@
     return { ...super.report(), executions: this.ledger.executionCounts() };
   }
 
-  protected override loadReport(): backend.LoadReport {
-    return {
-      incarnation: this.incarnation,
-      weightsVersion: '',
-      ageMilliseconds: 0,
-      runningRequests: this.requestsInProgress,
-      queuedRequests: 0,
-      queuedPrefillTokens: 0,
-    };
-  }
-
-  protected override weightsVersion(): string {
-    return '';
-  }
-
   protected override async handle(
     request: receivedRequest.ReceivedRequest,
   ): Promise<wholeAnswer.WholeAnswer> {
--- a/src/emulator/emulated-server.ts
+++ b/src/emulator/emulated-server.ts
@@ -162,9 +162,23 @@
     return this.wholeRequests.get(requestId) ?? 0;
   }
 
-  protected abstract loadReport(): backend.LoadReport;
+  /** Load of a server without batching; an engine reports its own. */
+  protected loadReport(): backend.LoadReport {
+    return {
+      incarnation: this.incarnation,
+      weightsVersion: '',
+      ageMilliseconds: 0,
+      runningRequests: this.requestsInProgress,
+      queuedRequests: 0,
+      queuedPrefillTokens: 0,
+    };
+  }
 
-  protected abstract weightsVersion(): string;
+  /** Empty for a server without weights. */
+  // eslint-disable-next-line @typescript-eslint/class-methods-use-this
+  protected weightsVersion(): string {
+    return '';
+  }
 
   /** Answers a request that was read to its end, by `response` or with the returned answer. */
   protected abstract handle(
