Keep suspects of different daemons apart; refuse unknown callers from their headers

Cause of the known red test: suspects are kept apart inside one daemon only. After a crash the crashing request of one daemon and a neighbour of another were retried at the same second server, and the second crash condemned both. Ruled out: holding both until a probe confirms the crash (the two daemons still choose alike), and comparing crash sets only (two crashes with two suspects in both cannot name one of them). Change: each daemon retries suspects at its own share of the platform's list, by the place of its id among the connected daemons. Dead servers stay in the list, so that the shares do not shift.

Ports of the demo cluster: a port was closed and bound again later, so an outgoing connection could be given it. Each process now has a loopback address of its own and ports below the ephemeral range.

A body was read before the credential was checked: a request with an unknown credential and a slow body was held for 20 s. It is now refused from the headers, and the bodies being received are bounded in sum. The slow-body check now carries a credential, since without one the answer is 401.

--- a/src/daemon/caller-exchange.ts
+++ b/src/daemon/caller-exchange.ts
@@ -49,7 +49,8 @@
   return { requestId, team: team.val, body, reply };
 }
 
-function admit(
+/** The team of a request, or why the request is refused; looks at the headers only. */
+export function admit(
   context: callerContext.CallerContext,
   request: fastify.FastifyRequest,
 ): results.Result<configuration.TeamDocument, verdict.RequestFailure> {
--- a/src/daemon/caller-limits.ts
+++ b/src/daemon/caller-limits.ts
@@ -1,6 +1,8 @@
 /** Bounds on what callers can occupy. Times are in milliseconds. */
 export interface CallerLimits {
   readonly bodyBytes: number;
+  /** Sum over the bodies that are being received at the same time. */
+  readonly readingBytes: number;
   /** Time from the first byte of a connection to the end of the request headers. */
   readonly headersMilliseconds: number;
   /** Time until the whole request, with its body, has arrived. */
@@ -17,6 +19,8 @@
 export const DEFAULT_LIMITS: CallerLimits = {
   // A history of 200,000 tokens is about 1 MB of text; images in messages make requests larger.
   bodyBytes: 16 * 1_024 * 1_024,
+  // Eight of the largest bodies at a time, a small part of the memory of an entry VM.
+  readingBytes: 8 * 16 * 1_024 * 1_024,
   headersMilliseconds: 10_000,
   requestMilliseconds: 30_000,
   // Longer than the 60 s after which load balancers commonly drop an idle connection, so that the
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -4,6 +4,7 @@
 import * as orders from '../orders';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
+import * as bodyAdmission from './body-admission';
 import * as callerContext from './caller-context';
 import * as callerModule from './caller-module';
 import type * as daemonPorts from './daemon-ports';
@@ -12,6 +13,7 @@
 import * as operatorFilter from './operator-filter';
 import * as operatorGuard from './operator-guard';
 import * as operatorModule from './operator-module';
+import * as peerPosition from './peer-position';
 import * as peerQuarantine from './peer-quarantine';
 import * as readiness from './readiness';
 
@@ -114,7 +116,7 @@
   }
 
   private ownTasks(): void {
-    const { plane, meter } = this.ports;
+    const { plane, meter, time } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
     own('control plane', () => plane.close());
@@ -123,6 +125,7 @@
     own('claims', () => this.followUp.close(CLAIM_FLUSH_MILLISECONDS));
     own('membership', () => this.membership.close());
     own('crash reports', peerQuarantine.hearCrashes(plane, this.task));
+    own('peer position', peerPosition.watchPeerPosition({ plane, task: this.task, time }));
     own(
       'configuration',
       plane.onConfiguration((snapshot) => this.router.applyConfiguration(snapshot)),
@@ -183,7 +186,10 @@
     const context = new callerContext.CallerContext(this.router, this.readiness, time, limits);
     const module = callerModule.CallerModule.with(context);
     const filter = new failureFilter.FailureFilter(() => this.router.catalog.revision);
-    const listener = await httpListener.listen(module, listen, limits, filter);
+    const admission = new bodyAdmission.BodyAdmission(context);
+    const listener = await httpListener.listen(module, listen, limits, filter, (server) =>
+      admission.install(server),
+    );
     this.lifecycle.own('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
     this.listener = listener;
   }
--- a/src/daemon/http-listener.ts
+++ b/src/daemon/http-listener.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import * as nest from '@nestjs/common';
 import * as core from '@nestjs/core';
+import type * as fastify from 'fastify';
 import * as fastifyPlatform from '@nestjs/platform-fastify';
 import * as verdict from '../verdict';
 import type * as callerLimits from './caller-limits';
@@ -21,6 +22,8 @@
 /**
  * Starts a Nest application on an address. Bodies of any type arrive as buffers.
  *
+ * @param prepare adds hooks to the server before it listens
+ *
  * @example
  * const listener = await listen(callerModule, address, DEFAULT_LIMITS, filter);
  */
@@ -29,6 +32,7 @@
   address: { readonly host: string; readonly port: number },
   limits: ListenerLimits,
   filter: nest.ExceptionFilter,
+  prepare: (server: fastify.FastifyInstance) => void = () => {},
 ): Promise<HttpListener> {
   const adapter = new fastifyPlatform.FastifyAdapter(serverOptions(limits));
   const application = await core.NestFactory.create<fastifyPlatform.NestFastifyApplication>(
@@ -37,6 +41,8 @@
     { bodyParser: false, logger: false, abortOnError: false },
   );
   acceptAnyBody(application);
+  // The adapter brings its own copy of Fastify, whose types differ in parts that are not used here.
+  prepare(application.getHttpAdapter().getInstance() as unknown as fastify.FastifyInstance);
   application.useGlobalFilters(filter);
   await application.listen(address.port, address.host);
   const { port } = application.getHttpServer().address() as net.AddressInfo;
--- a/src/decision/candidate-filter.ts
+++ b/src/decision/candidate-filter.ts
@@ -9,6 +9,8 @@
   readonly prefillTokensPerSecond: number;
   /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
   readonly suspect: boolean;
+  /** Servers at which other daemons run their suspects; empty unless the request is a suspect. */
+  readonly reserved: ReadonlySet<string>;
   /** Whether servers with the request's weights are known or, after a publish, to be expected. */
   readonly weightsExpected: boolean;
 }
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -5,6 +5,7 @@
 import * as prefix from '../prefix';
 import type * as candidateFilter from './candidate-filter';
 import * as standardFilters from './standard-filters';
+import * as suspectShare from './suspect-share';
 import type * as state from './state';
 import type * as steps from './step';
 import * as weightsFilter from './weights-filter';
@@ -117,14 +118,34 @@
   const slots = service?.slotsPerRunner ?? 0;
   const prefillTokensPerSecond = prefillRate(service);
   const suspect = isSuspect(step, request);
+  const reserved = reservedServers(step, request, suspect);
   const weightsExpected = weightsFilter.expectsWeights(step, request);
   return servers.filter((server) =>
     filters.every((filter) =>
-      filter.admits({ request, server, slots, prefillTokensPerSecond, suspect, weightsExpected }),
+      filter.admits({
+        request,
+        server,
+        slots,
+        prefillTokensPerSecond,
+        suspect,
+        reserved,
+        weightsExpected,
+      }),
     ),
   );
 }
 
+/** A suspect keeps to the servers of its own daemon until it would wait too long for one of them. */
+function reservedServers(
+  step: steps.Step,
+  request: state.RequestState,
+  suspect: boolean,
+): ReadonlySet<string> {
+  return suspect && isPatient(step, request)
+    ? suspectShare.reservedForPeers(step.state, request.profile.service)
+    : NO_SERVERS;
+}
+
 /** Servers that may be dead are used only when no other is left. */
 function preferTrusted(servers: readonly state.ServerState[]): readonly state.ServerState[] {
   const trusted = servers.filter((server) => server.eligible && !server.record.suspected);
@@ -286,6 +307,8 @@
   return best.length === 1 ? best[0] : best[Math.floor(step.random() * best.length)];
 }
 
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
 const TIE_MILLISECONDS = 1;
 /** A wait must save at least this much. */
 const MARGIN_MILLISECONDS = 50;
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -27,6 +27,7 @@
 export enum DecisionEventKind {
   ConfigurationChanged = 'configuration-changed',
   ServersChanged = 'servers-changed',
+  PeersChanged = 'peers-changed',
   RequestArrived = 'request-arrived',
   AnswerStarted = 'answer-started',
   PieceReceived = 'piece-received',
@@ -54,6 +55,23 @@
 export interface ServersChanged extends EventBase {
   readonly kind: DecisionEventKind.ServersChanged;
   readonly servers: readonly membership.EligibleServer[];
+  /** Every server of the platform's list, dead ones too; absent when it is not known. */
+  readonly listed?: readonly ListedServer[];
+}
+
+/** A server of the platform's list. */
+export interface ListedServer {
+  readonly id: string;
+  readonly service: string;
+}
+
+/** The daemons that are connected to each other, and the place of this one among their sorted ids. */
+export interface PeersChanged extends EventBase {
+  readonly kind: DecisionEventKind.PeersChanged;
+  /** From 0 to `count - 1`. */
+  readonly position: number;
+  /** Daemons, this one included; at least 1. */
+  readonly count: number;
 }
 
 export interface RequestArrived extends EventBase {
@@ -141,6 +159,7 @@
 export type DecisionEvent =
   | ConfigurationChanged
   | ServersChanged
+  | PeersChanged
   | RequestArrived
   | AnswerStarted
   | PieceReceived
--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -47,9 +47,27 @@
     }
   });
   rebuildPools(step);
+  if (given.listed !== undefined) {
+    step.change({ listed: listedByService(given.listed) });
+  }
   orphans.failOrphans(step);
 }
 
+function listedByService(
+  listed: readonly event.ListedServer[],
+): immutable.Map<string, readonly string[]> {
+  return immutable
+    .List(listed)
+    .groupBy((server) => server.service)
+    .map((servers) =>
+      servers
+        .map((server) => server.id)
+        .toArray()
+        .sort(),
+    )
+    .toMap();
+}
+
 /** Takes over a load report, unless it is from an earlier incarnation. */
 export function applyLoadReport(step: steps.Step, given: event.LoadReported): void {
   observeIncarnation(step, given.serverId, given.incarnation);
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -7,6 +7,7 @@
 import * as verdict from '../verdict';
 import type * as event from './event';
 import type * as options from './options';
+import * as suspectShare from './suspect-share';
 
 /** One dispatch of a request that has not ended yet. */
 export interface AttemptState {
@@ -82,6 +83,9 @@
   /** Weight of each team in fair sharing. */
   readonly shares: immutable.Map<string, number>;
   readonly servers: immutable.Map<string, ServerState>;
+  /** Sorted identifiers of the servers of each service in the platform's list, dead ones too. */
+  readonly listed: immutable.Map<string, readonly string[]>;
+  readonly peers: suspectShare.PeerPosition;
   /** Identifiers of the servers of each service, in alphabetical order. */
   readonly pools: immutable.Map<string, readonly string[]>;
   readonly requests: immutable.Map<string, RequestState>;
@@ -114,6 +118,8 @@
     services: immutable.Map<string, configuration.ServiceDocument>(),
     shares: immutable.Map<string, number>(),
     servers: immutable.Map<string, ServerState>(),
+    listed: immutable.Map<string, readonly string[]>(),
+    peers: suspectShare.ALONE,
     pools: immutable.Map<string, readonly string[]>(),
     requests: immutable.Map<string, RequestState>(),
     queues: immutable.Map<string, admission.ServiceQueue>(),
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -36,6 +36,8 @@
       return fleet.applyConfiguration(step, given);
     case event.DecisionEventKind.ServersChanged:
       return fleet.applyServers(step, given);
+    case event.DecisionEventKind.PeersChanged:
+      return step.change({ peers: { position: given.position, count: given.count } });
     case event.DecisionEventKind.LoadReported:
       return fleet.applyLoadReport(step, given);
     case event.DecisionEventKind.CacheEvicted:
--- a/src/demo/daemon-process.ts
+++ b/src/demo/daemon-process.ts
@@ -9,7 +9,7 @@
   readonly daemonId: string;
   readonly zone: string;
   readonly region: string;
-  readonly peerPort: number;
+  readonly peerListen: string;
   /** Peer addresses of all daemons. */
   readonly peers: readonly string[];
   /** Folder of this daemon's files. */
@@ -109,7 +109,7 @@
       ['--region', plan.region],
       ['--listen', '127.0.0.1:0'],
       ['--operator-listen', '127.0.0.1:0'],
-      ['--peer-listen', `127.0.0.1:${plan.peerPort}`],
+      ['--peer-listen', plan.peerListen],
       ['--peers', plan.peers.join(',')],
       ['--replicas', plan.peers.slice(0, REPLICAS).join(',')],
       ...(plan.hasReplica ? [['--data-folder', path.join(plan.folder, 'data')]] : []),
--- a/src/demo/local-cluster.ts
+++ b/src/demo/local-cluster.ts
@@ -7,8 +7,8 @@
 import * as configuration from '../configuration';
 import * as backendProcess from './backend-process';
 import * as daemonProcess from './daemon-process';
-import * as freePorts from './free-ports';
 import * as httpCall from './http-call';
+import * as peerAddresses from './peer-addresses';
 
 /** How many processes a cluster has, and their options. */
 export interface ClusterPlan {
@@ -154,8 +154,8 @@
     const keyFile = path.join(this.folder, 'peer.key');
     await writeSecret(keyFile, crypto.randomBytes(32).toString('hex'));
     await writeSecret(this.tokenFile, this.operatorToken);
-    const ports = await freePorts.freePorts(plan.daemons);
-    const peers = ports.map((port) => `127.0.0.1:${port}`);
+    const peers = peerAddresses.peerAddresses(process.pid, clustersStarted, plan.daemons);
+    clustersStarted += 1;
     for (let index = 0; index < plan.daemons; index += 1) {
       const folder = path.join(this.folder, `daemon-${index + 1}`);
       await fs.mkdir(folder);
@@ -165,7 +165,7 @@
           daemonId: `daemon-${index + 1}`,
           zone,
           region,
-          peerPort: ports[index],
+          peerListen: peers[index],
           peers,
           folder,
           keyFile,
@@ -178,6 +178,9 @@
   }
 }
 
+/** Clusters that this process has started so far. */
+let clustersStarted = 0;
+
 const ZONES = [
   { zone: 'pl-caudan', region: 'port-louis' },
   { zone: 'cp-forest', region: 'port-louis' },
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -81,6 +81,20 @@
     .toArray();
 }
 
+/**
+ * Every server of the platform's list, dead and leaving ones too, in the order of their ids.
+ *
+ * @example
+ * listed(view).length >= eligible(view).length; // true
+ */
+export function listed(view: MembershipView): readonly backend.MachineRecord[] {
+  return view.servers
+    .valueSeq()
+    .map((server) => server.machine)
+    .sortBy((machine) => machine.id)
+    .toArray();
+}
+
 /**
  * One server as `eligible` has it; `undefined` when it must not get new work.
  *
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -146,7 +146,9 @@
       const { task } = this.ports;
       const servers = membership.eligible(this.view);
       this.current = servers;
-      task.feed({ kind: decision.DecisionEventKind.ServersChanged, at: task.now(), servers });
+      const listed = membership.listed(this.view);
+      const kind = decision.DecisionEventKind.ServersChanged;
+      task.feed({ kind, at: task.now(), servers, listed });
     }
   }
 
--- a/test/daemon/caller-http.test.ts
+++ b/test/daemon/caller-http.test.ts
@@ -2,13 +2,18 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as verdict from '../../src/verdict';
+import * as clusterRun from '../support/cluster-run';
 import * as daemonBuilder from '../support/daemon-builder';
+import * as routingBuilder from '../support/routing-builder';
 
 const suite = uvu.suite('caller HTTP');
 const { FailureReason, Verdict } = verdict;
 
 const SILENT = verdict.failure(FailureReason.Timeout, Verdict.MayHaveRun, 'Silent.');
 
+/** A connection that the daemon has not closed by then is given up, so that a test fails and does not hang. */
+const ANSWER_MILLISECONDS = 5_000;
+
 /** Sends raw bytes and returns what comes back until the daemon closes the connection. */
 function sendRaw(port: number, text: string): Promise<string> {
   return new Promise((resolve) => {
@@ -19,6 +24,7 @@
     });
     socket.on('error', () => {});
     socket.on('close', () => resolve(received));
+    socket.setTimeout(ANSWER_MILLISECONDS, () => socket.destroy());
   });
 }
 
@@ -114,11 +120,54 @@
     assert.is((await builder.request('POST', '/v1/completions', '{')).status, 400);
     assert.match(await sendRaw(port, 'NONSENSE\r\n\r\n'), /^HTTP\/1.1 400 .*not-run/s);
     assert.match(await sendRaw(port, 'GET / HTTP/1.1\r\nHost:'), /^HTTP\/1.1 408 .*not-run/s);
-    const slowBody = 'POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n{';
+    const credential = `Authorization: Bearer ${routingBuilder.TEAM_CREDENTIAL}`;
+    const slowBody = `POST /v1/completions HTTP/1.1\r\nHost: a\r\n${credential}\r\nContent-Length: 9\r\n\r\n{`;
     assert.match(await sendRaw(port, slowBody), /^HTTP\/1.1 408 .*not-run/s);
   });
 });
 
+suite(
+  'an unknown credential is refused from the headers, before the body has arrived',
+  async () => {
+    // Guards against callers without a credential that hold connections with bodies they never finish.
+    const builder = new daemonBuilder.DaemonBuilder();
+    await builder.run(async () => {
+      const head = [
+        'POST /v1/chat/completions HTTP/1.1',
+        'host: x',
+        'authorization: Bearer unknown',
+        'content-length: 1000',
+      ];
+      const answer = await sendRaw(builder.running.callerPort, `${head.join('\r\n')}\r\n\r\n{`);
+      assert.match(answer, /^HTTP\/1.1 401 /);
+      assert.match(answer, /connection: close/i);
+    });
+  },
+);
+
+suite('bodies that are being received are bounded in sum', async () => {
+  const builder = new daemonBuilder.DaemonBuilder();
+  builder.limits = { ...builder.limits, readingBytes: 1_500 };
+  await builder.run(async () => {
+    const head = [
+      'POST /v1/chat/completions HTTP/1.1',
+      'host: x',
+      `authorization: Bearer ${routingBuilder.TEAM_CREDENTIAL}`,
+      'content-length: 1000',
+    ].join('\r\n');
+    const held = net.connect(builder.running.callerPort, '127.0.0.1');
+    await new Promise<void>((resolve) => {
+      held.write(`${head}\r\n\r\n{`, () => resolve());
+    });
+    await clusterRun.pause(50);
+    const refused = await sendRaw(builder.running.callerPort, `${head}\r\n\r\n{`);
+    assert.match(refused, /^HTTP\/1.1 429 |^HTTP\/1.1 503 /);
+    assert.match(refused, /x-figline-verdict: not-run/);
+    held.destroy();
+    await clusterRun.until(async () => (await builder.chat(false)).status === 200);
+  });
+});
+
 suite('comment lines keep a silent stream alive', async () => {
   const builder = new daemonBuilder.DaemonBuilder({ delayMilliseconds: 130 });
   await builder.run(async () => {
--- a/test/decision/builder.ts
+++ b/test/decision/builder.ts
@@ -28,6 +28,18 @@
     });
   }
 
+  /** Makes the desk one of several daemons that know all `servers`. */
+  share(position: number, count: number, servers: number): this {
+    const { PeersChanged, ServersChanged } = decision.DecisionEventKind;
+    const all = list(servers);
+    return this.apply({ kind: PeersChanged, at: this.at, position, count }).apply({
+      kind: ServersChanged,
+      at: this.at,
+      servers: all,
+      listed: all,
+    });
+  }
+
   piece(dispatch: decision.Dispatch, nextPiece: number): this {
     const { requestId, attemptId } = dispatch;
     const kind = decision.DecisionEventKind.PieceReceived;
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -24,4 +24,32 @@
   assert.is.not(second.serverId, first.serverId);
 });
 
+suite('suspects of two daemons are retried at different servers', () => {
+  // Guards against a second crash in which a suspect of each daemon was in flight, which condemns both.
+  for (let sample = 0; sample < 50; sample += 1) {
+    const retried = [0, 1].map((position) => {
+      const desk = builder.desk(4).share(position, 2, 4);
+      const [first] = desk.arrive(`suspect-${position}-${sample}`).take(Dispatch);
+      return desk.lose(first, verdict.Verdict.MayHaveRun).take(Dispatch)[0].serverId;
+    });
+    assert.is.not(retried[0], retried[1], `sample ${sample}`);
+  }
+});
+
+suite(
+  'a suspect whose daemon has no live server of its own share goes elsewhere after a wait',
+  () => {
+    const desk = builder.desk(2).share(1, 2, 2);
+    const [first] = desk.arrive('suspect', { prefixChain: [] }).take(Dispatch);
+    desk.apply({
+      kind: decision.DecisionEventKind.ServersChanged,
+      at: desk.at,
+      servers: builder.list(1),
+    });
+    desk.lose(first, verdict.Verdict.MayHaveRun);
+    assert.is(desk.take(Dispatch).length, 0);
+    assert.is(desk.wait(4_001).take(Dispatch)[0]?.serverId, 'runner-0');
+  },
+);
+
 suite.run();
