--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -60,11 +60,11 @@
       return;
     }
     const headers = flatten(rawHeaders);
-    if (headers[headerName.HeaderName.RequestId] !== this.request.requestId) {
+    if (!this.isOwnAnswer({ status, headers })) {
       this.abandon(verdict.FailureReason.AnswerMismatch, MISMATCH);
       return;
     }
-    if (!isFramed(this.request.method, status, headers)) {
+    if (!this.mayEndWithConnection() && !isFramed(this.request.method, status, headers)) {
       this.abandon(verdict.FailureReason.BackendError, UNFRAMED);
       return;
     }
@@ -145,6 +145,20 @@
     return verdict.failure(reason, outcome, message, details);
   }
 
+  protected sentHeaders(): Readonly<Record<string, string>> {
+    return { ...this.request.headers, [headerName.HeaderName.RequestId]: this.request.requestId };
+  }
+
+  /** Whether an answer belongs to this request. */
+  protected isOwnAnswer({ headers }: httpRequest.HttpHead): boolean {
+    return headers[headerName.HeaderName.RequestId] === this.request.requestId;
+  }
+
+  /** Whether an answer without a length is complete when its connection is closed in order. */
+  protected mayEndWithConnection(): boolean {
+    return false;
+  }
+
   /** Called once with a final head whose request id is right. */
   protected abstract receiveHead(head: httpRequest.HttpHead): void;
 
@@ -157,11 +171,11 @@
   protected abstract fail(failure: verdict.RequestFailure): void;
 
   private dispatch(used: connection.Connection): void {
-    const { requestId, method, path, headers, body, freshConnection } = this.request;
+    const { method, path, body, freshConnection } = this.request;
     const options = {
       method: method as undici.Dispatcher.HttpMethod,
       path,
-      headers: { ...headers, [headerName.HeaderName.RequestId]: requestId },
+      headers: this.sentHeaders(),
       body: body.length === 0 ? null : Buffer.from(body.buffer, body.byteOffset, body.length),
       reset: freshConnection,
     };
--- a/src/backend/index.ts
+++ b/src/backend/index.ts
@@ -12,3 +12,8 @@
 export * from './http-plain-service';
 export * from './http-machine-list';
 export * from './file-machine-list';
+export * from './connection-pool';
+export * from './relay-exchange';
+export * from './relay-server';
+export * from './whole-exchange';
+export * from './http-request';
--- a/src/backend/machine.ts
+++ b/src/backend/machine.ts
@@ -26,6 +26,10 @@
   readonly service: string;
   readonly kind: BackendKind;
   readonly phase: MachinePhase;
+  /** Process of the server, if the list tells it. */
+  readonly incarnation?: string;
+  /** Weights version, if the list tells it. */
+  readonly weightsVersion?: string;
 }
 
 /** Port for the platform's list of VMs, which lags behind. */
--- /dev/null
+++ b/src/backend/relay-exchange.ts
@@ -0,0 +1,101 @@
+import * as clock from '../clock';
+import * as verdict from '../verdict';
+import type * as connectionPool from './connection-pool';
+import * as exchange from './exchange';
+import type * as httpRequest from './http-request';
+import type * as relayServer from './relay-server';
+
+/** What a platform's headers say about an answer. */
+export interface AnswerFacts {
+  /** The request id that the server echoes, if it does. */
+  readonly requestId?: string;
+  /** Why the server did not run the request; absent when it does not say so. */
+  readonly refusal?: verdict.FailureReason;
+  /** Whether the body is the server's own, unchanged one; only asked of successes. */
+  readonly isGenuine: boolean;
+  readonly load?: relayServer.RelayLoad;
+}
+
+/** Reads the facts of an answer's head. */
+export type FactsReader = (head: httpRequest.HttpHead) => AnswerFacts;
+
+/** An exchange whose answer goes to a receiver as it arrives. */
+export class RelayExchange extends exchange.Exchange implements relayServer.RelayHandle {
+  private facts: AnswerFacts | undefined;
+
+  constructor(
+    private readonly relayed: relayServer.RelayRequest,
+    serverId: string,
+    pool: connectionPool.ConnectionPool,
+    time: clock.Clock,
+    private readonly readFacts: FactsReader,
+    private readonly receiver: relayServer.RelayReceiver,
+  ) {
+    super(relayed, serverId, pool, time);
+  }
+
+  start(): void {
+    this.setDeadline(this.relayed.timeoutMilliseconds, 'The backend server did not end in time.');
+    this.run();
+  }
+
+  pause(): void {
+    this.controller?.pause();
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  cancel(): void {
+    this.abandon(verdict.FailureReason.CallerGone, 'The request was cancelled.');
+  }
+
+  protected override sentHeaders(): Readonly<Record<string, string>> {
+    return this.relayed.headers;
+  }
+
+  protected override isOwnAnswer(head: httpRequest.HttpHead): boolean {
+    this.facts = this.readFacts(head);
+    const { requestId, refusal } = this.facts;
+    // A server that refuses before it reads the request may not know the id.
+    return requestId === this.relayed.requestId || (requestId === undefined && !!refusal);
+  }
+
+  /** An answer without a length ends with its connection; a reset is reported as an error. */
+  protected override mayEndWithConnection(): boolean {
+    return true;
+  }
+
+  protected override receiveHead(head: httpRequest.HttpHead): void {
+    if (this.facts?.refusal !== undefined) {
+      return;
+    }
+    const isSuccess = head.status < 300;
+    if (isSuccess && this.facts?.isGenuine !== true) {
+      this.abandon(verdict.FailureReason.BackendError, 'The answer is not marked as genuine.');
+      return;
+    }
+    this.receiver.onHead(head, this.facts?.load);
+  }
+
+  protected override receiveData(chunk: Buffer): void {
+    if (this.facts?.refusal === undefined) {
+      this.receiver.onData(chunk);
+    }
+  }
+
+  protected override complete(): void {
+    const { refusal, load } = this.facts ?? {};
+    if (refusal === undefined) {
+      this.receiver.onEnd();
+      return;
+    }
+    const message = 'The backend server did not run the request.';
+    this.receiver.onFailure(this.failure(refusal, verdict.Verdict.NotRun, message), load);
+  }
+
+  protected override fail(failure: verdict.RequestFailure): void {
+    this.receiver.onFailure(failure, this.facts?.load);
+  }
+}
--- a/src/control/command.ts
+++ b/src/control/command.ts
@@ -6,6 +6,9 @@
   Claim = 'claim',
   CompleteClaim = 'complete-claim',
   AbandonClaim = 'abandon-claim',
+  PutRouting = 'put-routing',
+  NameWeights = 'name-weights',
+  ReadRegister = 'read-register',
   NoOperation = 'no-operation',
 }
 
@@ -60,13 +63,39 @@
   readonly attemptId: string;
 }
 
+/** Puts a routing document in force if its version is the highest so far. */
+export interface PutRoutingCommand {
+  readonly kind: CommandKind.PutRouting;
+  readonly version: number;
+  readonly text: string;
+}
+
+/** Names the weights version to which the engines of a model are to be brought. */
+export interface NameWeightsCommand {
+  readonly kind: CommandKind.NameWeights;
+  readonly model: string;
+  readonly version: number;
+}
+
+/** Learns the newest register through the log, which a leader without a majority cannot answer. */
+export interface ReadRegisterCommand {
+  readonly kind: CommandKind.ReadRegister;
+}
+
 /** Commits the entries of earlier terms; used by a new leader. */
 export interface NoOperationCommand {
   readonly kind: CommandKind.NoOperation;
 }
 
 export type Command =
-  PublishCommand | ClaimCommand | CompleteClaimCommand | AbandonClaimCommand | NoOperationCommand;
+  | PublishCommand
+  | ClaimCommand
+  | CompleteClaimCommand
+  | AbandonClaimCommand
+  | PutRoutingCommand
+  | NameWeightsCommand
+  | ReadRegisterCommand
+  | NoOperationCommand;
 
 export enum CommandResultKind {
   PublishAccepted = 'publish-accepted',
@@ -74,6 +103,7 @@
   ClaimGranted = 'claim-granted',
   ClaimHeld = 'claim-held',
   ClaimRefused = 'claim-refused',
+  RegisterKnown = 'register-known',
   Done = 'done',
 }
 
@@ -125,12 +155,24 @@
   readonly refusal: ClaimRefusal;
 }
 
+/** The register after the command. */
+export interface RegisterKnown {
+  readonly kind: CommandResultKind.RegisterKnown;
+  readonly sequence: number;
+}
+
 export interface CommandDone {
   readonly kind: CommandResultKind.Done;
 }
 
 export type CommandResult =
-  PublishAccepted | PublishConflict | ClaimGranted | ClaimHeld | ClaimRefused | CommandDone;
+  | PublishAccepted
+  | PublishConflict
+  | ClaimGranted
+  | ClaimHeld
+  | ClaimRefused
+  | RegisterKnown
+  | CommandDone;
 
 /** Larger answers are not kept: a resend is then told that the request ran. */
 export const MAXIMUM_RECORDED_BODY_BYTES = 16 * 1_024;
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,6 +12,8 @@
 import * as peerDirectory from './peer-directory';
 import * as peerMessage from './peer-message';
 import * as proposalForwarder from './proposal-forwarder';
+import * as registers from './register';
+import * as registerStore from './register-store';
 import * as relay from './relay';
 import * as replicaTask from './replica-task';
 
@@ -28,6 +30,11 @@
   readonly peers: readonly string[];
   /** Addresses of the initial replicas, a subset of the peers. */
   readonly replicas: readonly string[];
+  /**
+   * Whether this start may form the group of replicas. Without it, a replica with an empty disk only joins.
+   * By default true.
+   */
+  readonly mayForm?: boolean;
   readonly preSharedKey: string;
   /** Without a data folder the daemon hosts no replica. */
   readonly dataFolder?: string;
@@ -47,6 +54,8 @@
 
   private readonly store = new configurationStore.ConfigurationStore();
 
+  private readonly registerStore = new registerStore.RegisterStore();
+
   private readonly directory: peerDirectory.PeerDirectory;
 
   private readonly forwarder: proposalForwarder.ProposalForwarder;
@@ -62,11 +71,15 @@
 
   private requestedAt = Number.NEGATIVE_INFINITY;
 
+  private registerRequestedAt = Number.NEGATIVE_INFINITY;
+
   /** When a peer first announced a revision above the present one. */
   private behindSince: number | undefined;
 
   private startedAt: number;
 
+  private reopenTimer: clock.Timer | undefined;
+
   private closing: Promise<void> | undefined;
 
   constructor(private readonly options: ControlNodeOptions) {
@@ -113,6 +126,7 @@
     this.startedAt = this.options.clock.monotonic();
     if (this.options.dataFolder !== undefined) {
       await this.openReplica(this.options.dataFolder, replicas);
+      this.reopenWhenStopped(this.options.dataFolder, replicas);
     }
     this.network.connect([...peers, ...replicas]);
   }
@@ -154,6 +168,14 @@
     return this.store.listen(listener);
   }
 
+  override register(): registers.Register {
+    return this.registerStore.current;
+  }
+
+  override onRegister(listener: (register: registers.Register) => void): () => void {
+    return this.registerStore.listen(listener);
+  }
+
   override broadcast(topic: controlPlane.PeerTopic, payload: unknown): void {
     this.network.broadcast({
       kind: peerMessage.PeerMessageKind.Broadcast,
@@ -207,21 +229,23 @@
   }
 
   private async closeAll(): Promise<void> {
+    this.reopenTimer?.cancel();
     await this.replicaTask?.close();
     await this.network.close();
     this.forwarder.leaderChanged(undefined);
   }
 
   private async openReplica(dataFolder: string, replicas: readonly string[]): Promise<void> {
-    const { clock: time, random, parameters } = this.options;
+    const { clock: time, random, parameters, mayForm = true } = this.options;
     const fileSystem = this.options.fileSystem ?? new storage.NodeFileSystem();
     const { address } = this.network;
     const opened = await replicaTask.ReplicaTask.open(
-      { address, replicas, dataFolder, fileSystem, clock: time, random, parameters },
+      { address, replicas, mayForm, dataFolder, fileSystem, clock: time, random, parameters },
       {
         send: (message) => this.sendReplicaMessage(message),
         onDelta: (delta) => this.changed(this.store.offerDelta(delta)),
         onSnapshot: (snapshot) => this.changed(this.store.offerSnapshot(snapshot)),
+        onRegister: (register) => this.changed(this.registerStore.offer(register)),
         onLeaderChange: () => this.leaderMayHaveChanged(),
       },
     );
@@ -234,6 +258,23 @@
     this.replicaTask = opened.val;
   }
 
+  /**
+   * Opens the replica again after its storage failed, as a restart of the process would. What it did not
+   * sync was never acknowledged, so that it goes on from what its disk holds.
+   */
+  private reopenWhenStopped(dataFolder: string, replicas: readonly string[]): void {
+    this.reopenTimer = this.options.clock.setTimer(REOPEN_MILLISECONDS, async () => {
+      const task = this.replicaTask;
+      if (this.closing === undefined && (task === undefined || task.isStopped)) {
+        await task?.close();
+        await this.openReplica(dataFolder, replicas);
+      }
+      if (this.closing === undefined) {
+        this.reopenWhenStopped(dataFolder, replicas);
+      }
+    });
+  }
+
   private attempt(
     proposal: command.Command,
     timeoutMilliseconds: number,
@@ -275,7 +316,14 @@
   }
 
   private heartbeat(): object {
-    return { revision: this.store.current.revision, leader: this.knownLeader() };
+    const state = this.replicaTask?.current;
+    const voters = state === undefined ? [] : replica.voters(state).map(({ address }) => address);
+    return {
+      revision: this.store.current.revision,
+      register: this.registerStore.current.sequence,
+      leader: this.knownLeader(),
+      ...(voters.length === 0 ? {} : { voters }),
+    };
   }
 
   private sendReplicaMessage(message: replica.Message): void {
@@ -288,7 +336,7 @@
     this.directory.heard(peer);
     switch (message.kind) {
       case peerMessage.PeerMessageKind.Heartbeat:
-        this.receiveHeartbeat(peer, message.revision, message.leader);
+        this.receiveHeartbeat(peer, message);
         break;
       case peerMessage.PeerMessageKind.Replica:
         this.replicaTask?.receive(message.message);
@@ -308,6 +356,12 @@
       case peerMessage.PeerMessageKind.ConfigurationSnapshot:
         this.changed(this.store.offerSnapshot(toSnapshot(message)));
         break;
+      case peerMessage.PeerMessageKind.RegisterRequest:
+        this.sendRegister(peer, message.sequence);
+        break;
+      case peerMessage.PeerMessageKind.RegisterCopy:
+        this.changed(this.registerStore.offer(registers.decodeRegister(message)));
+        break;
       default:
         this.broadcastListeners
           .get(message.topic)
@@ -317,10 +371,14 @@
 
   private receiveHeartbeat(
     peer: wire.PeerIdentity,
-    revision: number,
-    leader: peerMessage.KnownLeader | undefined,
+    { revision, leader, register = 0, voters = [] }: peerMessage.Heartbeat,
   ): void {
-    this.directory.reported(peer, revision);
+    this.directory.reported(peer, revision, register);
+    // Replicas that have joined since the settings were written are found here.
+    this.network.connect(voters);
+    if (register > this.registerStore.current.sequence) {
+      this.requestRegister(peer);
+    }
     if (leader !== undefined && leader.term > (this.heardLeader?.term ?? 0)) {
       this.heardLeader = leader;
       this.leaderMayHaveChanged();
@@ -352,6 +410,28 @@
     }
   }
 
+  private requestRegister(peer: wire.PeerIdentity): void {
+    const now = this.options.clock.monotonic();
+    if (now - this.registerRequestedAt >= REQUEST_MILLISECONDS) {
+      this.registerRequestedAt = now;
+      const { sequence } = this.registerStore.current;
+      const kind = peerMessage.PeerMessageKind.RegisterRequest;
+      this.network.send(peer.address, { kind, sequence } as unknown as wire.WireMessage);
+    }
+  }
+
+  private sendRegister(peer: wire.PeerIdentity, sequence: number): void {
+    const { current } = this.registerStore;
+    if (sequence >= current.sequence) {
+      return;
+    }
+    const kind = peerMessage.PeerMessageKind.RegisterCopy;
+    const message = { kind, ...registers.encodeRegister(current) };
+    if (!this.network.send(peer.address, message as unknown as wire.WireMessage)) {
+      logger.warning('register could not be sent', { peer: peer.address });
+    }
+  }
+
   private sendConfiguration(peer: wire.PeerIdentity, revision: number): void {
     const { current } = this.store;
     if (revision >= current.revision) {
@@ -391,6 +471,7 @@
   private changed(isNew: boolean): void {
     if (isNew) {
       this.requestedAt = Number.NEGATIVE_INFINITY;
+      this.registerRequestedAt = Number.NEGATIVE_INFINITY;
       this.behindSince = undefined;
       this.network.announce();
     }
@@ -412,7 +493,10 @@
 
   /** Whether every peer was tried and none of the reachable ones has a higher revision. */
   private isCurrent(): boolean {
-    return this.network.everyPeerTried && this.directory.isNoneAbove(this.store.current.revision);
+    return (
+      this.network.everyPeerTried &&
+      this.directory.isNoneAbove(this.store.current.revision, this.registerStore.current.sequence)
+    );
   }
 }
 
@@ -423,6 +507,9 @@
 
 const RETRY_MILLISECONDS = 40;
 
+// A full disk is empty again after seconds; opening reads the whole log.
+const REOPEN_MILLISECONDS = 1_000;
+
 // A peer that does not answer a request for the configuration is not waited for any longer than this.
 const REQUEST_MILLISECONDS = 250;
 
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -1,6 +1,7 @@
 import type * as results from 'ts-results';
 import * as configuration from '../configuration';
 import * as command from './command';
+import type * as registers from './register';
 
 /** Why a proposal has no result. A proposal that failed may still be committed later. */
 export enum ProposalFailure {
@@ -13,6 +14,8 @@
 export enum PeerTopic {
   Membership = 'membership',
   Quarantine = 'quarantine',
+  /** The platform's list as one daemon read it for all. */
+  Machines = 'machines',
 }
 
 export enum ReplicaRole {
@@ -74,6 +77,12 @@
     listener: (snapshot: configuration.ConfigurationSnapshot) => void,
   ): () => void;
 
+  /** The newest committed register that this daemon knows. Its sequence never falls. */
+  abstract register(): registers.Register;
+
+  /** Calls `listener` on each newer register; returns a function that ends the subscription. */
+  abstract onRegister(listener: (register: registers.Register) => void): () => void;
+
   /** Sends `payload` to every connected peer daemon, without waiting and without a guarantee. */
   abstract broadcast(topic: PeerTopic, payload: unknown): void;
 
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -2,3 +2,4 @@
 export * from './command';
 export * from './control-plane';
 export * from './control-node';
+export * from './register';
--- a/src/control/peer-directory.ts
+++ b/src/control/peer-directory.ts
@@ -6,6 +6,7 @@
   identity: wire.PeerIdentity;
   /** Unknown until the first heartbeat. */
   revision: number | undefined;
+  register: number;
   connected: boolean;
   heardAt: number;
 }
@@ -24,7 +25,9 @@
     const isSame = known?.identity.daemonId === identity.daemonId;
     const revision = isSame ? known.revision : undefined;
     const heardAt = this.time.monotonic();
-    this.peers.set(identity.address, { identity, revision, connected: true, heardAt });
+    const register = isSame ? known.register : 0;
+    const record = { identity, revision, register, connected: true, heardAt };
+    this.peers.set(identity.address, record);
   }
 
   lost(identity: wire.PeerIdentity): void {
@@ -42,18 +45,22 @@
     }
   }
 
-  reported(identity: wire.PeerIdentity, revision: number): void {
+  reported(identity: wire.PeerIdentity, revision: number, register: number): void {
     const known = this.peers.get(identity.address);
     if (known?.identity.daemonId === identity.daemonId) {
       known.revision = revision;
+      known.register = register;
     }
   }
 
-  /** Whether every connected peer has told its revision, and none is above `revision`. */
-  isNoneAbove(revision: number): boolean {
+  /** Whether every connected peer has told what it has, and none has a higher revision or register. */
+  isNoneAbove(revision: number, register: number): boolean {
     return [...this.peers.values()]
       .filter((peer) => peer.connected)
-      .every((peer) => peer.revision !== undefined && peer.revision <= revision);
+      .every(
+        (peer) =>
+          peer.revision !== undefined && peer.revision <= revision && peer.register <= register,
+      );
   }
 
   status(): controlPlane.PeerStatus[] {
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -14,9 +14,13 @@
   ConfigurationRequest = 'configuration-request',
   ConfigurationDelta = 'configuration-delta',
   ConfigurationSnapshot = 'configuration-snapshot',
+  RegisterRequest = 'register-request',
+  RegisterCopy = 'register-copy',
   Broadcast = 'broadcast',
 }
 
+const MAXIMUM_VOTERS = 64;
+
 const counter = zod.int().min(0);
 const bytes = zod.instanceof(Uint8Array);
 const member = zod.object({ replicaId: zod.string(), address: zod.string() });
@@ -150,6 +154,17 @@
       .optional(),
   }),
   zod.object({ ...key, kind: zod.literal(command.CommandKind.AbandonClaim) }),
+  zod.object({
+    kind: zod.literal(command.CommandKind.PutRouting),
+    version: zod.int(),
+    text: zod.string(),
+  }),
+  zod.object({
+    kind: zod.literal(command.CommandKind.NameWeights),
+    model: zod.string(),
+    version: zod.int(),
+  }),
+  zod.object({ kind: zod.literal(command.CommandKind.ReadRegister) }),
   zod.object({ kind: zod.literal(command.CommandKind.NoOperation) }),
 ]);
 
@@ -164,6 +179,10 @@
     kind: zod.literal(PeerMessageKind.Heartbeat),
     revision: counter,
     leader: leader.optional(),
+    /** Sequence of the register; absent from daemons that have none. */
+    register: counter.optional(),
+    /** Addresses of the daemons that host voters. */
+    voters: zod.array(zod.string()).max(MAXIMUM_VOTERS).optional(),
   }),
   zod.object({ kind: zod.literal(PeerMessageKind.Replica), message: replicaMessage }),
   zod.object({
@@ -193,6 +212,15 @@
     recentPublishes: zod.array(publishRecord).optional(),
     documents: zod.array(document),
   }),
+  zod.object({ kind: zod.literal(PeerMessageKind.RegisterRequest), sequence: counter }),
+  zod.object({
+    kind: zod.literal(PeerMessageKind.RegisterCopy),
+    sequence: counter,
+    routing: zod.object({ version: zod.int(), text: zod.string() }).optional(),
+    weights: zod.array(
+      zod.tuple([zod.string(), zod.object({ version: zod.int(), namedAt: zod.number() })]),
+    ),
+  }),
   zod.object({
     kind: zod.literal(PeerMessageKind.Broadcast),
     topic: zod.enum(controlPlane.PeerTopic),
@@ -201,3 +229,6 @@
 ]);
 
 export type PeerMessage = zod.infer<typeof peerMessageSchema>;
+
+/** What a daemon tells its peers each second, and at once after a change. */
+export type Heartbeat = Extract<PeerMessage, { kind: PeerMessageKind.Heartbeat }>;
--- /dev/null
+++ b/src/control/register.ts
@@ -0,0 +1,76 @@
+import * as immutable from 'immutable';
+
+/** The routing document in force: the platform's own text under its own version. */
+export interface RoutingText {
+  readonly version: number;
+  readonly text: string;
+}
+
+/**
+ * What the operator of a platform has named: one routing document, of which the highest version wins, and
+ * the weights version of each model, which only rises. Unlike a publish, a lower version is no conflict.
+ */
+export interface Register {
+  /** Grows with each change, so that daemons can tell which of two copies is newer. */
+  readonly sequence: number;
+  readonly routing?: RoutingText;
+  /** Named weights version of each model. */
+  readonly weights: immutable.Map<string, NamedWeights>;
+}
+
+/** A weights version, and when it was committed. */
+export interface NamedWeights {
+  readonly version: number;
+  /** The leader's time in the log entry, in milliseconds since the Unix epoch. */
+  readonly namedAt: number;
+}
+
+export const EMPTY_REGISTER: Register = { sequence: 0, weights: immutable.Map() };
+
+/**
+ * Takes over a routing document with a higher version; keeps the present one otherwise.
+ *
+ * @example
+ * putRouting(EMPTY_REGISTER, { version: 7, text }).sequence; // 1
+ */
+export function putRouting(register: Register, routing: RoutingText): Register {
+  const isHigher = routing.version > (register.routing?.version ?? Number.NEGATIVE_INFINITY);
+  return isHigher ? { ...register, sequence: register.sequence + 1, routing } : register;
+}
+
+/**
+ * Takes over a higher weights version of a model; keeps the present one otherwise.
+ *
+ * @example
+ * nameWeights(EMPTY_REGISTER, 'desk', 2, timestamp).weights.get('desk')?.version; // 2
+ */
+export function nameWeights(
+  register: Register,
+  model: string,
+  version: number,
+  timestamp: number,
+): Register {
+  const known = register.weights.get(model);
+  if (known !== undefined && known.version >= version) {
+    return register;
+  }
+  const weights = register.weights.set(model, { version, namedAt: timestamp });
+  return { ...register, sequence: register.sequence + 1, weights };
+}
+
+/** A register as it is written to snapshots and sent to daemons. */
+export interface EncodedRegister {
+  readonly sequence: number;
+  readonly routing?: RoutingText;
+  readonly weights: readonly (readonly [string, NamedWeights])[];
+}
+
+export function encodeRegister({ sequence, routing, weights }: Register): EncodedRegister {
+  return { sequence, ...(routing === undefined ? {} : { routing }), weights: [...weights] };
+}
+
+export function decodeRegister(encoded: EncodedRegister | undefined): Register {
+  return encoded === undefined
+    ? EMPTY_REGISTER
+    : { ...encoded, weights: immutable.Map(encoded.weights) };
+}
--- a/src/control/replica-task.ts
+++ b/src/control/replica-task.ts
@@ -7,6 +7,7 @@
 import * as wire from '../wire';
 import * as command from './command';
 import * as controlPlane from './control-plane';
+import type * as registers from './register';
 import * as stateMachine from './state-machine';
 
 /** What a replica task needs from its daemon. */
@@ -14,6 +15,8 @@
   readonly address: string;
   /** Addresses of the initial replicas. */
   readonly replicas: readonly string[];
+  /** False when a group exists already. */
+  readonly mayForm: boolean;
   readonly dataFolder: string;
   readonly fileSystem: storage.FileSystem;
   readonly clock: clock.Clock;
@@ -26,6 +29,7 @@
   readonly send: (message: replica.Message) => void;
   readonly onDelta: (delta: configuration.ConfigurationDelta) => void;
   readonly onSnapshot: (snapshot: configuration.ConfigurationSnapshot) => void;
+  readonly onRegister: (register: registers.Register) => void;
   readonly onLeaderChange: () => void;
 }
 
@@ -86,10 +90,11 @@
     private readonly disk: storage.Storage,
     stored: storage.StoredReplica,
   ) {
-    const { clock: time, random, address, replicas, parameters } = options;
+    const { clock: time, random, address, replicas, mayForm, parameters } = options;
     this.state = replica.restore({
       self: { replicaId: stored.replicaId, address },
       replicas,
+      mayForm,
       durable: stored.durable,
       now: time.monotonic(),
       random: random.uniform(),
@@ -128,6 +133,11 @@
     return this.state.role === replica.Role.Leader;
   }
 
+  /** Whether the storage failed; the replica neither votes nor acknowledges until it is opened again. */
+  get isStopped(): boolean {
+    return this.state.role === replica.Role.Stopped;
+  }
+
   /** The state that the applied entries add up to. */
   get controlState(): stateMachine.ControlState {
     return this.control;
@@ -311,7 +321,11 @@
     }
     const decoded = wire.decode(entry.data) as command.Command;
     const applied = stateMachine.apply(this.control, decoded, entry.timestamp);
+    const isRegisterNew = applied.state.register !== this.control.register;
     this.control = applied.state;
+    if (isRegisterNew) {
+      this.handlers.onRegister(this.control.register);
+    }
     if (applied.delta !== undefined) {
       this.handlers.onDelta(applied.delta);
       this.handlers.onSnapshot(this.control.revisions.snapshot);
@@ -324,13 +338,17 @@
     this.appliedIndex = snapshot.index;
     this.bytesSinceSnapshot = 0;
     this.handlers.onSnapshot(this.control.revisions.snapshot);
+    this.handlers.onRegister(this.control.register);
   }
 
   /** The log may grow to the size of the last snapshot, so that writing snapshots costs no more than it. */
   private takeSnapshotWhenDue(): void {
     const { snapshot } = this.state;
     const entries = this.appliedIndex - (snapshot?.index ?? 0);
-    if (entries < SNAPSHOT_ENTRIES || this.bytesSinceSnapshot < (snapshot?.data.length ?? 0)) {
+    const isLong = entries >= SNAPSHOT_ENTRIES;
+    const isOutgrown = this.bytesSinceSnapshot >= (snapshot?.data.length ?? 0);
+    const isLarge = this.bytesSinceSnapshot >= SNAPSHOT_BYTES;
+    if (!isLarge && !(isLong && isOutgrown)) {
       return;
     }
     this.bytesSinceSnapshot = 0;
@@ -355,3 +373,6 @@
 
 // A restart replays at most this many entries, or as many bytes as the snapshot has.
 const SNAPSHOT_ENTRIES = 500;
+
+// Routing documents can have 100 KB each; a disk of 128 MB has to hold the log and two snapshots.
+const SNAPSHOT_BYTES = 8 * 1_024 * 1_024;
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -3,17 +3,20 @@
 import * as wire from '../wire';
 import * as claims from './claims';
 import * as command from './command';
+import * as registers from './register';
 import * as revisions from './revisions';
 
 /** What the replicated log adds up to. */
 export interface ControlState {
   readonly revisions: revisions.RevisionState;
   readonly claims: claims.ClaimState;
+  readonly register: registers.Register;
 }
 
 export const EMPTY_CONTROL_STATE: ControlState = {
   revisions: revisions.EMPTY_REVISIONS,
   claims: claims.EMPTY_CLAIMS,
+  register: registers.EMPTY_REGISTER,
 };
 
 /** The state after a command, and what its proposer is told. */
@@ -34,6 +37,7 @@
  */
 export function apply(state: ControlState, entry: command.Command, timestamp: number): Applied {
   const pruned: ControlState = {
+    ...state,
     revisions: revisions.prune(state.revisions, timestamp),
     claims: claims.prune(state.claims, timestamp),
   };
@@ -48,6 +52,17 @@
       return withClaims(pruned, claims.complete(pruned.claims, entry));
     case command.CommandKind.AbandonClaim:
       return withClaims(pruned, claims.abandon(pruned.claims, entry, timestamp));
+    case command.CommandKind.PutRouting:
+      return withRegister(pruned, registers.putRouting(pruned.register, entry));
+    case command.CommandKind.NameWeights: {
+      const { model, version } = entry;
+      return withRegister(
+        pruned,
+        registers.nameWeights(pruned.register, model, version, timestamp),
+      );
+    }
+    case command.CommandKind.ReadRegister:
+      return withRegister(pruned, pruned.register);
     default:
       return { state: pruned, result: { kind: command.CommandResultKind.Done } };
   }
@@ -64,6 +79,7 @@
     winners: [...state.revisions.winners.entries()],
     claims: [...state.claims.claims.entries()],
     abandoned: [...state.claims.abandoned.entries()],
+    register: registers.encodeRegister(state.register),
   });
 }
 
@@ -85,6 +101,7 @@
       winners: immutable.Map(value.winners),
     },
     claims: claims.restore(value.claims, value.abandoned),
+    register: registers.decodeRegister(value.register),
   };
 }
 
@@ -97,6 +114,13 @@
   readonly winners: readonly [number, revisions.Winner][];
   readonly claims: readonly [string, claims.Claim][];
   readonly abandoned: readonly [string, number][];
+  /** Absent in snapshots of releases before the register. */
+  readonly register?: registers.EncodedRegister;
+}
+
+function withRegister(state: ControlState, register: registers.Register): Applied {
+  const kind = command.CommandResultKind.RegisterKnown;
+  return { state: { ...state, register }, result: { kind, sequence: register.sequence } };
 }
 
 function withClaims(state: ControlState, outcome: claims.ClaimOutcome): Applied {
--- a/src/daemon/http-backend-factory.ts
+++ b/src/daemon/http-backend-factory.ts
@@ -8,12 +8,11 @@
     super();
   }
 
-  override engine(machine: backend.MachineRecord): backend.ModelEngine {
-    return new backend.HttpModelEngine(addressOf(machine), this.time);
-  }
-
-  override plainService(machine: backend.MachineRecord): backend.PlainService {
-    return new backend.HttpPlainService(addressOf(machine), this.time);
+  override open(machine: backend.MachineRecord): routing.BackendClient {
+    const address = addressOf(machine);
+    return machine.kind === backend.BackendKind.PlainService
+      ? new backend.HttpPlainService(address, this.time)
+      : new backend.HttpModelEngine(address, this.time);
   }
 }
 
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -4,3 +4,7 @@
 export * from './daemon';
 export * from './daemon-ports';
 export * from './start-daemon';
+export * from './error-body';
+export * from './http-listener';
+export * from './readiness';
+export * from './failure-filter';
--- /dev/null
+++ b/src/decision/cache-source.ts
@@ -0,0 +1,59 @@
+import * as placement from '../placement';
+import * as choosing from './choosing';
+import type * as event from './event';
+import type * as state from './state';
+import type * as steps from './step';
+
+/**
+ * The server from which to copy the prompt's cached parts, for requests that run away from the home of their
+ * prefix: copying a prefix takes a tenth of the time of reading it again and costs the other requests of
+ * the server nothing. Undefined when no other server probably has much more of it than the chosen one.
+ */
+export function findSource(
+  step: steps.Step,
+  profile: event.RequestProfile,
+  choice: choosing.Choice,
+): string | undefined {
+  if (profile.chainTokens === undefined) {
+    return undefined;
+  }
+  const candidates = step
+    .pool(profile.service)
+    .filter((server) => mayGive(server, choice.server))
+    .map((server) => ({ server, tokens: knownTokens(step, profile, server) }));
+  const best = candidates.reduce<(typeof candidates)[number] | undefined>(
+    (found, next) => (next.tokens > (found?.tokens ?? 0) ? next : found),
+    undefined,
+  );
+  const gain = (best?.tokens ?? 0) - choice.cachedTokens;
+  return gain >= MINIMUM_GAIN_TOKENS ? best?.server.record.id : undefined;
+}
+
+/** Parts that were read with other weights must not be used, and a server that may be dead only delays. */
+function mayGive(server: state.ServerState, chosen: state.ServerState): boolean {
+  return (
+    server !== chosen &&
+    server.eligible &&
+    !server.record.suspected &&
+    server.record.loading !== true &&
+    server.record.weightsVersion === chosen.record.weightsVersion
+  );
+}
+
+function knownTokens(
+  step: steps.Step,
+  profile: event.RequestProfile,
+  { record, incarnation }: state.ServerState,
+): number {
+  const pieces = placement.cachedPieces(
+    step.state.index,
+    record.id,
+    incarnation,
+    profile.prefixChain,
+    step.at,
+  );
+  return choosing.tokensOf(profile, pieces);
+}
+
+/** Reading this many tokens takes 3 ms, about as long as asking another server for them. */
+const MINIMUM_GAIN_TOKENS = 128;
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -4,6 +4,7 @@
 import * as placement from '../placement';
 import * as prefix from '../prefix';
 import type * as candidateFilter from './candidate-filter';
+import type * as event from './event';
 import * as standardFilters from './standard-filters';
 import * as suspectShare from './suspect-share';
 import type * as state from './state';
@@ -238,7 +239,7 @@
   );
   const cachedTokens = Math.min(
     request.profile.promptTokens,
-    cachedPieces * prefix.TOKENS_PER_PIECE,
+    tokensOf(request.profile, cachedPieces),
   );
   const candidate: placement.Candidate = {
     serverId,
@@ -292,11 +293,18 @@
   return firstFree < 0 ? limit : Math.min(limit, Math.max(spread, firstFree + 1));
 }
 
+/** Tokens in the first parts of a prompt's chain. */
+export function tokensOf(profile: event.RequestProfile, pieces: number): number {
+  return profile.chainTokens === undefined || pieces === 0
+    ? pieces * prefix.TOKENS_PER_PIECE
+    : profile.chainTokens[Math.min(pieces, profile.chainTokens.length) - 1];
+}
+
 /** Other daemons send the prefix to its homes too, so that these probably have it even if it is not known. */
 function assumedTokens(context: Context, request: state.RequestState, serverId: string): number {
   const rank = context.ranks.get(serverId) ?? context.ranks.size;
   return rank < context.spread && request.profile.prefixChain.length > 0
-    ? context.sharedPieces * prefix.TOKENS_PER_PIECE * HOME_PROBABILITY
+    ? tokensOf(request.profile, context.sharedPieces) * HOME_PROBABILITY
     : 0;
 }
 
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -1,6 +1,7 @@
 import * as admission from '../admission';
 import * as health from '../health';
 import * as placement from '../placement';
+import * as cacheSources from './cache-source';
 import * as choosing from './choosing';
 import * as arrival from './arrival';
 import * as deadlineCheck from './deadline-check';
@@ -42,6 +43,7 @@
     lastSeen: placement.lastSeen(step.state.index, serverId, incarnation, prefixChain),
     nextPiece: request.nextPiece,
   };
+  const cacheSource = cacheSources.findSource(step, request.profile, choice);
   expectCached(step, serverId, incarnation, prefixChain);
   slots.occupy(step, request, attempt);
   step.setRequest({
@@ -59,6 +61,7 @@
     hedge,
     queuedMilliseconds: step.at - request.arrivedAt,
     expectedCachedTokens: choice.cachedTokens,
+    ...(cacheSource === undefined ? {} : { cacheSource }),
   });
 }
 
--- a/src/decision/effect.ts
+++ b/src/decision/effect.ts
@@ -19,6 +19,8 @@
   readonly hedge: boolean;
   readonly queuedMilliseconds: number;
   readonly expectedCachedTokens: number;
+  /** Another server that probably has more of the prompt cached, to copy it from. */
+  readonly cacheSource?: string;
 }
 
 /** Abort an attempt that lost a race or whose request is over. */
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -13,11 +13,18 @@
   readonly class: configuration.RequestClass;
   /** Chain hashes of the prompt's cache pieces in hexadecimal, shortest prefix first. */
   readonly prefixChain: readonly string[];
+  /**
+   * Tokens from the start of the prompt to the end of each part of the chain. Absent when each part is one
+   * cache piece.
+   */
+  readonly chainTokens?: readonly number[];
   /** Estimated prompt length; 0 for plain services. */
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   readonly idempotent: boolean;
   readonly priority: number;
+  /** Backend servers that may run the request; by default a bound on useless attempts. */
+  readonly maximumAttempts?: number;
   /** Latest acceptable time of the first token, on the same clock as `at`. */
   readonly firstTokenDeadline: number;
   /** Hash of team and request body; identifies a request that crashes servers when it is resent. */
--- a/src/decision/failing.ts
+++ b/src/decision/failing.ts
@@ -31,6 +31,7 @@
     ...request,
     attempts: request.attempts.filter((other) => other !== attempt),
     verdict: verdict.combine(request.verdict, failure.verdict),
+    runCount: runsOf(request) + (failure.verdict === verdict.Verdict.NotRun ? 0 : 1),
     failedServers: [...request.failedServers, attempt.serverId],
   };
   step.setRequest(failed);
@@ -49,10 +50,16 @@
   return (
     verdict.mayRetry(request.verdict, request.profile.idempotent) &&
     request.attemptCount < MAXIMUM_ATTEMPTS &&
+    runsOf(request) < (request.profile.maximumAttempts ?? MAXIMUM_ATTEMPTS) &&
     admission.affordable(step.state.retryBudget)
   );
 }
 
+/** Attempts that may have run; one that the server surely did not run counts for nothing. */
+function runsOf(request: state.RequestState): number {
+  return request.runCount ?? 0;
+}
+
 /** A broken connection may be the first sign of a crash that a probe confirms later. */
 function recordLoss(
   step: steps.Step,
--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -46,6 +46,9 @@
       observeIncarnation(step, record.id, record.incarnation);
     }
   });
+  given.servers
+    .filter(({ id, weightsVersion }) => before.get(id)?.record.weightsVersion !== weightsVersion)
+    .forEach(({ id }) => step.change({ index: placement.forgetServer(step.state.index, id) }));
   rebuildPools(step);
   if (given.listed !== undefined) {
     step.change({ listed: listedByService(given.listed) });
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -42,6 +42,8 @@
   readonly parked: boolean;
   readonly attempts: readonly AttemptState[];
   readonly attemptCount: number;
+  /** Ended attempts that may have run. */
+  readonly runCount?: number;
   /** Combined over all attempts that have ended. */
   readonly verdict: verdict.Verdict;
   /** First piece that was not delivered yet. */
@@ -130,8 +132,8 @@
     slowdowns: immutable.Map<string, number>(),
     serviceTimings: immutable.Map<string, ServiceTiming>(),
     quarantine: health.EMPTY_QUARANTINE,
-    retryBudget: admission.RETRY_BUDGET,
-    hedgeBudget: admission.HEDGE_BUDGET,
+    retryBudget: given.retryBudget ?? admission.RETRY_BUDGET,
+    hedgeBudget: given.hedgeBudget ?? admission.HEDGE_BUDGET,
     probeBudget: admission.PROBE_BUDGET,
     checkedAt: 0,
     prunedAt: 0,
--- /dev/null
+++ b/src/gateway/control-daemon.ts
@@ -0,0 +1,97 @@
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as lifecycle from '../lifecycle';
+import * as logging from '../logging';
+import * as orders from '../orders';
+import * as routes from '../routes';
+import * as routing from '../routing';
+import * as controlService from './control-service';
+import * as routingSource from './routing-source';
+import * as sharedMachineList from './shared-machine-list';
+
+/** Adapters of a control daemon. */
+export interface ControlPorts {
+  readonly plane: control.ControlPlane;
+  /** The platform's list itself. */
+  readonly list: backend.MachineList;
+  readonly backends: routing.BackendFactory;
+  readonly decode: routingSource.RoutingDecoder;
+  readonly time: clock.Clock;
+  readonly random: clock.RandomSource;
+}
+
+/** A daemon that hosts a replica and, while it leads, reads the list of VMs and orders weights for all. */
+export class ControlDaemon {
+  readonly service: controlService.ControlService;
+
+  private readonly lifecycle: lifecycle.LifecycleManager;
+
+  private stopping: Promise<unknown> | undefined;
+
+  constructor(
+    private readonly ports: ControlPorts,
+    speeds: routes.EngineSpeeds,
+    parameters: orders.OrderParameters,
+  ) {
+    const { plane, time, random } = ports;
+    this.lifecycle = new lifecycle.LifecycleManager(time);
+    this.service = new controlService.ControlService(plane, time);
+    const own = this.lifecycle.own.bind(this.lifecycle);
+    own('control plane', () => plane.close());
+    const source = this.followRegister(speeds);
+    const pool = new routing.BackendPool(ports.backends);
+    own('backend clients', () => pool.close());
+    const list = new sharedMachineList.SharedMachineList({ plane, source: ports.list, time });
+    own('list of VMs', () => list.close());
+    const membership = new routing.MembershipTask(
+      { list, pool, plane, task: NO_DECISIONS, time, random },
+      LIST_MILLISECONDS,
+      false,
+    );
+    own('membership', () => membership.close());
+    membership.start();
+    const task = new orders.OrderTask(
+      {
+        plane: { status: () => plane.status(), configuration: () => source.snapshot },
+        time,
+        engine: (serverId) => pool.relay(serverId),
+        servers: () => membership.servers(),
+        observed: (...probe) => membership.probed(...probe),
+      },
+      parameters,
+    );
+    own('orders', () => task.close());
+    task.start();
+  }
+
+  /** Hands over the leadership and closes everything; later calls return the same promise. */
+  stop(): Promise<unknown> {
+    this.stopping ??= this.lifecycle.close();
+    logger.information('shutdown begins');
+    return this.stopping;
+  }
+
+  /** Adds a resource that is closed before the rest. */
+  own(name: string, close: lifecycle.CloseFunction): void {
+    this.lifecycle.own(name, close);
+  }
+
+  private followRegister(speeds: routes.EngineSpeeds): routingSource.RoutingSource {
+    const { plane, decode } = this.ports;
+    const source = new routingSource.RoutingSource(decode, speeds);
+    this.lifecycle.own(
+      'register',
+      plane.onRegister((register) => source.take(register)),
+    );
+    source.take(plane.register());
+    return source;
+  }
+}
+
+const logger = new logging.Logger('control');
+
+/** A control daemon takes no requests. */
+const NO_DECISIONS = { feed: () => {}, now: () => 0 };
+
+const LIST_MILLISECONDS = 200;
--- /dev/null
+++ b/src/gateway/gateway-daemon.ts
@@ -0,0 +1,205 @@
+import * as nest from '@nestjs/common';
+import * as admission from '../admission';
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as daemon from '../daemon';
+import * as decision from '../decision';
+import * as lifecycle from '../lifecycle';
+import * as logging from '../logging';
+import * as metrics from '../metrics';
+import * as routes from '../routes';
+import * as routing from '../routing';
+import * as verdict from '../verdict';
+import type * as dialect from './dialect';
+import * as gatewayModule from './gateway';
+import * as gatewayCallers from './gateway-callers';
+import * as nestModule from './gateway-module';
+import * as routingSource from './routing-source';
+import * as sharedMachineList from './shared-machine-list';
+import * as stages from './stages';
+
+/** Adapters of a gateway. */
+export interface GatewayPorts {
+  readonly plane: control.ControlPlane;
+  /** The platform's list itself. */
+  readonly list: backend.MachineList;
+  readonly backends: routing.BackendFactory;
+  readonly dialect: dialect.Dialect;
+  readonly decode: routingSource.RoutingDecoder;
+  readonly meter: metrics.Metrics;
+  readonly time: clock.Clock;
+  readonly random: clock.RandomSource;
+}
+
+/** Where a gateway listens, and its bounds. */
+export interface GatewayOptions {
+  readonly zone: string;
+  readonly region: string;
+  readonly listen: { readonly host: string; readonly port: number };
+  readonly limits: daemon.ListenerLimits;
+  readonly stop: stages.StopTimes;
+  readonly speeds: routes.EngineSpeeds;
+  /** This daemon's part of the retries that all daemons may make. */
+  readonly retryBudget: admission.Budget;
+  readonly maximumRequests: number;
+}
+
+/** A daemon that relays requests of a platform's callers; tasks, listeners and their order. */
+export class GatewayDaemon {
+  readonly readiness = new daemon.Readiness();
+
+  private readonly lifecycle: lifecycle.LifecycleManager;
+
+  private readonly task: routing.DecisionTask;
+
+  private readonly membership: routing.MembershipTask;
+
+  private readonly gateway: gatewayModule.Gateway;
+
+  private readonly source: routingSource.RoutingSource;
+
+  private stopping: Promise<void> | undefined;
+
+  private constructor(
+    private readonly ports: GatewayPorts,
+    private readonly options: GatewayOptions,
+  ) {
+    const { plane, time, random, meter } = ports;
+    this.lifecycle = new lifecycle.LifecycleManager(time);
+    const pool = new routing.BackendPool(ports.backends);
+    this.task = new routing.DecisionTask<unknown>(coreOf(options, random), time, () => {});
+    const list = new sharedMachineList.SharedMachineList({ plane, source: ports.list, time });
+    this.membership = new routing.MembershipTask(
+      { list, pool, plane, task: this.task, time, random },
+      LIST_MILLISECONDS,
+      false,
+    );
+    this.source = new routingSource.RoutingSource(ports.decode, options.speeds);
+    const { task, membership } = this;
+    this.gateway = new gatewayModule.Gateway(
+      {
+        task,
+        pool,
+        observer: membership,
+        meter,
+        time,
+        dialect: ports.dialect,
+        server: (serverId) => membership.server(serverId),
+        storeAddress: () => this.gateway.store?.address,
+      },
+      random,
+      options,
+    );
+    this.own(pool, list);
+  }
+
+  /**
+   * Starts the tasks and the listener. Resolves when connections are accepted; the daemon becomes ready
+   * later, when its routing table and the list of VMs are known.
+   *
+   * @example
+   * const gateway = await GatewayDaemon.start(ports, options);
+   */
+  static async start(ports: GatewayPorts, options: GatewayOptions): Promise<GatewayDaemon> {
+    const started = new GatewayDaemon(ports, options);
+    await started.listen();
+    started.becomeReady();
+    return started;
+  }
+
+  /** Stops without interrupting a request; later calls return the same promise. */
+  stop(): Promise<void> {
+    this.stopping ??= this.stopGracefully();
+    return this.stopping;
+  }
+
+  private own(pool: routing.BackendPool, list: sharedMachineList.SharedMachineList): void {
+    const { plane, meter } = this.ports;
+    const own = this.lifecycle.own.bind(this.lifecycle);
+    own('metrics', () => meter.close());
+    own('control plane', () => plane.close());
+    own('backend clients', () => pool.close());
+    own('decision task', () => this.task.close());
+    own('list of VMs', () => list.close());
+    own('membership', () => this.membership.close());
+    own(
+      'register',
+      plane.onRegister((register) => this.useRegister(register)),
+    );
+    this.useRegister(plane.register());
+  }
+
+  private useRegister(register: control.Register): void {
+    const active = this.source.take(register);
+    if (active !== undefined) {
+      this.gateway.useTable(active.table, active.snapshot);
+    }
+  }
+
+  private async listen(): Promise<void> {
+    const { time } = this.ports;
+    const callers = new gatewayCallers.GatewayCallers(this.gateway, this.readiness, time);
+    const listener = await daemon.listen(
+      nestModule.GatewayModule.with(callers),
+      this.options.listen,
+      this.options.limits,
+      new RefusingFilter(),
+    );
+    this.lifecycle.own('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
+  }
+
+  private async becomeReady(): Promise<void> {
+    await Promise.all([this.ports.plane.ready(), this.membership.start()]);
+    while (this.gateway.tableVersion === undefined && this.stopping === undefined) {
+      await this.ports.time.sleep(TABLE_POLL_MILLISECONDS);
+    }
+    this.readiness.advance(daemon.DaemonStage.Ready);
+    logger.information('ready', { version: this.gateway.tableVersion });
+  }
+
+  private async stopGracefully(): Promise<void> {
+    const interrupted = await stages.drain(this.readiness, this.options.stop, this.ports.time);
+    this.task.abortAll(INTERRUPTED);
+    await this.lifecycle.close();
+    logger.information('graceful shutdown ended', { interrupted });
+  }
+}
+
+function coreOf(
+  { zone, region, retryBudget }: GatewayOptions,
+  random: clock.RandomSource,
+): routing.DecisionCore<unknown> {
+  const seed = random.integer(1, MAXIMUM_SEED);
+  const options = { seed, zone, region, retryBudget, hedgeBudget: NO_HEDGES };
+  const startState = decision.initialState(options);
+  return { startState, update: decision.update } as routing.DecisionCore<unknown>;
+}
+
+/** Answers what Fastify refuses by itself, such as a body that is too large. */
+@nest.Catch()
+class RefusingFilter extends daemon.FailureFilter {
+  constructor() {
+    super(() => 0);
+  }
+}
+
+const logger = new logging.Logger('gateway');
+
+const INTERRUPTED = verdict.failure(
+  verdict.FailureReason.ShuttingDown,
+  verdict.Verdict.MayHaveRun,
+  'The router was stopped before the request was complete.',
+);
+
+/** A second attempt draws on the shared retry budget, which failures need. */
+const NO_HEDGES: admission.Budget = { credit: 0, ratio: 0, maximum: 0 };
+
+const MAXIMUM_SEED = 2 ** 31;
+
+// The list is a copy in memory; the leader sends changes as it sees them.
+const LIST_MILLISECONDS = 200;
+
+const TABLE_POLL_MILLISECONDS = 20;
+
+const LISTENER_CLOSE_MILLISECONDS = 500;
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,213 @@
+import type * as http from 'node:http';
+import * as crypto from 'node:crypto';
+import * as results from 'ts-results';
+import * as clock from '../clock';
+import * as configuration from '../configuration';
+import * as decision from '../decision';
+import * as routes from '../routes';
+import * as verdict from '../verdict';
+import type * as dialect from './dialect';
+import type * as relayContext from './relay-context';
+import * as relayExecution from './relay-execution';
+import type * as relayReply from './relay-reply';
+
+/** A request as it arrived, with its whole body. */
+export interface IncomingCall {
+  readonly method: string;
+  /** Path and query string. */
+  readonly path: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: Uint8Array;
+}
+
+interface Admitted {
+  readonly route: routes.Route;
+  readonly team?: routes.RoutedTeam;
+}
+
+/** Entry of the package: finds route and team of a request and hands it to the decision task. */
+export class Gateway {
+  private index: routes.RouteIndex | undefined;
+
+  private nextId = 0;
+
+  constructor(
+    private readonly context: relayContext.RelayContext,
+    private readonly random: clock.RandomSource,
+    private readonly limits: GatewayLimits,
+  ) {}
+
+  /** The version of the routing table in force, if there is one. */
+  get tableVersion(): number | undefined {
+    return this.index?.table.version;
+  }
+
+  /** Puts a routing table in force; a lower version is ignored. */
+  useTable(table: routes.RoutingTable, snapshot: configuration.ConfigurationSnapshot): void {
+    const { task } = this.context;
+    if (this.index === undefined || table.version > this.index.table.version) {
+      this.index = new routes.RouteIndex(table);
+    }
+    const kind = decision.DecisionEventKind.ConfigurationChanged;
+    task.feed({ kind, at: task.now(), snapshot });
+  }
+
+  get store(): routes.StoreTraits | undefined {
+    return this.index?.store;
+  }
+
+  /** Why a request must not be served, from its headers alone. */
+  admit(
+    path: string,
+    headers: http.IncomingHttpHeaders,
+  ): results.Result<Admitted, verdict.RequestFailure> {
+    if (this.index === undefined) {
+      return new results.Err(NO_TABLE);
+    }
+    const route = this.index.route(headers.host ?? '', path);
+    if (route === undefined) {
+      return new results.Err(UNKNOWN_ROUTE);
+    }
+    const { credential } = this.context.dialect.readCaller(headers);
+    const team = this.index.team(credential);
+    if (this.index.needsCredential && team === undefined && !route.isPublic) {
+      return new results.Err(UNAUTHORIZED);
+    }
+    return new results.Ok({ route, team });
+  }
+
+  /** Starts a request; the reply ends in every case. */
+  handle(incoming: IncomingCall, reply: relayReply.RelayReply): void {
+    const admitted = this.admit(incoming.path, incoming.headers);
+    const facts = this.context.dialect.readCaller(incoming.headers);
+    const { requestId } = facts;
+    const { route, team } = admitted.ok ? admitted.val : {};
+    Object.assign(reply, { identity: { requestId, route: route?.name, team: team?.name } });
+    if (admitted.err) {
+      reply.fail(admitted.val);
+    } else if (requestId === undefined) {
+      reply.fail(NO_REQUEST_ID);
+    } else if (this.context.task.activeRequests >= this.limits.maximumRequests) {
+      reply.fail(FULL);
+    } else {
+      const call = this.callOf(incoming, { ...facts, requestId }, admitted.val);
+      const execution = new relayExecution.RelayExecution(call, this.context, reply);
+      reply.onCallerGone(() => execution.cancel());
+      this.context.task.submit(execution);
+    }
+  }
+
+  private callOf(
+    { method, path, headers, body }: IncomingCall,
+    facts: dialect.CallerFacts & { readonly requestId: string },
+    { route, team }: Admitted,
+  ): relayExecution.RelayCall {
+    const now = this.context.task.now();
+    const wait = Math.min(route.timeoutMilliseconds, facts.waitMilliseconds ?? Infinity);
+    const service = routes.chooseService(route.shares, this.random.uniform());
+    const engine = this.index?.service(service)?.engine;
+    const wall = engine === undefined ? undefined : wallOf(engine.model, team);
+    this.nextId += 1;
+    return {
+      requestId: facts.requestId,
+      method,
+      path,
+      headers,
+      body,
+      team: team?.name,
+      cacheWall: wall,
+      deadline: now + wait,
+      lastEventId: facts.lastEventId,
+      profile: {
+        // Callers may send one id twice; the decision core needs one for each request.
+        requestId: `${facts.requestId}#${this.nextId}`,
+        team: team?.name ?? '',
+        service,
+        class: configuration.RequestClass.Short,
+        ...chainOf(facts.parts, wall),
+        promptTokens: facts.promptTokens,
+        expectedOutputTokens: facts.outputTokens,
+        idempotent: isRepeatable(route),
+        maximumAttempts: route.maximumAttempts,
+        priority: team?.priority ?? route.priority,
+        firstTokenDeadline: now + wait,
+        fingerprint: fingerprintOf(team?.name, method, path, body),
+      },
+    };
+  }
+}
+
+/** Bounds on what one gateway holds at the same time. */
+export interface GatewayLimits {
+  readonly maximumRequests: number;
+}
+
+function isRepeatable({ kind, isResumable }: routes.Route): boolean {
+  return kind === routes.RouteKind.Idempotent || (kind === routes.RouteKind.Stream && isResumable);
+}
+
+/** Cached parts are shared by all teams but the isolated ones. */
+function wallOf(model: string, team: routes.RoutedTeam | undefined): string {
+  return team?.isIsolated === true ? `${model}.${team.name}` : model;
+}
+
+/** Parts with the same ids after different first parts are different, so each id names the parts before it. */
+function chainOf(
+  parts: readonly dialect.PromptPart[],
+  wall: string | undefined,
+): Pick<decision.RequestProfile, 'prefixChain' | 'chainTokens'> {
+  const chain: string[] = [];
+  const chainTokens: number[] = [];
+  parts.forEach(({ id, tokens }, depth) => {
+    chain.push(`${chain[depth - 1] ?? wall}/${id}`);
+    chainTokens.push((chainTokens[depth - 1] ?? 0) + tokens);
+  });
+  return { prefixChain: chain, chainTokens };
+}
+
+function fingerprintOf(
+  team: string | undefined,
+  method: string,
+  path: string,
+  body: Uint8Array,
+): string {
+  return crypto
+    .createHash('sha1')
+    .update(`${team ?? ''} ${method} ${path}\n`)
+    .update(body)
+    .digest('base64');
+}
+
+const { FailureReason, Verdict } = verdict;
+
+const NO_TABLE = verdict.failure(
+  FailureReason.ShuttingDown,
+  Verdict.NotRun,
+  'This router has no routing table yet; send the request again.',
+  { retryAfterMilliseconds: 500 },
+);
+
+const UNKNOWN_ROUTE = verdict.failure(
+  FailureReason.UnknownRoute,
+  Verdict.NotRun,
+  'No route takes this host and path.',
+);
+
+const UNAUTHORIZED = verdict.failure(
+  FailureReason.Unauthorized,
+  Verdict.NotRun,
+  'The credential is missing or unknown.',
+);
+
+const NO_REQUEST_ID = verdict.failure(
+  FailureReason.BadRequest,
+  Verdict.NotRun,
+  'The request has no id.',
+);
+
+const FULL = verdict.failure(
+  FailureReason.Overloaded,
+  Verdict.NotRun,
+  'This router holds as many requests as it can; the request was not sent.',
+  { retryAfterMilliseconds: 500 },
+);
--- /dev/null
+++ b/src/gateway/relay-context.ts
@@ -0,0 +1,12 @@
+import * as membership from '../membership';
+import * as routing from '../routing';
+import type * as dialect from './dialect';
+
+/** What the executions of relayed requests share. */
+export interface RelayContext extends routing.ExecutionContext {
+  readonly dialect: dialect.Dialect;
+  /** A backend server as membership knows it now. */
+  readonly server: (serverId: string) => membership.EligibleServer | undefined;
+  /** `host:port` of the store of kept KV cache, if there is one. */
+  readonly storeAddress: () => string | undefined;
+}
--- /dev/null
+++ b/src/gateway/relay-reply.ts
@@ -0,0 +1,174 @@
+import type * as http from 'node:http';
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as daemon from '../daemon';
+import * as logging from '../logging';
+import * as verdict from '../verdict';
+
+/** What identifies a reply in the logs. */
+export interface ReplyIdentity {
+  readonly requestId: string;
+  readonly route?: string;
+  readonly team?: string;
+}
+
+/** Writes one answer to a caller and logs how the request ended. */
+export class RelayReply {
+  identity: ReplyIdentity = { requestId: '' };
+
+  private readonly startedAt: number;
+
+  private outcome: logging.LogFields = { reason: verdict.FailureReason.CallerGone };
+
+  constructor(
+    private readonly response: http.ServerResponse,
+    private readonly time: clock.Clock,
+    /** Asked when the head is written: a daemon that stops sends its callers elsewhere. */
+    private readonly closesConnection: () => boolean,
+  ) {
+    this.startedAt = time.monotonic();
+    response.once('close', () => this.log());
+  }
+
+  /** True once the status has been sent. */
+  get hasHead(): boolean {
+    return this.response.headersSent;
+  }
+
+  get isClosed(): boolean {
+    return this.response.destroyed || this.response.writableEnded;
+  }
+
+  /** Calls `listener` when the caller closes the connection before the answer is complete. */
+  onCallerGone(listener: () => void): void {
+    this.response.once('close', () => {
+      if (!this.response.writableFinished) {
+        listener();
+      }
+    });
+  }
+
+  head({ status, headers }: backend.HttpHead): void {
+    if (!this.hasHead && !this.isClosed) {
+      this.response.writeHead(status, { ...answerHeaders(headers), ...this.connectionHeader() });
+    }
+  }
+
+  /** Writes a part of the body; calls `onDrained` later when it returns false. */
+  write(bytes: Buffer, onDrained: () => void): boolean {
+    if (this.isClosed || this.response.write(bytes)) {
+      return true;
+    }
+    this.response.once('drain', onDrained);
+    return false;
+  }
+
+  /** Ends an answer whose head is written. */
+  end(fields: logging.LogFields): void {
+    this.outcome = { verdict: verdict.Verdict.Ran, ...fields };
+    if (!this.isClosed) {
+      this.response.end();
+    }
+  }
+
+  /** Sends a whole answer. */
+  send(head: backend.HttpHead, body: Buffer, fields: logging.LogFields): void {
+    this.outcome = { verdict: verdict.Verdict.Ran, ...fields };
+    if (!this.isClosed) {
+      const length = hasBody(head) ? { 'content-length': String(body.length) } : {};
+      this.response.writeHead(head.status, {
+        ...answerHeaders(head.headers),
+        ...length,
+        ...this.connectionHeader(),
+      });
+      this.response.end(body);
+    }
+  }
+
+  /** Answers with a failure, or cuts the connection of an answer that has begun. */
+  fail(failure: verdict.RequestFailure): void {
+    const { reason, verdict: outcome, backendServerId, retryAfterMilliseconds } = failure;
+    this.outcome = { reason, verdict: outcome, backendServer: backendServerId };
+    if (this.hasHead) {
+      this.response.destroy();
+      return;
+    }
+    if (!this.isClosed) {
+      const body = Buffer.from(JSON.stringify(daemon.errorBody(failure)));
+      this.response.writeHead(statusOf(failure), {
+        'content-type': 'application/json; charset=utf-8',
+        'content-length': String(body.length),
+        ...retryAfter(failure, retryAfterMilliseconds),
+        ...this.connectionHeader(),
+      });
+      this.response.end(body);
+    }
+  }
+
+  private connectionHeader(): http.OutgoingHttpHeaders {
+    return this.closesConnection() ? { connection: 'close' } : {};
+  }
+
+  private log(): void {
+    logger.information('request ended', {
+      ...this.identity,
+      status: this.response.statusCode,
+      durationMilliseconds: Math.round(this.time.monotonic() - this.startedAt),
+      ...this.outcome,
+    });
+  }
+}
+
+const logger = new logging.Logger('caller');
+
+const { Verdict, FailureReason } = verdict;
+
+/** Statuses that belong to the caller's own mistakes; every other refusal promises "not run" by 503. */
+const CALLER_MISTAKES = new Set([
+  FailureReason.BadRequest,
+  FailureReason.Unauthorized,
+  FailureReason.UnknownRoute,
+  FailureReason.RequestTooLarge,
+]);
+
+/** 503 says that the request did not run and will not; 502 and 504 say nothing about that. */
+function statusOf(failure: verdict.RequestFailure): number {
+  if (failure.verdict === Verdict.NotRun) {
+    return CALLER_MISTAKES.has(failure.reason) ? verdict.httpStatus(failure.reason) : 503;
+  }
+  return failure.reason === FailureReason.Timeout ? 504 : 502;
+}
+
+function retryAfter(
+  failure: verdict.RequestFailure,
+  milliseconds = DEFAULT_RETRY_MILLISECONDS,
+): http.OutgoingHttpHeaders {
+  return statusOf(failure) === 503 ? { 'retry-after': (milliseconds / 1_000).toFixed(3) } : {};
+}
+
+/** Headers that belong to one connection (RFC 9110, section 7.6.1), or that are written anew. */
+const CONNECTION_HEADERS = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'content-length',
+  'date',
+]);
+
+function answerHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
+  return Object.fromEntries(
+    Object.entries(headers).filter(([name]) => !CONNECTION_HEADERS.has(name)),
+  );
+}
+
+/** RFC 9110, section 8.6. */
+function hasBody({ status }: backend.HttpHead): boolean {
+  return status !== 204 && status !== 304;
+}
+
+/** About the time in which a queue of short requests moves on. */
+const DEFAULT_RETRY_MILLISECONDS = 300;
--- /dev/null
+++ b/src/gateway/routing-source.ts
@@ -0,0 +1,71 @@
+import * as results from 'ts-results';
+import * as configuration from '../configuration';
+import * as control from '../control';
+import * as logging from '../logging';
+import * as routes from '../routes';
+
+/** Decodes the platform's text of a routing document; `Err` lists every fault. */
+export type RoutingDecoder = (
+  text: string,
+) => results.Result<routes.RoutingTable, readonly string[]>;
+
+/** A routing table in force together with what the decision core and the orders know of it. */
+export interface ActiveRouting {
+  readonly table: routes.RoutingTable;
+  readonly snapshot: configuration.ConfigurationSnapshot;
+}
+
+/** Follows the register and turns each change into an active routing table. */
+export class RoutingSource {
+  private active: ActiveRouting | undefined;
+
+  private decodedVersion: number | undefined;
+
+  private table: routes.RoutingTable | undefined;
+
+  constructor(
+    private readonly decode: RoutingDecoder,
+    private readonly speeds: routes.EngineSpeeds,
+  ) {}
+
+  /** The snapshot in force; empty before the first routing document. */
+  get snapshot(): configuration.ConfigurationSnapshot {
+    return this.active?.snapshot ?? configuration.EMPTY_SNAPSHOT;
+  }
+
+  /** Takes over a register; returns the routing in force when there is one. */
+  take(register: control.Register): ActiveRouting | undefined {
+    const { routing } = register;
+    if (routing !== undefined && routing.version !== this.decodedVersion) {
+      this.decodedVersion = routing.version;
+      this.decodeTable(routing);
+    }
+    const { table } = this;
+    if (table !== undefined) {
+      const snapshot = routes.decisionSnapshot(table, this.speeds, (model) =>
+        register.weights.get(model)?.version.toString(),
+      );
+      this.active = { table, snapshot };
+    }
+    return this.active;
+  }
+
+  /** Documents are checked before they are written, so that a fault here is one of this program. */
+  private decodeTable(routing: control.RoutingText): void {
+    const decoded = this.decode(routing.text);
+    if (decoded.err) {
+      logger.error('committed routing document cannot be read; the one before stays in force', {
+        version: routing.version,
+        reason: decoded.val.join('; '),
+      });
+      return;
+    }
+    this.table = decoded.val;
+    logger.information('routing document in force', {
+      version: routing.version,
+      routes: decoded.val.routes.length,
+    });
+  }
+}
+
+const logger = new logging.Logger('gateway');
--- /dev/null
+++ b/src/gateway/shared-machine-list.ts
@@ -0,0 +1,158 @@
+import * as zod from 'zod';
+import * as results from 'ts-results';
+import * as backend from '../backend';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as logging from '../logging';
+import * as verdict from '../verdict';
+
+/** What the list works with. */
+export interface SharedListPorts {
+  readonly plane: Pick<control.ControlPlane, 'status' | 'broadcast' | 'onBroadcast'>;
+  /** The platform's list itself. */
+  readonly source: backend.MachineList;
+  readonly time: clock.Clock;
+}
+
+type ListResult = results.Result<readonly backend.MachineRecord[], verdict.RequestFailure>;
+
+/**
+ * The platform's list, read by one daemon for all: the control leader reads it and sends its peers what
+ * changed. A daemon that hears nothing for a while reads the list itself.
+ */
+export class SharedMachineList extends backend.MachineList {
+  private machines: readonly backend.MachineRecord[] | undefined;
+
+  /** Names the copy that this daemon has, across leaders. */
+  private edition = '';
+
+  private editions = 0;
+
+  private heardAt = Number.NEGATIVE_INFINITY;
+
+  private readAt = Number.NEGATIVE_INFINITY;
+
+  private toldAt = Number.NEGATIVE_INFINITY;
+
+  private isFullWanted = false;
+
+  private readonly unsubscribe: () => void;
+
+  constructor(private readonly ports: SharedListPorts) {
+    super();
+    this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Machines, (payload) =>
+      this.hear(payload),
+    );
+  }
+
+  override async read(): Promise<ListResult> {
+    const isLeader = this.ports.plane.status().role === control.ReplicaRole.Leader;
+    const now = this.ports.time.monotonic();
+    if (isLeader) {
+      return this.readAndTell(now);
+    }
+    const isFresh = now - this.heardAt < SILENCE_MILLISECONDS;
+    return isFresh && this.machines !== undefined
+      ? new results.Ok(this.machines)
+      : this.readSource(now, ALONE_MILLISECONDS);
+  }
+
+  close(): void {
+    this.unsubscribe();
+  }
+
+  private async readAndTell(now: number): Promise<ListResult> {
+    const before = this.machines;
+    const result = await this.readSource(now, LEADER_MILLISECONDS);
+    if (result.ok) {
+      this.tell(this.machines !== before || this.isFullWanted, now);
+    }
+    return result;
+  }
+
+  /** Reads the platform's list, but not more often than each `interval`. */
+  private async readSource(now: number, interval: number): Promise<ListResult> {
+    if (now - this.readAt < interval) {
+      return this.machines === undefined
+        ? new results.Err(NOT_READ)
+        : new results.Ok(this.machines);
+    }
+    this.readAt = now;
+    const result = await this.ports.source.read();
+    if (result.ok && JSON.stringify(result.val) !== JSON.stringify(this.machines)) {
+      this.machines = result.val;
+      this.editions += 1;
+      this.edition = `${this.ports.plane.status().daemonId}/${this.editions}/${Math.round(now)}`;
+    }
+    return result.ok && this.machines !== undefined ? new results.Ok(this.machines) : result;
+  }
+
+  private tell(isFull: boolean, now: number): void {
+    if (isFull || now - this.toldAt >= REPEAT_MILLISECONDS) {
+      this.toldAt = now;
+      this.isFullWanted = false;
+      const { edition, machines } = this;
+      const payload = isFull ? { edition, machines } : { edition };
+      this.ports.plane.broadcast(control.PeerTopic.Machines, payload);
+    }
+  }
+
+  private hear(payload: unknown): void {
+    const parsed = messageSchema.safeParse(payload);
+    if (!parsed.success) {
+      logger.warning('peer sent a malformed list of VMs');
+      return;
+    }
+    const { edition, machines, wanted } = parsed.data;
+    if (wanted === true) {
+      this.isFullWanted = true;
+    } else if (machines !== undefined) {
+      this.machines = machines;
+      this.edition = edition;
+      this.heardAt = this.ports.time.monotonic();
+    } else if (edition === this.edition) {
+      this.heardAt = this.ports.time.monotonic();
+    } else {
+      this.ports.plane.broadcast(control.PeerTopic.Machines, { edition: '', wanted: true });
+    }
+  }
+}
+
+const logger = new logging.Logger('machines');
+
+const recordSchema = zod.object({
+  id: zod.string(),
+  host: zod.string(),
+  port: zod.int(),
+  zone: zod.string(),
+  region: zod.string(),
+  service: zod.string(),
+  kind: zod.enum(backend.BackendKind),
+  phase: zod.enum(backend.MachinePhase),
+  incarnation: zod.string().optional(),
+  weightsVersion: zod.string().optional(),
+});
+
+const messageSchema = zod.object({
+  edition: zod.string(),
+  /** The whole list; absent when nothing has changed since the edition. */
+  machines: zod.array(recordSchema).optional(),
+  /** Asks the leader for the whole list. */
+  wanted: zod.boolean().optional(),
+});
+
+const NOT_READ = verdict.failure(
+  verdict.FailureReason.NoBackendServer,
+  verdict.Verdict.NotRun,
+  'The list of VMs could not be read yet.',
+);
+
+// A server that leaves must get its last request within 3 s of the list showing it.
+const LEADER_MILLISECONDS = 400;
+
+// Three missed messages of the leader; a new leader is found in about 1 s.
+const SILENCE_MILLISECONDS = 2_500;
+
+const ALONE_MILLISECONDS = 1_000;
+
+const REPEAT_MILLISECONDS = 800;
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -5,14 +5,14 @@
 /**
  * What an answered probe changes.
  *
- * @param servers number of servers that this daemon probes
+ * @param routineMilliseconds time until the next probe of a server that nobody suspects
  */
 export function succeeded(
   server: membershipView.ServerState,
   probe: event.ProbeSucceeded,
-  servers: number,
+  routineMilliseconds: number,
 ): serverChange.ServerChange {
-  const ended = repeatWhileLoading(endProbe(server, probe, servers), probe);
+  const ended = repeatWhileLoading(endProbe(server, probe, routineMilliseconds), probe);
   const seen = serverChange.seeIncarnation(ended, probe.incarnation);
   const alive = serverChange.then(seen, (next) => serverChange.unchanged(revive(next, probe)));
   return probe.leaving
@@ -26,14 +26,19 @@
 export function failed(
   server: membershipView.ServerState,
   probe: event.ProbeFailed,
-  servers: number,
+  routineMilliseconds: number,
 ): serverChange.ServerChange {
   const { Dead, Suspected } = membershipView.ServerCondition;
   const failedProbes = server.failedProbes + 1;
   const isDead = failedProbes >= FAILED_PROBES_OF_A_DEAD_SERVER;
-  const delay = isDead ? spread(interval(servers), probe.jitter) : RETRY_MILLISECONDS;
+  const delay = isDead
+    ? spread(
+        Number.isFinite(routineMilliseconds) ? routineMilliseconds : DEAD_MILLISECONDS,
+        probe.jitter,
+      )
+    : RETRY_MILLISECONDS;
   const next = {
-    ...endProbe(server, probe, servers),
+    ...endProbe(server, probe, routineMilliseconds),
     condition: isDead ? Dead : Suspected,
     failedProbes,
     suspectedAt: probe.at,
@@ -46,12 +51,12 @@
 function endProbe(
   server: membershipView.ServerState,
   probe: event.ProbeSucceeded | event.ProbeFailed,
-  servers: number,
+  routineMilliseconds: number,
 ): membershipView.ServerState {
   const planned = server.nextProbeAt > probe.startedAt;
   const nextProbeAt = planned
     ? server.nextProbeAt
-    : probe.at + spread(interval(servers), probe.jitter);
+    : probe.at + spread(routineMilliseconds, probe.jitter);
   return { ...server, probeStartedAt: undefined, nextProbeAt };
 }
 
@@ -95,11 +100,6 @@
   return isOtherProcess ? { ...server, leaving: undefined } : server;
 }
 
-/** Time between two probes of a server that nobody suspects. */
-function interval(servers: number): number {
-  return Math.max(PROBE_INTERVAL_MILLISECONDS, servers * INTERVAL_PER_SERVER_MILLISECONDS);
-}
-
 /** Between three quarters and five quarters of an interval. */
 function spread(intervalMilliseconds: number, jitter: number): number {
   return intervalMilliseconds * (0.75 + jitter / 2);
@@ -110,12 +110,8 @@
 
 const RETRY_MILLISECONDS = 100;
 
+// A server that is back may not change its place in the list, so that only a probe shows it.
+const DEAD_MILLISECONDS = 1_000;
+
 // A load takes 0.4 s.
 const LOADING_INTERVAL_MILLISECONDS = 200;
-
-// A daemon that can neither read the list nor hear its peers learns of a leaving server by probe; the
-// last new work must have been sent within 3 s.
-const PROBE_INTERVAL_MILLISECONDS = 1_000;
-
-// Bounds the probes of one daemon to 40 a second, each on a new connection. Suspicions are probed at once.
-const INTERVAL_PER_SERVER_MILLISECONDS = 25;
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -29,7 +29,7 @@
       );
     default:
       return changeOne(view, observed.serverId, (server) =>
-        observe(server, observed, view.servers.size),
+        observe(server, observed, routineInterval(view)),
       );
   }
 }
@@ -37,7 +37,7 @@
 function observe(
   server: membershipView.ServerState,
   observed: Exclude<event.MembershipEvent, event.ListRead | event.Tick | event.PeerReported>,
-  servers: number,
+  routineMilliseconds: number,
 ): serverChange.ServerChange {
   const { MembershipEventKind } = event;
   switch (observed.kind) {
@@ -50,18 +50,27 @@
     case MembershipEventKind.IncarnationSeen:
       return serverChange.seeIncarnation(server, observed.incarnation);
     case MembershipEventKind.ProbeSucceeded:
-      return probeOutcome.succeeded(server, observed, servers);
+      return probeOutcome.succeeded(server, observed, routineMilliseconds);
     default:
-      return probeOutcome.failed(server, observed, servers);
+      return probeOutcome.failed(server, observed, routineMilliseconds);
   }
 }
 
 function readList(view: membershipView.MembershipView, list: event.ListRead): Step {
   const changes = list.machines.map((machine, index) => {
     const known = view.servers.get(machine.id);
-    return known === undefined || hasMoved(known.machine, machine)
-      ? listed(serverChange.newServer(machine, list.at + index * PROBE_SPACING_MILLISECONDS), list)
-      : listed({ ...known, machine }, list);
+    const firstProbeAt = view.probesRoutinely
+      ? list.at + index * PROBE_SPACING_MILLISECONDS
+      : Number.POSITIVE_INFINITY;
+    const server =
+      known === undefined || hasMoved(known.machine, machine)
+        ? serverChange.newServer(machine, firstProbeAt)
+        : takeListed(known, machine);
+    return serverChange.then(listed(server, list), (next) =>
+      machine.incarnation === undefined
+        ? serverChange.unchanged(next)
+        : serverChange.seeIncarnation(next, machine.incarnation),
+    );
   });
   const servers = immutable.Map(changes.map(({ server }) => [server.machine.id, server]));
   return transaction.create(
@@ -71,6 +80,23 @@
   );
 }
 
+/** A weights version that the list shows for the first time is newer than that of an earlier probe. */
+function takeListed(
+  known: membershipView.ServerState,
+  machine: backend.MachineRecord,
+): membershipView.ServerState {
+  const isNew = machine.weightsVersion !== known.machine.weightsVersion;
+  const weightsVersion = isNew ? machine.weightsVersion : known.weightsVersion;
+  return { ...known, machine, weightsVersion };
+}
+
+/** Time between two probes of a server that nobody suspects. */
+function routineInterval({ probesRoutinely, servers }: membershipView.MembershipView): number {
+  return probesRoutinely
+    ? Math.max(PROBE_INTERVAL_MILLISECONDS, servers.size * INTERVAL_PER_SERVER_MILLISECONDS)
+    : Number.POSITIVE_INFINITY;
+}
+
 /** Tells the peers when the list shows a server as leaving: their copy of the list may be older. */
 function listed(
   server: membershipView.ServerState,
@@ -172,6 +198,13 @@
   return transaction.create(view, next, effects);
 }
 
+// A daemon that can neither read the list nor hear its peers learns of a leaving server by probe; the
+// last new work must have been sent within 3 s.
+const PROBE_INTERVAL_MILLISECONDS = 1_000;
+
+// Bounds the probes of one daemon to 40 a second, each on a new connection. Suspicions are probed at once.
+const INTERVAL_PER_SERVER_MILLISECONDS = 25;
+
 // A daemon that starts among thousands of backend servers must not open all connections at once.
 const PROBE_SPACING_MILLISECONDS = 5;
 
--- a/src/orders/order-task.ts
+++ b/src/orders/order-task.ts
@@ -15,7 +15,7 @@
 
 /** What the order task works with. */
 export interface OrderPorts {
-  readonly plane: control.ControlPlane;
+  readonly plane: Pick<control.ControlPlane, 'status' | 'configuration'>;
   readonly time: clock.Clock;
   /** Borrows the client of an engine; `undefined` when the engine is gone. */
   readonly engine: (serverId: string) => engineLease.EngineLease | undefined;
--- a/src/orders/parameters.ts
+++ b/src/orders/parameters.ts
@@ -4,6 +4,8 @@
   readonly longestLeaseMilliseconds: number;
   /** Upper bound of the time from the decision to send an order to the end of its execution. */
   readonly longestOrderMilliseconds: number;
+  /** Time for which a new leader sends nothing; by default the longest lease and the longest order. */
+  readonly settleMilliseconds?: number;
   /** Weight loads in execution at the same time, over all services. */
   readonly maximumLoads: number;
   /** Time between two read-backs of one server. */
--- a/src/orders/update.ts
+++ b/src/orders/update.ts
@@ -39,8 +39,10 @@
  * the runners could not be kept.
  */
 function issuerFrom(state: states.OrderState, event: events.BecameLeader): states.Issuer {
-  const { longestLeaseMilliseconds, longestOrderMilliseconds } = state.parameters;
-  const sendFrom = event.at + longestLeaseMilliseconds + longestOrderMilliseconds;
+  const { longestLeaseMilliseconds, longestOrderMilliseconds, settleMilliseconds } =
+    state.parameters;
+  const settle = settleMilliseconds ?? longestLeaseMilliseconds + longestOrderMilliseconds;
+  const sendFrom = event.at + settle;
   return { term: event.term, sendFrom };
 }
 
--- a/src/replica/discovery.ts
+++ b/src/replica/discovery.ts
@@ -54,6 +54,7 @@
   const { state, context } = step;
   const { self, replicas } = state;
   if (
+    !state.mayForm ||
     !states.isEmpty(state) ||
     state.role !== states.Role.Learner ||
     replicas[0] !== self.address
--- a/src/replica/membership-change.ts
+++ b/src/replica/membership-change.ts
@@ -49,35 +49,56 @@
   return learner === undefined ? kept : add(kept, learner);
 }
 
-/** A voter whose address has a newer voter; it has lost its disk and can never return. */
+/**
+ * A voter whose address has a newer voter, since it has lost its disk and can never return, or one that is
+ * silent while there are more voters than wanted.
+ */
 function replacedVoter(step: steps.Step): entry.Member | undefined {
   const voters = states.voters(step.state);
+  const { targetVoters } = step.state.parameters;
+  const hasSpare = targetVoters > 0 && voters.length > targetVoters;
   return voters.find(
     (old, position) =>
-      voters.slice(position + 1).some((newer) => newer.address === old.address) &&
+      (hasSpare || voters.slice(position + 1).some((newer) => newer.address === old.address)) &&
       !isAlive(step, old.replicaId),
   );
 }
 
-/** A learner that can take the place of a voter that is not heard any longer. */
+/** A learner that has every committed entry and a place among the voters. */
 function readyLearner(step: steps.Step): entry.Member | undefined {
   const { state } = step;
-  const voters = states.voters(state);
-  const found = [...state.progress.values()].find(({ member, matchIndex }) => {
-    const isLearner = !states.isVoter(state, member.replicaId);
-    const old = voters.find((voter) => voter.address === member.address);
-    return (
-      isLearner &&
-      old !== undefined &&
-      !isAlive(step, old.replicaId) &&
+  const found = [...state.progress.values()].find(
+    ({ member, matchIndex }) =>
+      !states.isVoter(state, member.replicaId) &&
+      hasPlace(step, member) &&
       isAlive(step, member.replicaId) &&
       matchIndex >= state.commitIndex &&
-      isMajorityAliveWith(step, member.replicaId)
-    );
-  });
+      isMajorityAliveWith(step, member.replicaId),
+  );
   return found?.member;
 }
 
+/** Whether voters are wanting, or the learner can take the place of a voter that is not heard any longer. */
+function hasPlace(step: steps.Step, learner: entry.Member): boolean {
+  const { state } = step;
+  const { targetVoters, replaceMilliseconds } = state.parameters;
+  const voters = states.voters(state);
+  return (
+    voters.length < targetVoters ||
+    voters.some((voter) =>
+      voter.address === learner.address
+        ? !isAlive(step, voter.replicaId)
+        : replaceMilliseconds > 0 && isSilent(step, voter.replicaId, replaceMilliseconds),
+    )
+  );
+}
+
+function isSilent(step: steps.Step, replicaId: string, milliseconds: number): boolean {
+  return (
+    replicaId !== step.state.self.replicaId && !progresses.isRecent(step, replicaId, milliseconds)
+  );
+}
+
 /** The group with the learner must be able to commit, or the change would block it. */
 function isMajorityAliveWith(step: steps.Step, learnerId: string): boolean {
   const ids = [...states.voters(step.state).map((voter) => voter.replicaId), learnerId];
--- a/src/replica/state.ts
+++ b/src/replica/state.ts
@@ -24,6 +24,10 @@
   readonly maximumAppendEntries: number;
   readonly maximumAppendBytes: number;
   readonly snapshotChunkBytes: number;
+  /** Learners become voters until there are this many; 0 leaves the number as it was formed. */
+  readonly targetVoters: number;
+  /** Silence after which a learner at another address may take the place of a voter; 0 never. */
+  readonly replaceMilliseconds: number;
   /** Entries kept before a snapshot, so that a replica that lags a little needs no snapshot. */
   readonly trailingEntries: number;
 }
@@ -40,6 +44,8 @@
   maximumAppendBytes: 1_024 * 1_024,
   snapshotChunkBytes: 1_024 * 1_024,
   trailingEntries: 200,
+  targetVoters: 0,
+  replaceMilliseconds: 0,
 };
 
 /** What a leader knows about one replica. */
@@ -84,6 +90,8 @@
   readonly parameters: Parameters;
   /** Sorted addresses of the initial replicas. */
   readonly replicas: readonly string[];
+  /** Whether this replica may form a group; false after the first start of a deployment. */
+  readonly mayForm: boolean;
   readonly role: Role;
   readonly term: number;
   readonly votedFor?: string;
@@ -118,6 +126,8 @@
 export interface RestoreOptions {
   readonly self: entry.Member;
   readonly replicas: readonly string[];
+  /** False when a group exists already, so that a lost disk never starts another one; by default true. */
+  readonly mayForm?: boolean;
   readonly durable: DurableState;
   readonly now: number;
   readonly random: number;
@@ -141,6 +151,7 @@
     self,
     parameters,
     replicas: [...options.replicas].sort(),
+    mayForm: options.mayForm ?? true,
     role: isMember === true ? Role.Follower : Role.Learner,
     term: hardState.term,
     votedFor: hardState.votedFor,
--- /dev/null
+++ b/src/routes/decision-documents.ts
@@ -0,0 +1,68 @@
+import * as configuration from '../configuration';
+import type * as routingTable from './routing-table';
+
+/** Speeds that the routing table does not tell. */
+export interface EngineSpeeds {
+  /** Uncached prompt tokens that one backend server reads in a second. */
+  readonly prefillTokensPerSecond: number;
+  /** Tokens that one backend server generates in a second for one request in a usual batch. */
+  readonly decodeTokensPerSecond: number;
+}
+
+/**
+ * The services and teams of a routing table as the decision core and the orders know them.
+ *
+ * @param weightsVersion the version named for a model, if any
+ */
+export function decisionSnapshot(
+  table: routingTable.RoutingTable,
+  speeds: EngineSpeeds,
+  weightsVersion: (model: string) => string | undefined,
+): configuration.ConfigurationSnapshot {
+  const services = table.services
+    .filter((service) => service.store === undefined)
+    .map((service) => serviceDocument(service, speeds, weightsVersion));
+  const teams = (table.teams ?? []).map(teamDocument);
+  const documents = [...services, ...teams].map(
+    (document) => [configuration.documentKey(document), document] as const,
+  );
+  return { revision: table.version, documents: new Map(documents) };
+}
+
+function serviceDocument(
+  { name, engine }: routingTable.RoutedService,
+  speeds: EngineSpeeds,
+  weightsVersion: (model: string) => string | undefined,
+): configuration.ServiceDocument {
+  const kind = configuration.DocumentKind.Service;
+  if (engine === undefined) {
+    const type = configuration.ServiceType.Plain;
+    return { kind, name, type, routes: [], slotsPerRunner: DEFAULT_PLAIN_SLOTS };
+  }
+  return {
+    kind,
+    name,
+    type: configuration.ServiceType.ModelEngine,
+    model: engine.model,
+    weightsVersion: weightsVersion(engine.model) ?? FIRST_WEIGHTS_VERSION,
+    slotsPerRunner: engine.slots,
+    checksFencing: true,
+    ...speeds,
+  };
+}
+
+function teamDocument(team: routingTable.RoutedTeam): configuration.TeamDocument {
+  return {
+    kind: configuration.DocumentKind.Team,
+    name: team.name,
+    share: 1,
+    credentialHashes: [],
+    services: [],
+  };
+}
+
+/** Weights that no operator has named yet. */
+const FIRST_WEIGHTS_VERSION = '1';
+
+/** Used until answers of a plain service tell how many requests it runs at a time. */
+const DEFAULT_PLAIN_SLOTS = 6;
--- a/src/routing/backend-pool.ts
+++ b/src/routing/backend-pool.ts
@@ -8,11 +8,12 @@
   release(): void;
 }
 
-/** Client of either kind of server. */
-export type BackendClient = backend.ModelEngine | backend.PlainService;
+/** Client of any kind of server. */
+export type BackendClient = backend.ModelEngine | backend.PlainService | backend.RelayServer;
 
 interface PoolEntry {
-  readonly machine: backend.MachineRecord;
+  /** As the list showed it last. */
+  machine: backend.MachineRecord;
   readonly client: BackendClient;
   uses: number;
   isRetired: boolean;
@@ -33,7 +34,7 @@
     machines.forEach((machine) => {
       const known = this.entries.get(machine.id);
       const isSame = known !== undefined && hasSameClient(known.machine, machine);
-      next.set(machine.id, isSame ? known : this.open(machine));
+      next.set(machine.id, isSame ? renewed(known, machine) : this.open(machine));
     });
     const kept = new Set(next.values());
     [...this.entries.values()].filter((entry) => !kept.has(entry)).forEach(retire);
@@ -57,6 +58,12 @@
     return entry?.client instanceof backend.PlainService ? lease(entry, entry.client) : undefined;
   }
 
+  /** Borrows the client of a server whose requests pass unchanged; `undefined` when it is gone. */
+  relay(serverId: string): BackendLease<backend.RelayServer> | undefined {
+    const entry = this.entries.get(serverId);
+    return entry?.client instanceof backend.RelayServer ? lease(entry, entry.client) : undefined;
+  }
+
   /** Borrows the client of any server, to ask for its load or probe it. */
   server(serverId: string): BackendLease<BackendClient> | undefined {
     const entry = this.entries.get(serverId);
@@ -74,14 +81,15 @@
   }
 
   private open(machine: backend.MachineRecord): PoolEntry {
-    const client =
-      machine.kind === backend.BackendKind.PlainService
-        ? this.factory.plainService(machine)
-        : this.factory.engine(machine);
+    const client = this.factory.open(machine);
     return { machine, client, uses: 0, isRetired: false };
   }
 }
 
+function renewed(entry: PoolEntry, machine: backend.MachineRecord): PoolEntry {
+  return Object.assign(entry, { machine });
+}
+
 function hasSameClient(left: backend.MachineRecord, right: backend.MachineRecord): boolean {
   return left.host === right.host && left.port === right.port && left.kind === right.kind;
 }
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,5 +1,6 @@
 /** The adapter of the decision core in the daemon: the life of one request, claims and streams. */
 export * from './answer-sink';
+export * from './attempt-execution';
 export * from './backend-factory';
 export * from './backend-pool';
 export * from './catalog';
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -15,7 +15,7 @@
   readonly list: backend.MachineList;
   readonly pool: backendPool.BackendPool;
   readonly plane: control.ControlPlane;
-  readonly task: decisionTask.DecisionTask;
+  readonly task: Pick<decisionTask.DecisionTask, 'feed' | 'now'>;
   readonly time: clock.Clock;
   readonly random: clock.RandomSource;
 }
@@ -30,7 +30,7 @@
  * and tells the decision task which servers may get new work.
  */
 export class MembershipTask extends serverObserver.ServerObserver {
-  private view = membership.EMPTY_VIEW;
+  private view: membership.MembershipView;
 
   private current: readonly membership.EligibleServer[] = [];
 
@@ -45,8 +45,10 @@
   constructor(
     private readonly ports: MembershipPorts,
     private readonly listIntervalMilliseconds: number,
+    probesRoutinely = true,
   ) {
     super();
+    this.view = { ...membership.EMPTY_VIEW, probesRoutinely };
   }
 
   /**
@@ -73,6 +75,11 @@
     return membership.eligible(this.view);
   }
 
+  /** One server that may get new work. */
+  server(serverId: string): membership.EligibleServer | undefined {
+    return membership.eligibleServer(this.view, serverId);
+  }
+
   /** Takes over a probe that another task of this daemon has made. */
   probed(serverId: string, startedAt: number, report: backend.ProbeReport): void {
     const kind = membership.MembershipEventKind.ProbeSucceeded;
--- a/src/routing/poll-task.ts
+++ b/src/routing/poll-task.ts
@@ -59,15 +59,17 @@
 
   private async poll(serverId: string): Promise<void> {
     const lease = this.ports.pool.server(serverId);
-    if (lease === undefined) {
+    if (lease === undefined || lease.client instanceof backend.RelayServer) {
+      lease?.release();
       this.polling.delete(serverId);
       this.positions.delete(serverId);
       return;
     }
+    const { client } = lease;
     try {
       await Promise.all([
-        this.pollLoad(serverId, lease.client),
-        lease.client instanceof backend.ModelEngine && this.pollCache(serverId, lease.client),
+        this.pollLoad(serverId, client),
+        client instanceof backend.ModelEngine && this.pollCache(serverId, client),
       ]);
     } finally {
       lease.release();
@@ -79,7 +81,10 @@
     this.schedule(interval * (0.5 + this.ports.random.uniform()), () => this.poll(serverId));
   }
 
-  private async pollLoad(serverId: string, client: backendPool.BackendClient): Promise<void> {
+  private async pollLoad(
+    serverId: string,
+    client: backend.ModelEngine | backend.PlainService,
+  ): Promise<void> {
     const load = await client.load();
     if (load.err || this.isClosed) {
       return;
--- a/test/orders/roll-out-builder.ts
+++ b/test/orders/roll-out-builder.ts
@@ -137,10 +137,8 @@
       plane: this.group.nodes[0],
       list: { read: async () => new results.Ok(machines) },
       backends: {
-        engine: ({ id, host, port }) =>
+        open: ({ id, host, port }) =>
           new backend.HttpModelEngine({ serverId: id, host, port }, this.time),
-        plainService: ({ id, host, port }) =>
-          new backend.HttpPlainService({ serverId: id, host, port }, this.time),
       },
       core: { startState, update: decision.update },
       hasher: { chain: () => [] },
--- a/test/routing/poll-task.test.ts
+++ b/test/routing/poll-task.test.ts
@@ -24,8 +24,8 @@
 suite('every eviction is fed once, over several polls', async () => {
   const engine = new fakeEngine.FakeEngine(MACHINE);
   const pool = new routing.BackendPool({
-    engine: () => engine,
-    plainService: () => new fakePlainService.FakePlainService(),
+    open: ({ kind }) =>
+      kind === backend.BackendKind.PlainService ? new fakePlainService.FakePlainService() : engine,
   });
   pool.update([MACHINE]);
   const evicted: string[] = [];
--- a/test/support/daemon-builder.ts
+++ b/test/support/daemon-builder.ts
@@ -129,8 +129,7 @@
 
   private backends(): routing.BackendFactory {
     return {
-      engine: () => this.engine,
-      plainService: () => this.service,
+      open: ({ kind }) => (kind === backend.BackendKind.PlainService ? this.service : this.engine),
     };
   }
 }
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -49,6 +49,14 @@
     return () => this.configurationListeners.delete(listener);
   }
 
+  override register(): control.Register {
+    return control.EMPTY_REGISTER;
+  }
+
+  override onRegister(): () => void {
+    return () => {};
+  }
+
   override broadcast(topic: control.PeerTopic, payload: unknown): void {
     [...this.shared.planes]
       .filter((plane) => plane !== this && !plane.isCutOff && !this.isCutOff)
--- a/test/support/routing-builder.ts
+++ b/test/support/routing-builder.ts
@@ -100,8 +100,7 @@
   async run(work: (router: routing.Router) => Promise<void>): Promise<void> {
     const { engines, services, time } = this;
     const pool = new routing.BackendPool({
-      engine: (machine) => engines.get(machine.id)!,
-      plainService: (machine) => services.get(machine.id)!,
+      open: ({ id }) => engines.get(id) ?? services.get(id)!,
     });
     const task = new routing.DecisionTask<unknown>(realCore(), time, () => {});
     this.task = task;
