Order the most outdated engine first; tell daemons of orders at once; detect a reset of an unframed answer

Cause of the broken VERSION rule: with a version named each 3 s the leader ordered the same first engines each time, by id, and the last engine kept the first version for over 8 s. Change: engines are ordered by the age of their weights. Cause of the broken MIXED rule: undici takes a reset for the end of an answer without a length. The connection now remembers that it failed. Copies of a prefix come from its home when a request runs elsewhere.

--- a/src/backend/connection.ts
+++ b/src/backend/connection.ts
@@ -17,6 +17,8 @@
 
   private destroyed = false;
 
+  private failed = false;
+
   constructor(
     private readonly address: backendAddress.BackendAddress,
     private readonly limits: backendLimits.BackendLimits,
@@ -49,6 +51,11 @@
     );
   }
 
+  /** True when the connection ended with an error, such as a reset, and not in order. */
+  get hasFailed(): boolean {
+    return this.failed;
+  }
+
   dispatch(
     options: undici.Dispatcher.DispatchOptions,
     handler: undici.Dispatcher.DispatchHandler,
@@ -75,6 +82,9 @@
     this.connectStarted = true;
     const socket = net.connect({ ...this.address, noDelay: true, keepAlive: true });
     this.socket = socket;
+    socket.on('error', () => {
+      this.failed = true;
+    });
     const timer = this.time.setTimer(this.limits.connectMilliseconds, () =>
       socket.destroy(new Error('connecting took too long')),
     );
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -12,6 +12,9 @@
  * Subclasses consume the answer.
  */
 export abstract class Exchange implements undici.Dispatcher.DispatchHandler {
+  /** Whether an answer without a length is complete when its connection is closed in order. */
+  protected readonly mayEndWithConnection: boolean = false;
+
   protected head: httpRequest.HttpHead | undefined;
 
   protected controller: undici.Dispatcher.DispatchController | undefined;
@@ -64,7 +67,7 @@
       this.abandon(verdict.FailureReason.AnswerMismatch, MISMATCH);
       return;
     }
-    if (!this.mayEndWithConnection() && !isFramed(this.request.method, status, headers)) {
+    if (!this.mayEndWithConnection && !isFramed(this.request.method, status, headers)) {
       this.abandon(verdict.FailureReason.BackendError, UNFRAMED);
       return;
     }
@@ -82,6 +85,11 @@
     if (this.over) {
       return;
     }
+    // undici takes a reset for the end of an answer without a length.
+    if (this.connection?.hasFailed === true) {
+      this.abandon(verdict.FailureReason.ConnectionLost, 'The connection to the server was lost.');
+      return;
+    }
     this.finish();
     this.complete();
   }
@@ -154,11 +162,6 @@
     return headers[headerName.HeaderName.RequestId] === this.request.requestId;
   }
 
-  /** Whether an answer without a length is complete when its connection is closed in order. */
-  protected mayEndWithConnection(): boolean {
-    return false;
-  }
-
   /** Called once with a final head whose request id is right. */
   protected abstract receiveHead(head: httpRequest.HttpHead): void;
 
--- a/src/backend/machine.ts
+++ b/src/backend/machine.ts
@@ -28,6 +28,8 @@
   readonly phase: MachinePhase;
   /** Process of the server, if the list tells it. */
   readonly incarnation?: string;
+  /** Set while the server is being brought to other weights, if the list tells it. */
+  readonly loading?: true;
   /** Weights version, if the list tells it. */
   readonly weightsVersion?: string;
 }
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -21,6 +21,9 @@
 
 /** An exchange whose answer goes to a receiver as it arrives. */
 export class RelayExchange extends exchange.Exchange implements relayServer.RelayHandle {
+  /** An answer without a length ends with its connection; a reset is reported as an error. */
+  protected override readonly mayEndWithConnection = true;
+
   private facts: AnswerFacts | undefined;
 
   constructor(
@@ -62,11 +65,6 @@
     return requestId === this.relayed.requestId || (requestId === undefined && !!refusal);
   }
 
-  /** An answer without a length ends with its connection; a reset is reported as an error. */
-  protected override mayEndWithConnection(): boolean {
-    return true;
-  }
-
   protected override receiveHead(head: httpRequest.HttpHead): void {
     if (this.facts?.refusal !== undefined) {
       return;
--- a/src/decision/cache-source.ts
+++ b/src/decision/cache-source.ts
@@ -11,10 +11,11 @@
  */
 export function findSource(
   step: steps.Step,
-  profile: event.RequestProfile,
+  request: state.RequestState,
   choice: choosing.Choice,
 ): string | undefined {
-  if (profile.chainTokens === undefined) {
+  const { profile } = request;
+  if (profile.chainTokens === undefined || profile.prefixChain.length < 2) {
     return undefined;
   }
   const candidates = step
@@ -26,7 +27,23 @@
     undefined,
   );
   const gain = (best?.tokens ?? 0) - choice.cachedTokens;
-  return gain >= MINIMUM_GAIN_TOKENS ? best?.server.record.id : undefined;
+  return gain >= MINIMUM_GAIN_TOKENS
+    ? best?.server.record.id
+    : homeSource(step, request, choice)?.record.id;
+}
+
+/** This daemon sees a part of the requests; those of the others have probably filled the home. */
+function homeSource(
+  step: steps.Step,
+  request: state.RequestState,
+  choice: choosing.Choice,
+): state.ServerState | undefined {
+  const shared = choosing.tokensOf(request.profile, request.profile.prefixChain.length - 1);
+  if (shared - choice.cachedTokens < MINIMUM_GAIN_TOKENS) {
+    return undefined;
+  }
+  const home = choosing.homeOf(step, request);
+  return home !== undefined && mayGive(home, choice.server) ? home : undefined;
 }
 
 /** Parts that were read with other weights must not be used, and a server that may be dead only delays. */
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -90,6 +90,16 @@
   return health.standing(step.state.quarantine, fingerprint, step.at) !== health.Standing.Clear;
 }
 
+/** The server at which all daemons expect the request's prefix, whichever one the request goes to. */
+export function homeOf(
+  step: steps.Step,
+  request: state.RequestState,
+): state.ServerState | undefined {
+  const { ranks } = contextOf(step, request);
+  const home = [...ranks.keys()].at(0);
+  return home === undefined ? undefined : step.state.servers.get(home);
+}
+
 interface Context {
   readonly slots: number;
   readonly prefillTokensPerSecond: number;
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -43,7 +43,7 @@
     lastSeen: placement.lastSeen(step.state.index, serverId, incarnation, prefixChain),
     nextPiece: request.nextPiece,
   };
-  const cacheSource = cacheSources.findSource(step, request.profile, choice);
+  const cacheSource = cacheSources.findSource(step, request, choice);
   expectCached(step, serverId, incarnation, prefixChain);
   slots.occupy(step, request, attempt);
   step.setRequest({
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -27,6 +27,8 @@
 
   private readonly lifecycle: lifecycle.LifecycleManager;
 
+  private readonly orders: orders.OrderTask;
+
   private stopping: Promise<unknown> | undefined;
 
   constructor(
@@ -42,7 +44,12 @@
     const source = this.followRegister(speeds);
     const pool = new routing.BackendPool(ports.backends);
     own('backend clients', () => pool.close());
-    const list = new sharedMachineList.SharedMachineList({ plane, source: ports.list, time });
+    const list = new sharedMachineList.SharedMachineList({
+      plane,
+      source: ports.list,
+      time,
+      annotate: (record) => annotated(record, this.orders.condition(record.id)),
+    });
     own('list of VMs', () => list.close());
     const membership = new routing.MembershipTask(
       { list, pool, plane, task: NO_DECISIONS, time, random },
@@ -50,8 +57,7 @@
       false,
     );
     own('membership', () => membership.close());
-    membership.start();
-    const task = new orders.OrderTask(
+    this.orders = new orders.OrderTask(
       {
         plane: { status: () => plane.status(), configuration: () => source.snapshot },
         time,
@@ -61,8 +67,9 @@
       },
       parameters,
     );
-    own('orders', () => task.close());
-    task.start();
+    own('orders', () => this.orders.close());
+    this.orders.start();
+    membership.start();
   }
 
   /** Hands over the leadership and closes everything; later calls return the same promise. */
@@ -89,9 +96,22 @@
   }
 }
 
+/** The leader's own observation of weights is newer than the list, which lags. */
+function annotated(
+  record: backend.MachineRecord,
+  { loading, weightsVersion }: orders.EngineCondition,
+): backend.MachineRecord {
+  return {
+    ...record,
+    ...(weightsVersion === undefined ? {} : { weightsVersion }),
+    ...(loading ? { loading: true as const } : {}),
+  };
+}
+
 const logger = new logging.Logger('control');
 
 /** A control daemon takes no requests. */
 const NO_DECISIONS = { feed: () => {}, now: () => 0 };
 
-const LIST_MILLISECONDS = 200;
+/** Daemons learn within this time that an engine is being brought to other weights. */
+const LIST_MILLISECONDS = 100;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -1,4 +1,3 @@
-import * as nest from '@nestjs/common';
 import * as admission from '../admission';
 import * as backend from '../backend';
 import * as clock from '../clock';
@@ -59,6 +58,8 @@
 
   private readonly source: routingSource.RoutingSource;
 
+  private listener: daemon.HttpListener | undefined;
+
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -108,6 +109,11 @@
     return started;
   }
 
+  /** Port of the caller listener. */
+  get callerPort(): number {
+    return this.listener?.port ?? 0;
+  }
+
   /** Stops without interrupting a request; later calls return the same promise. */
   stop(): Promise<void> {
     this.stopping ??= this.stopGracefully();
@@ -144,8 +150,9 @@
       nestModule.GatewayModule.with(callers),
       this.options.listen,
       this.options.limits,
-      new RefusingFilter(),
+      new daemon.FailureFilter(() => 0),
     );
+    this.listener = listener;
     this.lifecycle.own('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
   }
 
@@ -176,14 +183,6 @@
   return { startState, update: decision.update } as routing.DecisionCore<unknown>;
 }
 
-/** Answers what Fastify refuses by itself, such as a body that is too large. */
-@nest.Catch()
-class RefusingFilter extends daemon.FailureFilter {
-  constructor() {
-    super(() => 0);
-  }
-}
-
 const logger = new logging.Logger('gateway');
 
 const INTERRUPTED = verdict.failure(
--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -12,6 +12,8 @@
   /** The platform's list itself. */
   readonly source: backend.MachineList;
   readonly time: clock.Clock;
+  /** Adds what the leader knows beyond the list, such as orders in execution. */
+  readonly annotate?: (record: backend.MachineRecord) => backend.MachineRecord;
 }
 
 type ListResult = results.Result<readonly backend.MachineRecord[], verdict.RequestFailure>;
@@ -26,7 +28,10 @@
   /** Names the copy that this daemon has, across leaders. */
   private edition = '';
 
-  private editions = 0;
+  /** Starts from the clock, so that a restarted leader does not repeat an edition. */
+  private editions: number;
+
+  private toldText = '';
 
   private heardAt = Number.NEGATIVE_INFINITY;
 
@@ -40,6 +45,7 @@
 
   constructor(private readonly ports: SharedListPorts) {
     super();
+    this.editions = ports.time.now();
     this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Machines, (payload) =>
       this.hear(payload),
     );
@@ -62,12 +68,16 @@
   }
 
   private async readAndTell(now: number): Promise<ListResult> {
-    const before = this.machines;
     const result = await this.readSource(now, LEADER_MILLISECONDS);
-    if (result.ok) {
-      this.tell(this.machines !== before || this.isFullWanted, now);
+    if (result.err) {
+      return result;
     }
-    return result;
+    const { annotate = (record) => record } = this.ports;
+    const annotated = result.val.map(annotate);
+    const text = JSON.stringify(annotated);
+    this.tell(annotated, text !== this.toldText || this.isFullWanted, now);
+    this.toldText = text;
+    return new results.Ok(annotated);
   }
 
   /** Reads the platform's list, but not more often than each `interval`. */
@@ -79,20 +89,19 @@
     }
     this.readAt = now;
     const result = await this.ports.source.read();
-    if (result.ok && JSON.stringify(result.val) !== JSON.stringify(this.machines)) {
+    if (result.ok) {
       this.machines = result.val;
-      this.editions += 1;
-      this.edition = `${this.ports.plane.status().daemonId}/${this.editions}/${Math.round(now)}`;
     }
     return result.ok && this.machines !== undefined ? new results.Ok(this.machines) : result;
   }
 
-  private tell(isFull: boolean, now: number): void {
+  private tell(machines: readonly backend.MachineRecord[], isFull: boolean, now: number): void {
     if (isFull || now - this.toldAt >= REPEAT_MILLISECONDS) {
       this.toldAt = now;
       this.isFullWanted = false;
-      const { edition, machines } = this;
-      const payload = isFull ? { edition, machines } : { edition };
+      this.editions += isFull ? 1 : 0;
+      this.edition = `${this.ports.plane.status().daemonId}/${this.editions}`;
+      const payload = { edition: this.edition, ...(isFull ? { machines } : {}) };
       this.ports.plane.broadcast(control.PeerTopic.Machines, payload);
     }
   }
@@ -131,6 +140,7 @@
   phase: zod.enum(backend.MachinePhase),
   incarnation: zod.string().optional(),
   weightsVersion: zod.string().optional(),
+  loading: zod.literal(true).optional(),
 });
 
 const messageSchema = zod.object({
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -136,7 +136,7 @@
     ...server.machine,
     ...(server.incarnation === undefined ? {} : { incarnation: server.incarnation }),
     ...(server.weightsVersion === undefined ? {} : { weightsVersion: server.weightsVersion }),
-    ...(server.loading === true ? { loading: true } : {}),
+    ...(server.loading === true ? { loading: true as const } : {}),
     suspected: server.condition === ServerCondition.Suspected,
   };
 }
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -44,7 +44,7 @@
     case MembershipEventKind.RefusedAsLeaving:
       return serverChange.markLeaving(server, observed.at, server.incarnation);
     case MembershipEventKind.Refused:
-      return probeRefusing(server, observed.at);
+      return probeRefusing(server, observed.at, Number.isFinite(routineMilliseconds));
     case MembershipEventKind.ConnectionFailed:
       return suspect(server, observed.at);
     case MembershipEventKind.IncarnationSeen:
@@ -85,9 +85,12 @@
   known: membershipView.ServerState,
   machine: backend.MachineRecord,
 ): membershipView.ServerState {
-  const isNew = machine.weightsVersion !== known.machine.weightsVersion;
-  const weightsVersion = isNew ? machine.weightsVersion : known.weightsVersion;
-  return { ...known, machine, weightsVersion };
+  const isNew =
+    machine.weightsVersion !== known.machine.weightsVersion ||
+    machine.loading !== known.machine.loading;
+  return isNew
+    ? { ...known, machine, weightsVersion: machine.weightsVersion, loading: undefined }
+    : { ...known, machine };
 }
 
 /** Time between two probes of a server that nobody suspects. */
@@ -122,9 +125,21 @@
   return { ...probing, effects: [...probing.effects, serverChange.suspicionReport(server)] };
 }
 
-/** Finds out why a server refuses. An overloaded one refuses often, so the probes are rationed. */
-function probeRefusing(server: membershipView.ServerState, at: number): serverChange.ServerChange {
+/**
+ * Finds out why a server refuses. An overloaded one refuses often, so the probes are rationed. Where the list
+ * tells about weights, it probably does so soon, and the engine is only left alone until then.
+ */
+function probeRefusing(
+  server: membershipView.ServerState,
+  at: number,
+  probesRoutinely: boolean,
+): serverChange.ServerChange {
   const { refusedAt = Number.NEGATIVE_INFINITY } = server;
+  if (!probesRoutinely) {
+    const isEngine = server.machine.kind === backend.BackendKind.ModelEngine;
+    const nextProbeAt = Math.min(server.nextProbeAt, at + REFUSAL_PAUSE_MILLISECONDS);
+    return serverChange.unchanged(isEngine ? { ...server, loading: true, nextProbeAt } : server);
+  }
   return at - refusedAt < REFUSAL_PROBE_MILLISECONDS
     ? serverChange.unchanged(server)
     : serverChange.probeNow({ ...server, refusedAt: at }, at);
@@ -211,5 +226,8 @@
 // Without a probe, a server that loads weights looks idle and draws requests that it refuses.
 const REFUSAL_PROBE_MILLISECONDS = 200;
 
+// The control leader tells a change of weights within 100 ms.
+const REFUSAL_PAUSE_MILLISECONDS = 400;
+
 // A leaving server must get its last new work within 3 s even when one or two broadcasts are lost.
 const REPORT_REPEAT_MILLISECONDS = 1_000;
--- a/src/orders/order-task.ts
+++ b/src/orders/order-task.ts
@@ -4,6 +4,7 @@
 import * as logging from '../logging';
 import * as membership from '../membership';
 import * as verdict from '../verdict';
+import * as conditions from './engine-condition';
 import * as desiredService from './desired-service';
 import * as effects from './effect';
 import type * as engineLease from './engine-lease';
@@ -25,6 +26,12 @@
   readonly observed: (serverId: string, startedAt: number, report: backend.ProbeReport) => void;
 }
 
+/** Whether an engine is being brought to other weights, and the last version that it told. */
+export interface EngineCondition {
+  readonly loading: boolean;
+  readonly weightsVersion?: string;
+}
+
 /**
  * Drives the order core of one daemon. The daemon whose replica leads the control group brings the engines
  * of each service to the weights version of its document; all others do nothing.
@@ -56,6 +63,15 @@
     return progressModule.progress(this.state);
   }
 
+  /** What this daemon knows of one engine beyond the list of VMs; only a leader knows anything. */
+  condition(serverId: string): EngineCondition {
+    const engine = this.state.issuer === undefined ? undefined : this.state.engines.get(serverId);
+    return {
+      loading: engine !== undefined && conditions.mayBeLoading(engine),
+      weightsVersion: engine?.observation?.weightsVersion,
+    };
+  }
+
   start(): void {
     if (this.isClosed) {
       return;
--- a/src/orders/planning.ts
+++ b/src/orders/planning.ts
@@ -47,7 +47,7 @@
   const candidates = state.engines
     .valueSeq()
     .filter((engine) => conditions.mayBeOrdered(state, issuer, engine, event.at))
-    .sortBy((engine) => engine.serverId);
+    .sortBy((engine) => [outdatedRank(engine), engine.serverId].join(' '));
   const emitted: effects.OrderEffect[] = [];
   const next = candidates.reduce((planned, { serverId }) => {
     const engine = planned.engines.get(serverId)!;
@@ -97,7 +97,9 @@
     .filter((engine) => conditions.needsAttention(state, engine, at))
     .filter((engine) => !conditions.isLoaded(engine) || capacity.allowsTakingOut(engine))
     .filter((engine) => !engine.probing && engine.nextProbeAt <= at)
-    .sortBy((engine) => [conditions.mayBeLoading(engine) ? 0 : 1, engine.serverId].join(' '))
+    .sortBy((engine) =>
+      [conditions.mayBeLoading(engine) ? 0 : 1, outdatedRank(engine), engine.serverId].join(' '),
+    )
     .take(MAXIMUM_READ_BACKS)
     .toArray();
   const nextProbeAt = at + state.parameters.probeMilliseconds;
@@ -113,5 +115,17 @@
   );
 }
 
+/**
+ * Sorts engines by the age of their weights. While versions follow each other quickly, an engine that was
+ * left out of the last roll-out must not be left out of the next one too.
+ */
+function outdatedRank({ listedWeights, observation }: states.EngineState): string {
+  const version = observation?.weightsVersion ?? listedWeights ?? '';
+  return version.padStart(VERSION_DIGITS, '0');
+}
+
+/** Numbers of this many digits sort as texts; other version names sort among themselves. */
+const VERSION_DIGITS = 16;
+
 // A publish may change thousands of engines at once; only the next few to be ordered are probed.
 const MAXIMUM_READ_BACKS = 4;
--- /dev/null
+++ b/test/control/register.test.ts
@@ -0,0 +1,77 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as control from '../../src/control';
+import * as failingFileSystem from './failing-file-system';
+import * as builder from './group-builder';
+
+const suite = uvu.suite('register');
+const { NameWeights, PutRouting, ReadRegister } = control.CommandKind;
+
+function put(version: number): control.Command {
+  return { kind: PutRouting, version, text: `text of ${version}` };
+}
+
+/** Guards against a late, lower version that takes a newer one out of force. */
+suite('the highest version stays, in whichever order versions arrive', () => {
+  const register = [7, 9, 8, 9].reduce(
+    (state, version) => control.putRouting(state, { version, text: `${version}` }),
+    control.EMPTY_REGISTER,
+  );
+  assert.equal(register.routing, { version: 9, text: '9' });
+  assert.is(register.sequence, 2);
+});
+
+suite('other text under the version held changes nothing', () => {
+  const first = control.putRouting(control.EMPTY_REGISTER, { version: 1, text: 'first' });
+  assert.is(control.putRouting(first, { version: 1, text: 'other' }), first);
+});
+
+suite('a weights version only rises, for each model by itself', () => {
+  const named = control.nameWeights(control.EMPTY_REGISTER, 'desk', 3, 10);
+  assert.is(control.nameWeights(named, 'desk', 2, 20), named);
+  const both = control.nameWeights(named, 'ledger', 1, 30);
+  assert.equal(both.weights.get('desk'), { version: 3, namedAt: 10 });
+  assert.is(both.weights.get('ledger')?.version, 1);
+});
+
+suite('a register survives encoding', () => {
+  const named = control.nameWeights(control.EMPTY_REGISTER, 'desk', 3, 10);
+  const register = control.putRouting(named, { version: 4, text: 'four' });
+  const copy = control.decodeRegister(control.encodeRegister(register));
+  assert.equal(control.encodeRegister(copy), control.encodeRegister(register));
+});
+
+/** Guards against daemons that route by an old document, and against replicas that forget it. */
+suite(
+  'a routing document reaches every daemon and survives a restart of all replicas',
+  async () => {
+    const group = await builder.TestGroup.start(3, 2);
+    await group.nodes[4].propose(put(7), 10_000);
+    await group.nodes[3].propose({ kind: NameWeights, model: 'desk', version: 2 }, 10_000);
+    await builder.until(() => group.nodes.every((node) => node.register().sequence === 2));
+    await Promise.all(group.nodes.map((node) => node.close()));
+    await Promise.all([0, 1, 2].map((index) => group.restart(index)));
+    const read = await group.nodes[1].propose({ kind: ReadRegister }, 10_000);
+    assert.equal(read.val, { kind: control.CommandResultKind.RegisterKnown, sequence: 2 });
+    await builder.until(() => group.nodes[1].register().sequence === 2);
+    assert.is(group.nodes[1].register().routing?.text, 'text of 7');
+    await group.close();
+  },
+);
+
+/** Guards against a disk that was full for a moment and leaves its replica silent for ever. */
+suite('a replica whose disk failed votes again once the disk works', async () => {
+  const disk = new failingFileSystem.FailingFileSystem();
+  const group = await builder.TestGroup.start(3, 0, [disk]);
+  await group.nodes[1].propose(put(1), 10_000);
+  disk.isFailing = true;
+  await group.nodes[1].propose(put(2), 10_000);
+  await builder.until(() => group.nodes[0].status().role === control.ReplicaRole.None);
+  disk.isFailing = false;
+  await builder.until(() => group.nodes[0].status().role !== control.ReplicaRole.None);
+  await group.nodes[1].propose(put(3), 10_000);
+  await builder.until(() => group.nodes[0].register().routing?.version === 3);
+  await group.close();
+});
+
+suite.run();
--- /dev/null
+++ b/test/platform/fake-runner.ts
@@ -0,0 +1,103 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+
+/** One request as a runner received it. */
+export interface ReceivedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+}
+
+export type RunnerBehaviour = (request: ReceivedRequest, response: http.ServerResponse) => void;
+
+/** A backend server of the platform whose answers a test scripts; the last behaviour repeats. */
+export class FakeRunner {
+  readonly requests: ReceivedRequest[] = [];
+
+  connections = 0;
+
+  private readonly server = http.createServer((request, response) => this.take(request, response));
+
+  constructor(
+    readonly id: string,
+    private readonly behaviours: RunnerBehaviour[],
+  ) {
+    this.server.on('connection', () => {
+      this.connections += 1;
+    });
+  }
+
+  get port(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.server.closeAllConnections();
+    await new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+  }
+
+  private async take(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+      chunks.push(chunk);
+    }
+    const { method = '', url = '', headers } = request;
+    const received = { method, path: url, headers, body: Buffer.concat(chunks).toString() };
+    this.requests.push(received);
+    response.on('error', () => {});
+    const behaviour = this.behaviours.length > 1 ? this.behaviours.shift()! : this.behaviours[0];
+    behaviour(received, response);
+  }
+}
+
+/** A whole answer. */
+export function answer(text: string, headers: http.OutgoingHttpHeaders = {}): RunnerBehaviour {
+  return (request, response) => {
+    response.writeHead(200, { ...sealed(request), ...headers });
+    response.end(text);
+  };
+}
+
+/** A refusal that says that the request did not run. */
+export const refuse: RunnerBehaviour = (request, response) => {
+  response.writeHead(503, { ...echoed(request), 'x-figline-not-executed': '1' });
+  response.end();
+};
+
+/** A stream of events from the one after the last that the caller has. */
+export function stream(last: number, cutAfter?: string): RunnerBehaviour {
+  return (request, response) => {
+    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+    response.writeHead(200, { ...sealed(request), 'content-type': 'text/event-stream' });
+    for (let id = first; id <= last; id += 1) {
+      response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+    }
+    if (cutAfter === undefined) {
+      response.end();
+    } else {
+      response.write(cutAfter, () => response.destroy());
+    }
+  };
+}
+
+/** Closes the connection without an answer. */
+export const hangUp: RunnerBehaviour = (_request, response) => {
+  response.destroy();
+};
+
+export function sealed(request: ReceivedRequest): http.OutgoingHttpHeaders {
+  return { ...echoed(request), 'x-figline-response-seal': 'seal' };
+}
+
+function echoed(request: ReceivedRequest): http.OutgoingHttpHeaders {
+  return { 'x-figline-request-id': request.headers['x-figline-request-id'] ?? 'none' };
+}
--- /dev/null
+++ b/test/platform/gateway-builder.ts
@@ -0,0 +1,185 @@
+import * as http from 'node:http';
+import * as results from 'ts-results';
+import * as backend from '../../src/backend';
+import * as clock from '../../src/clock';
+import * as control from '../../src/control';
+import * as gateway from '../../src/gateway';
+import * as metrics from '../../src/metrics';
+import * as platformDialect from '../../platform/platform-dialect';
+import * as routingDocument from '../../platform/routing-document';
+import * as serverClient from '../../platform/server-client';
+import * as fakeControlState from '../support/fake-control-state';
+import type * as fakeRunner from './fake-runner';
+import * as registerPlane from './register-plane';
+
+export const CREDENTIAL = 'key-of-the-depot';
+
+/** An answer as a caller got it. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly text: string;
+  readonly isComplete: boolean;
+}
+
+/** A gateway in this process in front of scripted runners. */
+export class GatewayBuilder {
+  readonly time = new clock.SystemClock();
+
+  readonly plane = new registerPlane.RegisterPlane(
+    new fakeControlState.FakeControlState(),
+    'gateway-1',
+  );
+
+  private daemon!: gateway.GatewayDaemon;
+
+  constructor(
+    private readonly runners: readonly fakeRunner.FakeRunner[],
+    private readonly content: object = document(),
+  ) {}
+
+  async run(work: (builder: GatewayBuilder) => Promise<void>): Promise<void> {
+    await Promise.all(this.runners.map((runner) => runner.listen()));
+    const text = JSON.stringify(this.content);
+    this.plane.current = control.putRouting(control.EMPTY_REGISTER, { version: 1, text });
+    this.daemon = await gateway.GatewayDaemon.start(this.ports(), OPTIONS);
+    while (!this.daemon.readiness.isReady) {
+      await this.time.sleep(5);
+    }
+    try {
+      await work(this);
+    } finally {
+      await this.daemon.stop();
+      await Promise.all(this.runners.map((runner) => runner.close()));
+    }
+  }
+
+  /** Sends one request on a connection of its own. */
+  send(
+    method: string,
+    path: string,
+    headers: http.OutgoingHttpHeaders = {},
+    body = '',
+  ): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      const request = http.request(this.requestOptions(method, path, headers), (response) =>
+        resolve(readAnswer(response)),
+      );
+      request.on('error', reject);
+      request.end(body);
+    });
+  }
+
+  /** Sends a request and closes its connection after a while. */
+  async abandon(method: string, path: string, afterMilliseconds: number): Promise<void> {
+    const request = http.request(this.requestOptions(method, path, {}));
+    request.on('error', () => {});
+    request.end();
+    await this.time.sleep(afterMilliseconds);
+    request.destroy();
+  }
+
+  private requestOptions(
+    method: string,
+    path: string,
+    headers: http.OutgoingHttpHeaders,
+  ): http.RequestOptions {
+    return {
+      host: '127.0.0.1',
+      port: this.daemon.callerPort,
+      method,
+      path,
+      agent: false,
+      headers: {
+        host: 'desk.example',
+        authorization: `Token ${CREDENTIAL}`,
+        'x-figline-request-id': 'request-1',
+        'x-figline-deadline-ms': '2000',
+        ...headers,
+      },
+    };
+  }
+
+  private ports(): gateway.GatewayPorts {
+    const dialect = new platformDialect.PlatformDialect();
+    const issuer = {
+      holder: 'test',
+      modelOf: () => 'desk-model',
+      healthPathOf: () => '/health',
+    };
+    return {
+      plane: this.plane,
+      list: { read: async () => new results.Ok(this.runners.map(machineOf)) },
+      backends: {
+        open: (machine) => new serverClient.PlatformServer(machine, issuer, dialect, this.time),
+      },
+      dialect,
+      decode: routingDocument.decodeRouting,
+      meter: new metrics.SilentMetrics(),
+      time: this.time,
+      random: new clock.SeededRandomSource(1),
+    };
+  }
+}
+
+const OPTIONS: gateway.GatewayOptions = {
+  zone: 'pl-caudan',
+  region: 'port-louis',
+  listen: { host: '127.0.0.1', port: 0 },
+  limits: {
+    bodyBytes: 100_000,
+    headersMilliseconds: 1_000,
+    requestMilliseconds: 2_000,
+    idleMilliseconds: 1_000,
+  },
+  stop: { loadBalancerMilliseconds: 10, graceMilliseconds: 500 },
+  speeds: { prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 100 },
+  retryBudget: { credit: 10, maximum: 10, ratio: 0.2 },
+  maximumRequests: 100,
+};
+
+/** A routing document with a resumable stream, a charge that may run once, and a look-up. */
+export function document(): object {
+  const base = { host: 'desk.example', timeout_ms: 2_000, max_attempts: 2, service: 'desk' };
+  const engine = { slots: 8, kv_capacity_tokens: 80_000, kv_token_bytes: 1, link_mbps: 1 };
+  return {
+    version: 1,
+    routes: [
+      { ...base, name: 'reply', path_prefix: '/reply/', kind: 'stream', resumable: true },
+      { ...base, name: 'report', path_prefix: '/report/', kind: 'stream', max_attempts: 1 },
+      { ...base, name: 'charge', path_prefix: '/charge/', kind: 'unsafe', max_attempts: 1 },
+      { ...base, name: 'balance', path_prefix: '/balance/', kind: 'safe' },
+    ],
+    services: [{ name: 'desk', engine: { ...engine, models: [{ name: 'desk-model' }] } }],
+    tenants: [{ name: 'depot', api_keys: [CREDENTIAL], isolated: true }],
+  };
+}
+
+function machineOf(runner: fakeRunner.FakeRunner): backend.MachineRecord {
+  return {
+    id: runner.id,
+    host: '127.0.0.1',
+    port: runner.port,
+    zone: 'pl-caudan',
+    region: 'port-louis',
+    service: 'desk',
+    kind: backend.BackendKind.ModelEngine,
+    phase: backend.MachinePhase.Live,
+    incarnation: `${runner.id}@1`,
+    weightsVersion: '3',
+  };
+}
+
+async function readAnswer(response: http.IncomingMessage): Promise<Answer> {
+  const chunks: Buffer[] = [];
+  let isComplete = true;
+  try {
+    for await (const chunk of response) {
+      chunks.push(chunk);
+    }
+  } catch {
+    isComplete = false;
+  }
+  const text = Buffer.concat(chunks).toString();
+  return { status: response.statusCode ?? 0, headers: response.headers, text, isComplete };
+}
--- /dev/null
+++ b/test/platform/gateway.test.ts
@@ -0,0 +1,197 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as fakeRunner from './fake-runner';
+import * as builder from './gateway-builder';
+
+const suite = uvu.suite('gateway on the platform');
+
+function runner(...behaviours: fakeRunner.RunnerBehaviour[]): fakeRunner.FakeRunner {
+  return new fakeRunner.FakeRunner('i-1', behaviours);
+}
+
+/** Two runners that take the behaviours in turn, whichever of them is asked. */
+function runners(...behaviours: fakeRunner.RunnerBehaviour[]): fakeRunner.FakeRunner[] {
+  return ['i-1', 'i-2'].map((id) => new fakeRunner.FakeRunner(id, behaviours));
+}
+
+suite('an answer passes unchanged, with its seal', async () => {
+  const server = runner(fakeRunner.answer('7 sacks', { 'x-kind': 'k' }));
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/charge/7?a=%2F', { 'x-own': 'o' }, 'body');
+    assert.is(answer.status, 200);
+    assert.is(answer.text, '7 sacks');
+    assert.is(answer.headers['x-figline-response-seal'], 'seal');
+    assert.is(answer.headers['x-kind'], 'k');
+    const [received] = server.requests;
+    assert.is(received.method, 'POST');
+    assert.is(received.path, '/charge/7?a=%2F');
+    assert.is(received.body, 'body');
+    assert.is(received.headers['x-own'], 'o');
+    assert.is(received.headers.host, 'desk.example');
+  });
+});
+
+/** Guards against callers that reach the caches or the place of other teams. */
+suite('headers that only the router may set are never taken from a caller', async () => {
+  const server = runner(fakeRunner.answer('ok'));
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    await gateway.send('GET', '/balance/7', {
+      'x-figline-tenant': 'market',
+      'x-figline-cache-salt': 'other',
+      'x-figline-kv-fetch': '10.0.0.1:1',
+      'x-figline-kv-save': '10.0.0.1:1',
+      'x-figline-hold': 'h',
+      'x-figline-pin-ms': '1000',
+      'x-figline-kv-backup': '10.0.0.1:1',
+      'kv-from': '10.0.0.1:1/2',
+      'x-figline-expect-instance': 'i-9',
+    });
+    const { headers } = server.requests[0];
+    assert.is(headers['x-figline-tenant'], 'depot');
+    assert.is(headers['x-figline-cache-salt'], '3.desk-model.depot');
+    assert.is(headers['x-figline-expect-version'], '3');
+    assert.is(headers['x-figline-expect-instance'], 'i-1');
+    const names = ['kv-fetch', 'kv-save', 'hold', 'pin-ms', 'kv-backup'];
+    names.forEach((name) => assert.is(headers[`x-figline-${name}`], undefined));
+    assert.is(headers['kv-from'], undefined);
+    assert.is(headers.authorization, undefined);
+    assert.ok(Number(headers['x-figline-deadline-ms']) <= 2_000);
+  });
+});
+
+suite('unknown places and credentials are refused without a server', async () => {
+  const server = runner(fakeRunner.answer('ok'));
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    assert.is((await gateway.send('GET', '/nowhere/7')).status, 404);
+    assert.is((await gateway.send('GET', '/balance/7', { host: 'x.example' })).status, 404);
+    const unknown = await gateway.send('GET', '/balance/7', { authorization: 'Token other' });
+    assert.is(unknown.status, 401);
+    assert.is(server.requests.length, 0);
+  });
+});
+
+suite('a broken resumable stream goes on at another server, each event once', async () => {
+  const servers = runners(fakeRunner.stream(3, 'id: 4\nda'), fakeRunner.stream(6));
+  await new builder.GatewayBuilder(servers).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/reply/7');
+    assert.ok(answer.isComplete, answer.text);
+    const ids = [...answer.text.matchAll(/^id: (\d+)$/gm)].map((found) => Number(found[1]));
+    const last = servers.flatMap((server) => server.requests.slice(-1));
+    assert.equal(ids, [1, 2, 3, 4, 5, 6]);
+    assert.is(last.length, 2);
+  });
+});
+
+/** Guards against a stream that looks whole although its end is missing. */
+suite('a broken stream that must not be repeated is cut, and never sent again', async () => {
+  const servers = runners(fakeRunner.stream(3, 'id: 4\nda'));
+  await new builder.GatewayBuilder(servers).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/report/7');
+    assert.not(answer.isComplete);
+    assert.not.match(answer.text, 'id: 4');
+    assert.is(servers.flatMap((server) => server.requests).length, 1);
+  });
+});
+
+/** Guards against a charge that runs twice, and against a refusal that is not true. */
+suite('a charge whose connection broke is not sent again and not called "not run"', async () => {
+  const servers = runners(fakeRunner.hangUp);
+  await new builder.GatewayBuilder(servers).run(async (gateway) => {
+    assert.is((await gateway.send('POST', '/charge/7')).status, 502);
+    assert.is(servers.flatMap((server) => server.requests).length, 1);
+  });
+});
+
+suite('a charge that a server refused as not run is sent to another one', async () => {
+  const first = new fakeRunner.FakeRunner('i-1', [fakeRunner.refuse]);
+  const second = new fakeRunner.FakeRunner('i-2', [fakeRunner.refuse]);
+  await new builder.GatewayBuilder([first, second]).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/charge/7');
+    assert.is(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.ok(first.requests.length >= 1 && second.requests.length >= 1);
+  });
+});
+
+suite('an answer of another request, or without a seal, reaches nobody', async () => {
+  const crossed = fakeRunner.answer('other', { 'x-figline-request-id': 'request-2' });
+  const servers = runners(crossed, fakeRunner.answer('own'));
+  await new builder.GatewayBuilder(servers).run(async (gateway) => {
+    const answer = await gateway.send('GET', '/balance/7');
+    assert.is(answer.text, 'own');
+  });
+  const plain: fakeRunner.RunnerBehaviour = (request, response) => {
+    const id = request.headers['x-figline-request-id'];
+    response.writeHead(200, { 'x-figline-request-id': id });
+    response.end('unsealed');
+  };
+  await new builder.GatewayBuilder(runners(plain)).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/charge/7');
+    assert.is(answer.status, 502);
+  });
+});
+
+suite('a failure of the server passes with its status and seal', async () => {
+  const failing: fakeRunner.RunnerBehaviour = (request, response) => {
+    response.writeHead(500, fakeRunner.sealed(request));
+    response.end('fault');
+  };
+  await new builder.GatewayBuilder([runner(failing)]).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/charge/7');
+    assert.is(answer.status, 500);
+    assert.is(answer.text, 'fault');
+    assert.is(answer.headers['x-figline-response-seal'], 'seal');
+  });
+});
+
+suite(
+  'an answer without a length is whole only when its connection is closed in order',
+  async () => {
+    const unframed =
+      (isReset: boolean): fakeRunner.RunnerBehaviour =>
+      (request, response) => {
+        const { socket } = response;
+        const id = request.headers['x-figline-request-id'];
+        const head = `HTTP/1.1 200 OK\r\nx-figline-request-id: ${id}\r\nx-figline-response-seal: s`;
+        socket!.write(`${head}\r\n\r\nseven`);
+        // Called inside the write, a reset would be preceded by an orderly end.
+        setTimeout(() => (isReset ? socket!.resetAndDestroy() : socket!.end(' sacks')), 20);
+      };
+    await new builder.GatewayBuilder([runner(unframed(false))]).run(async (gateway) => {
+      assert.is((await gateway.send('POST', '/charge/7')).text, 'seven sacks');
+    });
+    await new builder.GatewayBuilder([runner(unframed(true))]).run(async (gateway) => {
+      assert.is((await gateway.send('POST', '/charge/7')).status, 502);
+    });
+  },
+);
+
+suite(
+  'a request that runs out of time ends as may-have-run, one never sent as not run',
+  async () => {
+    await new builder.GatewayBuilder([runner(() => {})]).run(async (gateway) => {
+      const late = await gateway.send('POST', '/charge/7', { 'x-figline-deadline-ms': '150' });
+      assert.is(late.status, 504);
+    });
+  },
+);
+
+suite('a caller that leaves ends the work of the server', async () => {
+  let isClosed = false;
+  const holding: fakeRunner.RunnerBehaviour = (_request, response) => {
+    response.on('close', () => {
+      isClosed = true;
+    });
+  };
+  const server = runner(holding);
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    const abandoned = gateway.abandon('POST', '/reply/7', 100);
+    await abandoned;
+    for (let turn = 0; turn < 100 && !isClosed; turn += 1) {
+      await gateway.time.sleep(5);
+    }
+    assert.ok(isClosed);
+  });
+});
+
+suite.run();
--- /dev/null
+++ b/test/platform/register-plane.ts
@@ -0,0 +1,11 @@
+import * as control from '../../src/control';
+import * as fakeControlPlane from '../support/fake-control-plane';
+
+/** A plane whose register a test sets. */
+export class RegisterPlane extends fakeControlPlane.FakeControlPlane {
+  current = control.EMPTY_REGISTER;
+
+  override register(): control.Register {
+    return this.current;
+  }
+}
--- a/test/replica/replacement.test.ts
+++ b/test/replica/replacement.test.ts
@@ -70,4 +70,44 @@
   assert.is(voterIds(leader), 'abcd');
 });
 
+const NEWCOMER = { replicaId: 'e', address: '10.0.0.9:7000' };
+
+/** A leader that may replace voters by replicas at other addresses. */
+function leaderWithNewcomer(parameters: Partial<replica.Parameters>): builder.ReplicaBuilder {
+  const leader = builder.ReplicaBuilder.inGroup(0, TERM - 1, []).elect(1);
+  leader.state = { ...leader.state, parameters: { ...leader.state.parameters, ...parameters } };
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(2));
+  return leader.receiveFrom(NEWCOMER, 0, { kind: MessageKind.Join });
+}
+
+/** Guards against a group that stays one short after a VM was replaced at another address. */
+suite('a learner at another address takes the place of a voter that stays silent', () => {
+  const leader = leaderWithNewcomer({ targetVoters: 3, replaceMilliseconds: 2_000 });
+  leader.receiveFrom(NEWCOMER, TERM, appendReply(2)).pass([FOLLOWER, NEWCOMER]);
+  assert.is(voterIds(leader), 'abc', 'a voter that restarts is back within this time');
+  leader.receiveFrom(NEWCOMER, TERM, appendReply(2)).pass([FOLLOWER, NEWCOMER]);
+  leader.receiveFrom(NEWCOMER, TERM, appendReply(2));
+  assert.is(voterIds(leader), 'abce');
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(3));
+  leader.receiveFrom(NEWCOMER, TERM, appendReply(3)).tick(10);
+  assert.is(voterIds(leader), 'abe');
+});
+
+suite('learners become voters until the wanted number is reached', () => {
+  const leader = leaderWithNewcomer({ targetVoters: 5 });
+  leader.receiveFrom(NEWCOMER, TERM, appendReply(2)).tick(10);
+  assert.is(voterIds(leader), 'abce');
+});
+
+/** Guards against a second group beside the first one after disks were lost. */
+suite('a replica that may not form a group only joins', () => {
+  const empty = new builder.ReplicaBuilder(0);
+  empty.state = { ...empty.state, mayForm: false };
+  const body = { kind: MessageKind.DiscoverReply, empty: true, sameReplicas: true } as const;
+  empty.tick(10).receive(1, 0, body).receive(2, 0, body).tick(300);
+  assert.is(voterIds(empty), '');
+  const first = new builder.ReplicaBuilder(0).tick(10).receive(1, 0, body).receive(2, 0, body);
+  assert.is(voterIds(first), 'abc');
+});
+
 suite.run();
