Move long resumable streams off an engine that was ordered to load weights

Cause: an order waits for running streams, 2 to 4 s at load, so that 8 engines took longer than the 8 s in which a version has to be in place. Ruled out: cutting streams (they cannot all be resumed) and going on under the new weights (nothing made after the change counts).

--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -38,7 +38,8 @@
   });
   const servers = given.servers.map((record) => {
     const known = before.get(record.id) ?? newServer(record);
-    return [record.id, { ...known, record, eligible: true }] as const;
+    const loadingSince = record.loading === true ? (known.loadingSince ?? step.at) : undefined;
+    return [record.id, { ...known, record, loadingSince, eligible: true }] as const;
   });
   step.change({ servers: draining.merge(immutable.Map(servers)) });
   given.servers.forEach((record) => {
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -55,6 +55,8 @@
 /** A backend server as the decision core sees it. */
 export interface ServerState {
   readonly record: membership.EligibleServer;
+  /** When the server began to load weights; absent when it does not. */
+  readonly loadingSince?: number;
   /** False for a server that may get no new work but still has some. */
   readonly eligible: boolean;
   readonly incarnation?: string;
--- a/src/decision/upkeep.ts
+++ b/src/decision/upkeep.ts
@@ -4,6 +4,7 @@
 import * as deadlineCheck from './deadline-check';
 import * as ending from './ending';
 import * as hedging from './hedging';
+import * as relocation from './relocation';
 import * as serviceTiming from './service-timing';
 import * as stragglers from './stragglers';
 import type * as steps from './step';
@@ -16,6 +17,7 @@
     step.change({ checkedAt: step.at });
     stragglers.refresh(step);
     hedging.hedgeLate(step);
+    relocation.relocateFromLoading(step);
   }
   if (step.at - step.state.prunedAt >= PRUNE_INTERVAL_MILLISECONDS) {
     step.change({
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -52,4 +52,31 @@
   },
 );
 
+suite('a long stream leaves a server that loads weights, a short wait after the order', () => {
+  // Guards against an engine that stays without new work for the length of its longest stream.
+  const desk = builder.desk(2).arrive('long', { maximumAttempts: 2 });
+  const [first] = desk.take(Dispatch);
+  const servers = builder
+    .list(2)
+    .map((server) =>
+      server.id === first.serverId ? { ...server, loading: true as const } : server,
+    );
+  const kind = decision.DecisionEventKind.ServersChanged;
+  desk.piece(first, 3).apply({ kind, at: desk.at, servers });
+  assert.is(desk.wait(500).take(Dispatch).length, 0);
+  const [second] = desk.wait(200).take(Dispatch);
+  assert.is(second.resumeFrom, 3);
+  assert.is.not(second.serverId, first.serverId);
+  assert.is(desk.take(decision.DecisionEffectKind.CancelAttempt)[0].attemptId, first.attemptId);
+});
+
+suite('a stream that must not be repeated stays until its end', () => {
+  const desk = builder.desk(2).arrive('once', { idempotent: false });
+  const [first] = desk.take(Dispatch);
+  const servers = builder.list(2).map((server) => ({ ...server, loading: true as const }));
+  const kind = decision.DecisionEventKind.ServersChanged;
+  desk.piece(first, 3).apply({ kind, at: desk.at, servers });
+  assert.is(desk.wait(5_000).take(Dispatch).length, 0);
+});
+
 suite.run();
