Leave retries to failures when streams move off a loading engine; prefer the newest weights

Change: relocations leave 2.5 retries; a stream that its caller reads may overdraw the budget; new work goes to engines with the newest weights, which are not ordered next.

--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -108,6 +108,8 @@
   /** Pieces of the prompt that other requests with the same anchor probably share. */
   readonly sharedPieces: number;
   readonly meanRequests: number;
+  /** The newest weights of a server that could take requests. */
+  readonly newestWeights?: string;
   readonly request: placement.PlacementRequest;
 }
 
@@ -216,6 +218,7 @@
     spread: homes(step, pool, ranked, anchor, total / Math.max(1, pool.length)),
     sharedPieces: Math.max(anchorDepth, profile.prefixChain.length - 1),
     meanRequests: total / Math.max(1, pool.length),
+    newestWeights: newestWeights(pool),
     request: {
       promptTokens: profile.promptTokens,
       chain: profile.prefixChain,
@@ -227,6 +230,20 @@
   };
 }
 
+/** Versions that are numbers are compared as numbers; others have no order. */
+function newestWeights(pool: readonly state.ServerState[]): string | undefined {
+  const versions = pool
+    .filter(({ record }) => record.loading !== true)
+    .flatMap(({ record }) => Number(record.weightsVersion ?? NaN))
+    .filter((version) => !Number.isNaN(version));
+  return versions.length === 0 ? undefined : String(Math.max(...versions));
+}
+
+function isOutdated({ record }: state.ServerState, newest: string | undefined): boolean {
+  const known = Number(record.weightsVersion ?? NaN);
+  return newest !== undefined && known < Number(newest);
+}
+
 function prefillRate(service: configuration.ServiceDocument | undefined): number {
   return service?.type === configuration.ServiceType.ModelEngine
     ? service.prefillTokensPerSecond
@@ -265,6 +282,7 @@
     slowdown: step.state.slowdowns.get(serverId, 1),
     suspected: server.record.suspected,
     runsSuspect: server.suspects > 0,
+    outdated: isOutdated(server, context.newestWeights),
   };
   const waiting = placement.totalWork(server.load).prefillTokens;
   const uncached = request.profile.promptTokens - cachedTokens;
--- a/src/decision/failing.ts
+++ b/src/decision/failing.ts
@@ -51,7 +51,15 @@
     verdict.mayRetry(request.verdict, request.profile.idempotent) &&
     request.attemptCount < MAXIMUM_ATTEMPTS &&
     runsOf(request) < (request.profile.maximumAttempts ?? MAXIMUM_ATTEMPTS) &&
-    admission.affordable(step.state.retryBudget)
+    isPayable(step, request)
+  );
+}
+
+/** A stream that its caller has begun to read may overdraw the budget, since a refusal would come too late. */
+function isPayable(step: steps.Step, { nextPiece }: state.RequestState): boolean {
+  const { retryBudget } = step.state;
+  return (
+    admission.affordable(retryBudget) || (nextPiece > 0 && retryBudget.credit > -OVERDRAFT_RETRIES)
   );
 }
 
@@ -79,6 +87,8 @@
 /** Stands in a crash identifier for an incarnation that was never learned. */
 export const UNKNOWN_INCARNATION = 'unknown';
 
+const OVERDRAFT_RETRIES = 8;
+
 /** More attempts would keep a broken request alive beyond any useful deadline. */
 const MAXIMUM_ATTEMPTS = 5;
 const CRASH_SIGNS: ReadonlySet<verdict.FailureReason> = new Set([
--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -1,4 +1,3 @@
-import * as admission from '../admission';
 import * as verdict from '../verdict';
 import * as ending from './ending';
 import * as failing from './failing';
@@ -35,7 +34,7 @@
 }
 
 function relocate(step: steps.Step, request: state.RequestState): void {
-  if (!admission.affordable(step.state.retryBudget)) {
+  if (step.state.retryBudget.credit < RESERVED_CREDIT) {
     return;
   }
   const [attempt] = request.attempts;
@@ -49,5 +48,8 @@
   'The backend server loads other weights.',
 );
 
+/** Retries that are left to failures. */
+const RESERVED_CREDIT = 2.5;
+
 /** Most streams end in less; waiting longer keeps a third of a service's engines from new work. */
 const PATIENCE_MILLISECONDS = 600;
--- a/src/placement/cost-rule.ts
+++ b/src/placement/cost-rule.ts
@@ -30,6 +30,8 @@
   readonly slowdown: number;
   readonly suspected: boolean;
   readonly runsSuspect: boolean;
+  /** Whether other servers of the service already have newer weights. */
+  readonly outdated: boolean;
 }
 
 /**
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -79,4 +79,29 @@
   assert.is(desk.wait(5_000).take(Dispatch).length, 0);
 });
 
+suite('a stream that has begun is resumed although the retry budget is used up', () => {
+  // Guards against a stream that is cut because other failures have used the budget.
+  const desk = builder.desk(4);
+  desk.state = { ...desk.state, retryBudget: { credit: 0, ratio: 0, maximum: 0 } };
+  const [first] = desk.arrive('begun').take(Dispatch);
+  desk.piece(first, 2).lose(first, verdict.Verdict.MayHaveRun);
+  assert.is(desk.take(Dispatch)[0]?.resumeFrom, 2);
+  const [second] = desk.arrive('not-begun').take(Dispatch);
+  desk.lose(second, verdict.Verdict.MayHaveRun);
+  assert.is(desk.take(Dispatch).length, 0);
+});
+
+suite('new work goes to the newest weights while both are served', () => {
+  const desk = builder.desk(2);
+  const servers = builder
+    .list(2)
+    .map((server, index) => ({ ...server, weightsVersion: index === 0 ? '10' : '9' }));
+  desk.apply({ kind: decision.DecisionEventKind.ServersChanged, at: 0, servers });
+  ['a', 'b', 'c'].forEach((id) => {
+    const [sent] = desk.arrive(id, { prefixChain: [], promptTokens: 10 }).take(Dispatch);
+    assert.is(sent.serverId, 'runner-0');
+    desk.finish(sent);
+  });
+});
+
 suite.run();
