Share requests in flight between daemons; hold requests that no engine has memory for

Cause: at the crest of the wave each daemon filled engines whose memory was taken by requests of the others. Ruled out: the load header alone; each daemon gets one from an engine about once a second. Change: daemons tell the leader their work in flight each 200 ms, the leader tells the sums; a request goes to an engine only while its memory has room, and memory counts in the cost of a server.

--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -67,6 +67,8 @@
   prefillTokensPerSecond: zod.int().min(1).default(8_000),
   /** Tokens that one runner generates in a second for one request. */
   decodeTokensPerSecond: zod.int().min(1).default(40),
+  /** Tokens that running requests and cached prompts of one runner share; unlimited when absent. */
+  cacheTokensPerRunner: zod.int().min(1).optional(),
   /** Whether the engines refuse an order with an old fencing number. */
   checksFencing: zod.boolean().default(false),
 });
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -16,6 +16,8 @@
   Quarantine = 'quarantine',
   /** The platform's list as one daemon read it for all. */
   Machines = 'machines',
+  /** Requests in flight at backend servers. */
+  Load = 'load',
 }
 
 export enum ReplicaRole {
--- a/src/decision/candidate-filter.ts
+++ b/src/decision/candidate-filter.ts
@@ -7,6 +7,8 @@
   /** Requests that the server executes at the same time. */
   readonly slots: number;
   readonly prefillTokensPerSecond: number;
+  /** Tokens that fit into the memory of one server; infinite when it is not known. */
+  readonly cacheTokens: number;
   /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
   readonly suspect: boolean;
   /** Servers at which other daemons run their suspects; empty unless the request is a suspect. */
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -102,6 +102,7 @@
 
 interface Context {
   readonly slots: number;
+  readonly cacheTokens: number;
   readonly prefillTokensPerSecond: number;
   readonly ranks: ReadonlyMap<string, number>;
   readonly spread: number;
@@ -130,6 +131,7 @@
   const service = step.state.services.get(request.profile.service);
   const slots = service?.slotsPerRunner ?? 0;
   const prefillTokensPerSecond = prefillRate(service);
+  const cacheTokens = cacheTokensOf(service);
   const suspect = isSuspect(step, request);
   const reserved = reservedServers(step, request, suspect);
   const weightsExpected = weightsFilter.expectsWeights(step, request);
@@ -140,6 +142,7 @@
         server,
         slots,
         prefillTokensPerSecond,
+        cacheTokens,
         suspect,
         reserved,
         weightsExpected,
@@ -213,6 +216,7 @@
   const total = pool.reduce((sum, server) => sum + placement.totalWork(server.load).requests, 0);
   return {
     slots: service?.slotsPerRunner ?? 1,
+    cacheTokens: cacheTokensOf(service),
     prefillTokensPerSecond: prefillRate(service),
     ranks: new Map(ranked.map((serverId, rank) => [serverId, rank])),
     spread: homes(step, pool, ranked, anchor, total / Math.max(1, pool.length)),
@@ -230,6 +234,11 @@
   };
 }
 
+/** The part of a server's memory that its requests hold or will hold. */
+function memoryUse({ cacheTokens }: Context, { load }: state.ServerState): number {
+  return (placement.totalWork(load).memoryTokens ?? 0) / cacheTokens;
+}
+
 /** Versions that are numbers are compared as numbers; others have no order. */
 function newestWeights(pool: readonly state.ServerState[]): string | undefined {
   const versions = pool
@@ -250,6 +259,12 @@
     : PLAIN_TOKENS_PER_SECOND;
 }
 
+function cacheTokensOf(service: configuration.ServiceDocument | undefined): number {
+  return service?.type === configuration.ServiceType.ModelEngine
+    ? (service.cacheTokensPerRunner ?? Infinity)
+    : Infinity;
+}
+
 function evaluate(
   step: steps.Step,
   context: Context,
@@ -274,6 +289,7 @@
     region: server.record.region,
     load: server.load,
     slots: context.slots,
+    memoryUse: memoryUse(context, server),
     prefillTokensPerSecond: context.prefillTokensPerSecond,
     cachedTokens: Math.max(cachedTokens, assumedTokens(context, request, serverId)),
     rank: context.ranks.get(serverId) ?? context.ranks.size,
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -135,6 +135,8 @@
   readonly runningRequests: number;
   readonly queuedRequests: number;
   readonly queuedPrefillTokens: number;
+  /** Tokens that all requests at the server hold in its memory, if they are known. */
+  readonly memoryTokens?: number;
 }
 
 export interface CacheEvicted extends EventBase {
--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -82,6 +82,7 @@
   const measurement = {
     requests: given.runningRequests + given.queuedRequests,
     prefillTokens: given.queuedPrefillTokens,
+    memoryTokens: given.memoryTokens,
     measuredAt: step.at - given.ageMilliseconds,
   };
   step.setServer({ ...server, load: placement.applyMeasurement(server.load, measurement) });
--- a/src/decision/slots.ts
+++ b/src/decision/slots.ts
@@ -49,7 +49,12 @@
   if (server === undefined) {
     return;
   }
-  const delta = { requests: sign, prefillTokens: sign * attempt.prefillTokens };
+  const { promptTokens, expectedOutputTokens } = request.profile;
+  const delta = {
+    requests: sign,
+    prefillTokens: sign * attempt.prefillTokens,
+    memoryTokens: sign * (promptTokens + expectedOutputTokens),
+  };
   const long = request.lane === admission.Lane.Long;
   step.setServer({
     ...server,
--- a/src/decision/standard-filters.ts
+++ b/src/decision/standard-filters.ts
@@ -1,6 +1,7 @@
 import type * as candidateFilter from './candidate-filter';
 import * as eligibleFilter from './eligible-filter';
 import * as isolationFilter from './isolation-filter';
+import * as memoryFilter from './memory-filter';
 import * as prefillFilter from './prefill-filter';
 import * as slotFilter from './slot-filter';
 import * as weightsFilter from './weights-filter';
@@ -16,4 +17,5 @@
 export const READINESS_FILTERS: readonly candidateFilter.CandidateFilter[] = [
   new slotFilter.SlotFilter(),
   new prefillFilter.PrefillFilter(),
+  new memoryFilter.MemoryFilter(),
 ];
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -7,6 +7,7 @@
 import * as routes from '../routes';
 import * as routing from '../routing';
 import * as controlService from './control-service';
+import * as loadExchange from './load-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 
@@ -57,6 +58,8 @@
       false,
     );
     own('membership', () => membership.close());
+    const exchange = new loadExchange.LoadExchange({ plane, time }, noLoads, () => {});
+    own('load exchange', () => exchange.close());
     this.orders = new orders.OrderTask(
       {
         plane: { status: () => plane.status(), configuration: () => source.snapshot },
@@ -110,6 +113,8 @@
 
 const logger = new logging.Logger('control');
 
+const noLoads = (): readonly loadExchange.ServerWork[] => [];
+
 /** A control daemon takes no requests. */
 const NO_DECISIONS = { feed: () => {}, now: () => 0 };
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -14,6 +14,7 @@
 import * as gatewayModule from './gateway';
 import * as gatewayCallers from './gateway-callers';
 import * as nestModule from './gateway-module';
+import * as loadExchange from './load-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 import * as stages from './stages';
@@ -78,6 +79,12 @@
     );
     this.source = new routingSource.RoutingSource(ports.decode, options.speeds);
     const { task, membership } = this;
+    const exchange = new loadExchange.LoadExchange(
+      { plane, time },
+      () => this.ownLoads(),
+      (loads) => this.hearLoads(loads),
+    );
+    this.lifecycle.own('load exchange', () => exchange.close());
     this.gateway = new gatewayModule.Gateway(
       {
         task,
@@ -136,6 +143,39 @@
     this.useRegister(plane.register());
   }
 
+  private ownLoads(): readonly loadExchange.ServerWork[] {
+    const { servers } = this.task.current as decision.DecisionState;
+    return [...servers.values()]
+      .filter(({ load }) => load.own.requests > 0)
+      .map(({ record, load }) => ({
+        serverId: record.id,
+        requests: load.own.requests,
+        prefillTokens: load.own.prefillTokens,
+        memoryTokens: load.own.memoryTokens ?? 0,
+      }));
+  }
+
+  /** Servers that the sums leave out have no work. */
+  private hearLoads(loads: readonly loadExchange.ServerWork[]): void {
+    const { servers } = this.task.current as decision.DecisionState;
+    const byServer = new Map(loads.map((load) => [load.serverId, load]));
+    servers.forEach(({ incarnation }, serverId) => {
+      const load = byServer.get(serverId);
+      this.task.feed({
+        kind: decision.DecisionEventKind.LoadReported,
+        at: this.task.now(),
+        serverId,
+        incarnation: incarnation ?? '',
+        weightsVersion: '',
+        ageMilliseconds: SUM_AGE_MILLISECONDS,
+        runningRequests: load?.requests ?? 0,
+        queuedRequests: 0,
+        queuedPrefillTokens: load?.prefillTokens ?? 0,
+        memoryTokens: load?.memoryTokens ?? 0,
+      });
+    });
+  }
+
   private useRegister(register: control.Register): void {
     const active = this.source.take(register);
     if (active !== undefined) {
@@ -201,4 +241,7 @@
 
 const TABLE_POLL_MILLISECONDS = 20;
 
+/** Half of the interval of a daemon and of the leader, and two ways between regions. */
+const SUM_AGE_MILLISECONDS = 220;
+
 const LISTENER_CLOSE_MILLISECONDS = 500;
--- /dev/null
+++ b/src/gateway/load-exchange.ts
@@ -0,0 +1,134 @@
+import * as zod from 'zod';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as logging from '../logging';
+
+enum MessageKind {
+  /** Work of the sender. */
+  Own = 'own',
+  /** Work of all daemons. */
+  Sums = 'sums',
+}
+
+/** Work in flight at one backend server. */
+export interface ServerWork {
+  readonly serverId: string;
+  readonly requests: number;
+  readonly prefillTokens: number;
+  readonly memoryTokens: number;
+}
+
+/** What the exchange works with. */
+export interface LoadExchangePorts {
+  readonly plane: Pick<control.ControlPlane, 'status' | 'broadcast' | 'onBroadcast'>;
+  readonly time: clock.Clock;
+}
+
+type Listener = (loads: readonly ServerWork[]) => void;
+
+/**
+ * Load pattern: several daemons send to the same engines, and each sees only its own requests; at the crest
+ * of a swing all of them pick the engine that looks idle. Each daemon tells the control leader its requests
+ * in flight, and the leader tells all of them the sums. The messages grow with the backend servers, not
+ * with the daemons.
+ */
+export class LoadExchange {
+  /** Work of each daemon, and when it was told. */
+  private readonly told = new Map<string, { at: number; loads: readonly ServerWork[] }>();
+
+  private lastText = '';
+
+  private timer: clock.Timer | undefined;
+
+  private readonly unsubscribe: () => void;
+
+  constructor(
+    private readonly ports: LoadExchangePorts,
+    private readonly ownLoads: () => readonly ServerWork[],
+    private readonly onSums: Listener,
+  ) {
+    this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Load, (payload, from) =>
+      this.hear(payload, from),
+    );
+    this.tick();
+  }
+
+  close(): void {
+    this.unsubscribe();
+    this.timer?.cancel();
+  }
+
+  private tick(): void {
+    const isLeader = this.ports.plane.status().role === control.ReplicaRole.Leader;
+    const kind = isLeader ? MessageKind.Sums : MessageKind.Own;
+    const loads = isLeader ? this.sums() : this.ownLoads();
+    const text = JSON.stringify(loads);
+    if (text !== this.lastText) {
+      this.lastText = text;
+      this.ports.plane.broadcast(control.PeerTopic.Load, { kind, loads: loads.map(encode) });
+    }
+    this.timer = this.ports.time.setTimer(INTERVAL_MILLISECONDS, () => this.tick());
+  }
+
+  private sums(): readonly ServerWork[] {
+    const now = this.ports.time.monotonic();
+    const sums = new Map<string, ServerWork>();
+    this.told.forEach(({ at, loads }, daemonId) => {
+      if (now - at > FORGET_MILLISECONDS) {
+        this.told.delete(daemonId);
+        return;
+      }
+      loads.forEach((load) => sums.set(load.serverId, add(sums.get(load.serverId), load)));
+    });
+    return [...sums.values()];
+  }
+
+  private hear(payload: unknown, from: string): void {
+    const parsed = messageSchema.safeParse(payload);
+    if (!parsed.success) {
+      logger.warning('peer sent a malformed load message');
+      return;
+    }
+    const loads = parsed.data.loads.map(decode);
+    if (parsed.data.kind === MessageKind.Sums) {
+      this.onSums(loads);
+    } else {
+      this.told.set(from, { at: this.ports.time.monotonic(), loads });
+    }
+  }
+}
+
+const logger = new logging.Logger('load');
+
+const messageSchema = zod.object({
+  kind: zod.enum(MessageKind),
+  /** Server, requests, prompt tokens whose prefill has not ended, tokens held in memory. */
+  loads: zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()])),
+});
+
+type Encoded = [string, number, number, number];
+
+function encode({ serverId, requests, prefillTokens, memoryTokens }: ServerWork): Encoded {
+  return [serverId, requests, Math.round(prefillTokens), Math.round(memoryTokens)];
+}
+
+function decode([serverId, requests, prefillTokens, memoryTokens]: Encoded): ServerWork {
+  return { serverId, requests, prefillTokens, memoryTokens };
+}
+
+function add(sum: ServerWork | undefined, load: ServerWork): ServerWork {
+  return sum === undefined
+    ? load
+    : {
+        serverId: load.serverId,
+        requests: sum.requests + load.requests,
+        prefillTokens: sum.prefillTokens + load.prefillTokens,
+        memoryTokens: sum.memoryTokens + load.memoryTokens,
+      };
+}
+
+/** An engine takes about this long to read two long prompts. */
+const INTERVAL_MILLISECONDS = 200;
+
+/** A daemon with work sends changes several times a second; one that is silent has stopped. */
+const FORGET_MILLISECONDS = 5_000;
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -159,7 +159,11 @@
     });
   }
 
+  /** The work at engines is known from the daemons themselves, with the memory that it takes. */
   private reportLoad(machine: backend.MachineRecord, load: backend.RelayLoad): void {
+    if (machine.kind === backend.BackendKind.ModelEngine) {
+      return;
+    }
     const { task } = this.context;
     task.feed({
       kind: decision.DecisionEventKind.LoadReported,
--- a/src/placement/cost-rule.ts
+++ b/src/placement/cost-rule.ts
@@ -18,6 +18,8 @@
   readonly load: serverLoad.ServerLoad;
   readonly slots: number;
   readonly prefillTokensPerSecond: number;
+  /** Part of the server's memory that its requests hold; above 1 some of them wait. */
+  readonly memoryUse: number;
   /** Tokens at the start of the prompt that are believed to be cached. */
   readonly cachedTokens: number;
   /** Position in the rendezvous order of the anchor; 0 is the home. */
--- a/src/placement/server-load.ts
+++ b/src/placement/server-load.ts
@@ -5,6 +5,8 @@
   readonly requests: number;
   /** Uncached prompt tokens whose prefill has not ended. */
   readonly prefillTokens: number;
+  /** Tokens that requests hold in the server's memory, or will; 0 when unknown. */
+  readonly memoryTokens?: number;
 }
 
 interface Sample extends Work {
@@ -51,6 +53,7 @@
   const own = {
     requests: load.own.requests + delta.requests,
     prefillTokens: Math.max(0, load.own.prefillTokens + delta.prefillTokens),
+    memoryTokens: Math.max(0, (load.own.memoryTokens ?? 0) + (delta.memoryTokens ?? 0)),
   };
   const recent = load.samples.skipWhile(
     (sample, position) => sample.at < at - HISTORY_MILLISECONDS && position < load.samples.size - 1,
@@ -75,6 +78,7 @@
     others: {
       requests: Math.max(0, measurement.requests - then.requests),
       prefillTokens: Math.max(0, measurement.prefillTokens - then.prefillTokens),
+      memoryTokens: Math.max(0, (measurement.memoryTokens ?? 0) - (then.memoryTokens ?? 0)),
     },
   };
 }
@@ -93,6 +97,7 @@
   return {
     requests: load.own.requests + load.others.requests,
     prefillTokens: load.own.prefillTokens + load.others.prefillTokens,
+    memoryTokens: (load.own.memoryTokens ?? 0) + (load.others.memoryTokens ?? 0),
   };
 }
 
--- a/src/routes/decision-documents.ts
+++ b/src/routes/decision-documents.ts
@@ -46,6 +46,7 @@
     model: engine.model,
     weightsVersion: weightsVersion(engine.model) ?? FIRST_WEIGHTS_VERSION,
     slotsPerRunner: engine.slots,
+    ...(engine.cacheTokens > 0 ? { cacheTokensPerRunner: engine.cacheTokens } : {}),
     checksFencing: true,
     ...speeds,
   };
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -36,6 +36,11 @@
     this.planTick();
   }
 
+  /** The state of the core after the last event. */
+  get current(): State {
+    return this.state;
+  }
+
   /** Requests that are queued or running. */
   get activeRequests(): number {
     return this.executions.size;
