Write logs to standard output within bounds; serve metrics as text; log each decision about a request

One line for each dispatch with what decided it, and for each server that takes work, changes or takes none.

--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -2,6 +2,7 @@
 import * as backend from '../backend';
 import * as clock from '../clock';
 import * as decision from '../decision';
+import * as logging from '../logging';
 import * as membership from '../membership';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
@@ -40,6 +41,7 @@
     private readonly reply: relayReply.RelayReply,
   ) {
     super(call.profile, context);
+    this.loggedId = call.requestId;
     this.delivered = { events: 0, lastEventId: call.lastEventId };
     const left = Math.max(0, call.deadline - context.time.monotonic());
     this.timer = context.time.setTimer(left, () => this.expire());
@@ -94,6 +96,7 @@
     signal: AbortSignal,
   ): Promise<verdict.RequestFailure | undefined> {
     const { call, context } = this;
+    logDispatch(this.call, effect, known);
     return new Promise((resolve) => {
       const receiver = new answerReceiver.AnswerReceiver(
         {
@@ -210,6 +213,27 @@
   }
 }
 
+/** The inputs that decided where a request went. */
+function logDispatch(
+  { requestId, profile }: RelayCall,
+  effect: decision.Dispatch,
+  known: membership.EligibleServer | undefined,
+): void {
+  logger.information('request dispatched', {
+    requestId,
+    service: profile.service,
+    backendServer: effect.serverId,
+    attempt: effect.attemptId,
+    weightsVersion: known?.weightsVersion,
+    queuedMilliseconds: Math.round(effect.queuedMilliseconds),
+    expectedCachedTokens: effect.expectedCachedTokens,
+    cacheSource: effect.cacheSource,
+    resumeFrom: effect.resumeFrom,
+  });
+}
+
+const logger = new logging.Logger('gateway');
+
 /** One way from a server in another region. */
 const LOAD_AGE_MILLISECONDS = 10;
 
--- a/src/logging/logger.ts
+++ b/src/logging/logger.ts
@@ -1,5 +1,6 @@
 import * as util from 'node:util';
 import debug from 'debug';
+import type * as boundedOutput from './bounded-output';
 
 /** Fields that a log line may carry. Prompt text, answers and credentials are never logged. */
 export interface LogFields {
@@ -56,7 +57,12 @@
       return;
     }
     const line = { time: new Date().toISOString(), level, component: this.component, message };
-    channel(JSON.stringify({ ...line, ...fields }));
+    const text = JSON.stringify({ ...line, ...fields });
+    if (output === undefined) {
+      channel(text);
+    } else {
+      output.write(text, level === LogLevel.Error);
+    }
   }
 }
 
@@ -72,6 +78,18 @@
   debug.enable(enabled.join(','));
 }
 
+/**
+ * Sends all lines to a bounded output in place of standard error.
+ *
+ * @example
+ * useOutput(new BoundedOutput(standardOutput(), Date.now));
+ */
+export function useOutput(target: boundedOutput.BoundedOutput | undefined): void {
+  output = target;
+}
+
+let output: boundedOutput.BoundedOutput | undefined;
+
 const LEVELS = [LogLevel.Error, LogLevel.Warning, LogLevel.Information, LogLevel.Debug];
 
 const channels = new Map<string, debug.Debugger>();
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -2,3 +2,4 @@
 export * from './metrics';
 export * from './statsd-metrics';
 export * from './silent-metrics';
+export * from './text-metrics';
--- /dev/null
+++ b/src/metrics/text-metrics.ts
@@ -0,0 +1,75 @@
+import * as prometheus from 'prom-client';
+import * as metrics from './metrics';
+
+const TAGS = ['team', 'class', 'service', 'verdict', 'reason'] as const;
+
+type Tag = (typeof TAGS)[number];
+
+/** Keeps measurements in memory and renders them as text for whoever asks, in the format of Prometheus. */
+export class TextMetrics extends metrics.Metrics {
+  private readonly registry = new prometheus.Registry();
+
+  private readonly histograms = new Map<metrics.Histogram, prometheus.Histogram<Tag>>();
+
+  private readonly counters = new Map<metrics.Counter, prometheus.Counter<Tag>>();
+
+  constructor(labels: Readonly<Record<string, string>>) {
+    super();
+    this.registry.setDefaultLabels(labels);
+    Object.values(metrics.Histogram).forEach((name) => this.histograms.set(name, this.open(name)));
+    Object.values(metrics.Counter).forEach((name) =>
+      this.counters.set(
+        name,
+        new prometheus.Counter({
+          name: `figline_${name}_total`,
+          help: `Number of ${name}`,
+          labelNames: TAGS,
+          registers: [this.registry],
+        }),
+      ),
+    );
+  }
+
+  override observe(
+    histogram: metrics.Histogram,
+    value: number,
+    { team, class: requestClass, service }: metrics.MetricTags,
+  ): void {
+    this.histograms.get(histogram)?.observe(defined({ team, class: requestClass, service }), value);
+  }
+
+  override count(counter: metrics.Counter, tags: metrics.MetricTags, amount = 1): void {
+    this.counters.get(counter)?.inc(defined(tags), amount);
+  }
+
+  /**
+   * All measurements so far.
+   *
+   * @example
+   * (await metrics.render()).includes('figline_requests_total');
+   */
+  render(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  override async close(): Promise<void> {
+    this.registry.clear();
+  }
+
+  private open(name: metrics.Histogram): prometheus.Histogram<Tag> {
+    return new prometheus.Histogram({
+      name: `figline_${name}`,
+      help: `Distribution of ${name.replaceAll('_', ' ')}`,
+      labelNames: TAGS,
+      buckets: BUCKETS,
+      registers: [this.registry],
+    });
+  }
+}
+
+/** From the step of an engine to the longest timeout, in milliseconds; token counts use the same. */
+const BUCKETS = [5, 10, 25, 50, 100, 200, 400, 600, 1_000, 2_000, 5_000, 15_000];
+
+function defined(tags: metrics.MetricTags): Partial<Record<Tag, string>> {
+  return Object.fromEntries(Object.entries(tags).filter(([, value]) => value !== undefined));
+}
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -14,6 +14,9 @@
 
   protected isOver = false;
 
+  /** Id of the request in logs, when it differs from that of the profile. */
+  protected loggedId?: string;
+
   private readonly attempts = new Map<string, AbortController>();
 
   constructor(
@@ -102,7 +105,7 @@
 
   private fields(): logging.LogFields {
     const { requestId, team, service } = this.profile;
-    return { requestId, team, service };
+    return { requestId: this.loggedId ?? requestId, team, service };
   }
 }
 
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -152,6 +152,7 @@
     if (changesServers(step, event)) {
       const { task } = this.ports;
       const servers = membership.eligible(this.view);
+      logChanges(this.current, servers);
       this.current = servers;
       const listed = membership.listed(this.view);
       const kind = decision.DecisionEventKind.ServersChanged;
@@ -208,6 +209,30 @@
   }
 }
 
+/** One line for each server that may get new work now or no longer, or that changed its state. */
+function logChanges(
+  before: readonly membership.EligibleServer[],
+  after: readonly membership.EligibleServer[],
+): void {
+  const known = new Map(before.map((server) => [server.id, server]));
+  after.forEach((server) => {
+    const old = known.get(server.id);
+    known.delete(server.id);
+    if (old === undefined || stateOf(old) !== stateOf(server)) {
+      const { id: backendServer, service, weightsVersion, loading, suspected } = server;
+      const state = { backendServer, service, weightsVersion, loading, suspected };
+      logger.information(old === undefined ? 'server takes work' : 'server changed', state);
+    }
+  });
+  known.forEach(({ service }, backendServer) =>
+    logger.information('server takes no work', { backendServer, service }),
+  );
+}
+
+function stateOf({ weightsVersion, loading, suspected }: membership.EligibleServer): string {
+  return `${weightsVersion} ${loading} ${suspected}`;
+}
+
 const logger = new logging.Logger('membership');
 
 const TICK_MILLISECONDS = 100;
