--- a/src/decision/candidate-filter.ts
+++ b/src/decision/candidate-filter.ts
@@ -13,6 +13,8 @@
   readonly suspect: boolean;
   /** Servers at which other daemons run their suspects; empty unless the request is a suspect. */
   readonly reserved: ReadonlySet<string>;
+  /** Servers with older weights get no work; absent when all may. */
+  readonly minimumWeights?: number;
   /** Whether servers with the request's weights are known or, after a publish, to be expected. */
   readonly weightsExpected: boolean;
 }
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -134,6 +134,7 @@
   const cacheTokens = cacheTokensOf(service);
   const suspect = isSuspect(step, request);
   const reserved = reservedServers(step, request, suspect);
+  const minimumWeights = weightsFilter.minimumWeightsOf(service);
   const weightsExpected = weightsFilter.expectsWeights(step, request);
   return servers.filter((server) =>
     filters.every((filter) =>
@@ -146,6 +147,7 @@
         suspect,
         reserved,
         weightsExpected,
+        minimumWeights,
       }),
     ),
   );
--- a/src/decision/weights-filter.ts
+++ b/src/decision/weights-filter.ts
@@ -8,10 +8,17 @@
  * them. A request rather waits in its queue than uses up its attempts.
  */
 export class WeightsFilter extends candidateFilter.CandidateFilter {
-  override admits({ request, server, weightsExpected }: candidateFilter.Pairing): boolean {
+  override admits({
+    request,
+    server,
+    weightsExpected,
+    minimumWeights,
+  }: candidateFilter.Pairing): boolean {
     const { weightsVersion: known, loading } = server.record;
     const isOther = known !== undefined && known !== request.profile.weightsVersion;
-    return loading !== true && !(weightsExpected && isOther);
+    const isObsolete =
+      minimumWeights !== undefined && known !== undefined && Number(known) < minimumWeights;
+    return loading !== true && !isObsolete && !(weightsExpected && isOther);
   }
 }
 
@@ -33,3 +40,12 @@
       .some((server) => server.eligible && server.record.weightsVersion === weightsVersion)
   );
 }
+
+/** The oldest weights that may get work, if there is a bound and it can be compared. */
+export function minimumWeightsOf(
+  service: configuration.ServiceDocument | undefined,
+): number | undefined {
+  const isEngine = service?.type === configuration.ServiceType.ModelEngine;
+  const minimum = isEngine ? service.minimumWeightsVersion : undefined;
+  return minimum === undefined ? undefined : Number(minimum);
+}
--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -20,6 +20,8 @@
   /** False once the attempt was cancelled or the request is over. */
   readonly isCurrent: () => boolean;
   readonly onEvent: () => void;
+  /** Called for whatever arrives from the server. */
+  readonly onArrival: () => void;
   readonly onLoad: (load: backend.RelayLoad) => void;
 }
 
@@ -48,6 +50,7 @@
 
   onHead(head: backend.HttpHead, load: backend.RelayLoad | undefined): void {
     this.head = head;
+    this.ports.onArrival();
     this.reportLoad(load);
     const type = head.headers['content-type'] ?? '';
     if (head.status === 200 && type.startsWith('text/event-stream')) {
@@ -58,6 +61,7 @@
   }
 
   onData(chunk: Buffer): void {
+    this.ports.onArrival();
     if (this.isSettled || !this.ports.isCurrent()) {
       return;
     }
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -10,6 +10,7 @@
 import * as loadExchange from './load-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
+import * as weightsAge from './weights-age';
 
 /** Adapters of a control daemon. */
 export interface ControlPorts {
@@ -89,7 +90,11 @@
 
   private followRegister(speeds: routes.EngineSpeeds): routingSource.RoutingSource {
     const { plane, decode } = this.ports;
-    const source = new routingSource.RoutingSource(decode, speeds);
+    const source = new routingSource.RoutingSource(
+      decode,
+      speeds,
+      new weightsAge.WeightsAge(this.ports.time, Infinity),
+    );
     this.lifecycle.own(
       'register',
       plane.onRegister((register) => source.take(register)),
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -17,7 +17,9 @@
 import * as loadExchange from './load-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
+import * as silenceWatch from './silence-watch';
 import * as stages from './stages';
+import * as weightsAge from './weights-age';
 
 /** Adapters of a gateway. */
 export interface GatewayPorts {
@@ -40,6 +42,8 @@
   readonly limits: daemon.ListenerLimits;
   readonly stop: stages.StopTimes;
   readonly speeds: routes.EngineSpeeds;
+  /** Time after which engines without the weights named last get no work. */
+  readonly weightsGraceMilliseconds: number;
   /** This daemon's part of the retries that all daemons may make. */
   readonly retryBudget: admission.Budget;
   readonly maximumRequests: number;
@@ -61,6 +65,8 @@
 
   private listener: daemon.HttpListener | undefined;
 
+  private graceTimer: clock.Timer | undefined;
+
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -77,7 +83,11 @@
       LIST_MILLISECONDS,
       false,
     );
-    this.source = new routingSource.RoutingSource(ports.decode, options.speeds);
+    this.source = new routingSource.RoutingSource(
+      ports.decode,
+      options.speeds,
+      new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
+    );
     const { task, membership } = this;
     const exchange = new loadExchange.LoadExchange(
       { plane, time },
@@ -85,6 +95,8 @@
       (loads) => this.hearLoads(loads),
     );
     this.lifecycle.own('load exchange', () => exchange.close());
+    const silence = new silenceWatch.SilenceWatch(time, membership);
+    this.lifecycle.own('silence watch', () => silence.close());
     this.gateway = new gatewayModule.Gateway(
       {
         task,
@@ -93,6 +105,7 @@
         meter,
         time,
         dialect: ports.dialect,
+        silence,
         server: (serverId) => membership.server(serverId),
         storeAddress: () => this.gateway.store?.address,
       },
@@ -131,6 +144,7 @@
     const { plane, meter } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
+    own('weights grace', () => this.graceTimer?.cancel());
     own('control plane', () => plane.close());
     own('backend clients', () => pool.close());
     own('decision task', () => this.task.close());
@@ -181,6 +195,11 @@
     if (active !== undefined) {
       this.gateway.useTable(active.table, active.snapshot);
     }
+    // The grace of a version that was just named ends without another change of the register.
+    this.graceTimer?.cancel();
+    this.graceTimer = this.ports.time.setTimer(this.options.weightsGraceMilliseconds, () =>
+      this.useRegister(this.ports.plane.register()),
+    );
   }
 
   private async listen(): Promise<void> {
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -76,6 +76,7 @@
       this.attemptFailed(effect, routing.SERVER_GONE);
       return;
     }
+    this.context.silence.sent(effect.serverId);
     try {
       const known = this.context.server(effect.serverId);
       const outcome = await this.relay(effect, lease, known, signal);
@@ -85,6 +86,7 @@
         this.attemptFailed(effect, outcome);
       }
     } finally {
+      this.context.silence.ended(effect.serverId);
       lease.release();
     }
   }
@@ -104,6 +106,7 @@
           delivered: this.delivered,
           isCurrent: () => !signal.aborted && !this.isOver,
           onEvent: () => this.reportEvent(effect),
+          onArrival: () => context.silence.heard(effect.serverId),
           onLoad: (load) => this.reportLoad(lease.machine, load),
         },
         resolve,
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -3,6 +3,7 @@
 import * as control from '../control';
 import * as logging from '../logging';
 import * as routes from '../routes';
+import type * as weightsAge from './weights-age';
 
 /** Decodes the platform's text of a routing document; `Err` lists every fault. */
 export type RoutingDecoder = (
@@ -26,6 +27,7 @@
   constructor(
     private readonly decode: RoutingDecoder,
     private readonly speeds: routes.EngineSpeeds,
+    private readonly weightsAge: weightsAge.WeightsAge,
   ) {}
 
   /** The snapshot in force; empty before the first routing document. */
@@ -42,9 +44,10 @@
     }
     const { table } = this;
     if (table !== undefined) {
-      const snapshot = routes.decisionSnapshot(table, this.speeds, (model) =>
-        register.weights.get(model)?.version.toString(),
-      );
+      const snapshot = routes.decisionSnapshot(table, this.speeds, (model) => ({
+        named: register.weights.get(model)?.version.toString(),
+        minimum: this.weightsAge.minimum(model, register.weights.get(model)),
+      }));
       this.active = { table, snapshot };
     }
     return this.active;
--- /dev/null
+++ b/src/gateway/silence-watch.ts
@@ -0,0 +1,84 @@
+import * as clock from '../clock';
+import * as routing from '../routing';
+import * as verdict from '../verdict';
+
+interface ServerRecord {
+  /** Attempts in flight. */
+  attempts: number;
+  /** When the server was last heard, or got its first attempt. */
+  heardAt: number;
+}
+
+/**
+ * Load pattern: a server falls silent without a reset, and every request that is sent over an open connection
+ * waits until its deadline. A server from which nothing arrives while it has work is reported, so that a
+ * probe on a new connection decides; its requests go on waiting until then.
+ */
+export class SilenceWatch {
+  private readonly servers = new Map<string, ServerRecord>();
+
+  private timer: clock.Timer;
+
+  constructor(
+    private readonly time: clock.Clock,
+    private readonly observer: Pick<routing.ServerObserver, 'attemptFailed'>,
+  ) {
+    this.timer = time.setTimer(CHECK_MILLISECONDS, () => this.check());
+  }
+
+  /** An attempt was sent. */
+  sent(serverId: string): void {
+    const record = this.servers.get(serverId);
+    if (record === undefined) {
+      this.servers.set(serverId, { attempts: 1, heardAt: this.time.monotonic() });
+    } else {
+      record.attempts += 1;
+    }
+  }
+
+  /** Something arrived from a server. */
+  heard(serverId: string): void {
+    const record = this.servers.get(serverId);
+    if (record !== undefined) {
+      record.heardAt = this.time.monotonic();
+    }
+  }
+
+  /** An attempt ended in whatever way. */
+  ended(serverId: string): void {
+    const record = this.servers.get(serverId);
+    if (record !== undefined) {
+      record.attempts -= 1;
+      if (record.attempts === 0) {
+        this.servers.delete(serverId);
+      }
+    }
+  }
+
+  close(): void {
+    this.timer.cancel();
+  }
+
+  private check(): void {
+    const now = this.time.monotonic();
+    this.servers.forEach((known, serverId) => {
+      const record = known;
+      if (now - record.heardAt >= SILENCE_MILLISECONDS) {
+        record.heardAt = now;
+        this.observer.attemptFailed(serverId, SILENT);
+      }
+    });
+    this.timer = this.time.setTimer(CHECK_MILLISECONDS, () => this.check());
+  }
+}
+
+const SILENT = verdict.failure(
+  verdict.FailureReason.Timeout,
+  verdict.Verdict.MayHaveRun,
+  'Nothing arrives from the backend server although it has work.',
+);
+
+const CHECK_MILLISECONDS = 100;
+
+/** Above the usual time to a first token; a probe of a server that is only slow costs little. */
+const SILENCE_MILLISECONDS = 700;
--- a/src/routes/decision-documents.ts
+++ b/src/routes/decision-documents.ts
@@ -9,19 +9,27 @@
   readonly decodeTokensPerSecond: number;
 }
 
+/** The weights of one model. */
+export interface ModelWeights {
+  /** The version that was named last, if any was. */
+  readonly named?: string;
+  /** Engines with an older version must get no work. */
+  readonly minimum?: string;
+}
+
 /**
  * The services and teams of a routing table as the decision core and the orders know them.
  *
- * @param weightsVersion the version named for a model, if any
+ * @param weightsOf the weights of a model
  */
 export function decisionSnapshot(
   table: routingTable.RoutingTable,
   speeds: EngineSpeeds,
-  weightsVersion: (model: string) => string | undefined,
+  weightsOf: (model: string) => ModelWeights,
 ): configuration.ConfigurationSnapshot {
   const services = table.services
     .filter((service) => service.store === undefined)
-    .map((service) => serviceDocument(service, speeds, weightsVersion));
+    .map((service) => serviceDocument(service, speeds, weightsOf));
   const teams = (table.teams ?? []).map(teamDocument);
   const documents = [...services, ...teams].map(
     (document) => [configuration.documentKey(document), document] as const,
@@ -32,19 +40,21 @@
 function serviceDocument(
   { name, engine }: routingTable.RoutedService,
   speeds: EngineSpeeds,
-  weightsVersion: (model: string) => string | undefined,
+  weightsOf: (model: string) => ModelWeights,
 ): configuration.ServiceDocument {
   const kind = configuration.DocumentKind.Service;
   if (engine === undefined) {
     const type = configuration.ServiceType.Plain;
     return { kind, name, type, routes: [], slotsPerRunner: DEFAULT_PLAIN_SLOTS };
   }
+  const { named, minimum } = weightsOf(engine.model);
   return {
     kind,
     name,
     type: configuration.ServiceType.ModelEngine,
     model: engine.model,
-    weightsVersion: weightsVersion(engine.model) ?? FIRST_WEIGHTS_VERSION,
+    weightsVersion: named ?? FIRST_WEIGHTS_VERSION,
+    ...(minimum === undefined ? {} : { minimumWeightsVersion: minimum }),
     slotsPerRunner: engine.slots,
     ...(engine.cacheTokens > 0 ? { cacheTokensPerRunner: engine.cacheTokens } : {}),
     checksFencing: true,
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as configuration from '../../src/configuration';
 import * as decision from '../../src/decision';
 import * as verdict from '../../src/verdict';
 import * as builder from './builder';
@@ -104,4 +105,26 @@
   });
 });
 
+suite('an engine with weights below the minimum gets no work', () => {
+  const desk = builder.desk(2);
+  const service = configuration.modelServiceSchema.parse({
+    ...desk.state.services.first(),
+    minimumWeightsVersion: '10',
+  });
+  const servers = builder.list(1).map((server) => ({ ...server, weightsVersion: '9' }));
+  const documents = new Map([[configuration.documentKey(service), service]]);
+  desk
+    .apply({ kind: decision.DecisionEventKind.ServersChanged, at: 0, servers })
+    .apply({
+      kind: decision.DecisionEventKind.ConfigurationChanged,
+      at: 0,
+      snapshot: { revision: 2, documents },
+    })
+    .arrive('a');
+  assert.is(desk.take(Dispatch).length, 0);
+  const renewed = servers.map((server) => ({ ...server, weightsVersion: '10' }));
+  desk.apply({ kind: decision.DecisionEventKind.ServersChanged, at: 0, servers: renewed });
+  assert.is(desk.take(Dispatch).length, 1);
+});
+
 suite.run();
--- /dev/null
+++ b/test/gateway/silence-watch.test.ts
@@ -0,0 +1,43 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as clock from '../../src/clock';
+import * as silenceWatch from '../../src/gateway/silence-watch';
+
+const suite = uvu.suite('silence watch');
+
+function watched() {
+  const time = new clock.ManualClock();
+  const reported: string[] = [];
+  const watch = new silenceWatch.SilenceWatch(time, {
+    attemptFailed: (serverId) => reported.push(serverId),
+  });
+  return { time, reported, watch };
+}
+
+// Guards against requests that wait for a server that fell silent until their deadline.
+suite('a server with work from which nothing arrives is reported', () => {
+  const { time, reported, watch } = watched();
+  watch.sent('runner-0');
+  time.advance(600);
+  assert.equal(reported, []);
+  time.advance(200);
+  assert.equal(reported, ['runner-0']);
+  watch.close();
+});
+
+suite('a server that answers somebody, or has no work, is not reported', () => {
+  const { time, reported, watch } = watched();
+  watch.sent('runner-0');
+  watch.sent('runner-0');
+  for (let turn = 0; turn < 4; turn += 1) {
+    time.advance(500);
+    watch.heard('runner-0');
+  }
+  watch.ended('runner-0');
+  watch.ended('runner-0');
+  time.advance(2_000);
+  assert.equal(reported, []);
+  watch.close();
+});
+
+suite.run();
--- /dev/null
+++ b/test/gateway/weights-age.test.ts
@@ -0,0 +1,27 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as clock from '../../src/clock';
+import * as weightsAge from '../../src/gateway/weights-age';
+
+const suite = uvu.suite('age of weights');
+
+// Guards against an engine that comes back with old weights and draws requests because it looks idle.
+suite('an older version gets no work once its successor was named long enough ago', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const second = { version: 2, namedAt: time.now() };
+  assert.is(age.minimum('desk', undefined), undefined);
+  assert.is(age.minimum('desk', second), undefined);
+  time.advance(6_000);
+  assert.is(age.minimum('desk', second), '2');
+  const third = { version: 3, namedAt: time.now() };
+  assert.is(age.minimum('desk', third), undefined);
+});
+
+suite('a daemon that has just started counts from the time at which the version was named', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  assert.is(age.minimum('desk', { version: 2, namedAt: time.now() - 7_000 }), '2');
+});
+
+suite.run();
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -134,6 +134,7 @@
   },
   stop: { loadBalancerMilliseconds: 10, graceMilliseconds: 500 },
   speeds: { prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 100 },
+  weightsGraceMilliseconds: 6_000,
   retryBudget: { credit: 10, maximum: 10, ratio: 0.2 },
   maximumRequests: 100,
 };
