Confirm the end of an answer without a length; read back engines on open connections

Ruled out: the reset alone (no error was seen on the connection). Change: such an answer counts only after the connection ended in order and the server still answers as the same instance.

--- a/src/backend/connection.ts
+++ b/src/backend/connection.ts
@@ -19,6 +19,8 @@
 
   private failed = false;
 
+  private ended = false;
+
   constructor(
     private readonly address: backendAddress.BackendAddress,
     private readonly limits: backendLimits.BackendLimits,
@@ -51,9 +53,9 @@
     );
   }
 
-  /** True when the connection ended with an error, such as a reset, and not in order. */
-  get hasFailed(): boolean {
-    return this.failed;
+  /** True once the server has closed the connection in order, and not by a reset. */
+  get hasEndedInOrder(): boolean {
+    return this.ended && !this.failed;
   }
 
   dispatch(
@@ -85,6 +87,9 @@
     socket.on('error', () => {
       this.failed = true;
     });
+    socket.on('end', () => {
+      this.ended = true;
+    });
     const timer = this.time.setTimer(this.limits.connectMilliseconds, () =>
       socket.destroy(new Error('connecting took too long')),
     );
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -17,6 +17,9 @@
 
   protected head: httpRequest.HttpHead | undefined;
 
+  /** Whether the answer has no length and ends with its connection. */
+  protected isUnframed = false;
+
   protected controller: undici.Dispatcher.DispatchController | undefined;
 
   private connection: connection.Connection | undefined;
@@ -67,7 +70,8 @@
       this.abandon(verdict.FailureReason.AnswerMismatch, MISMATCH);
       return;
     }
-    if (!this.mayEndWithConnection && !isFramed(this.request.method, status, headers)) {
+    this.isUnframed = !isFramed(this.request.method, status, headers);
+    if (this.isUnframed && !this.mayEndWithConnection) {
       this.abandon(verdict.FailureReason.BackendError, UNFRAMED);
       return;
     }
@@ -86,7 +90,7 @@
       return;
     }
     // undici takes a reset for the end of an answer without a length.
-    if (this.connection?.hasFailed === true) {
+    if (this.isUnframed && this.connection?.hasEndedInOrder !== true) {
       this.abandon(verdict.FailureReason.ConnectionLost, 'The connection to the server was lost.');
       return;
     }
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -33,6 +33,8 @@
     time: clock.Clock,
     private readonly readFacts: FactsReader,
     private readonly receiver: relayServer.RelayReceiver,
+    /** Asks whether the server still runs, since the end of its process closes connections in order too. */
+    private readonly isAlive: () => Promise<boolean>,
   ) {
     super(relayed, serverId, pool, time);
   }
@@ -86,13 +88,24 @@
   protected override complete(): void {
     const { refusal, load } = this.facts ?? {};
     if (refusal === undefined) {
-      this.receiver.onEnd();
+      this.end();
       return;
     }
     const message = 'The backend server did not run the request.';
     this.receiver.onFailure(this.failure(refusal, verdict.Verdict.NotRun, message), load);
   }
 
+  private async end(): Promise<void> {
+    if (!this.isUnframed || (await this.isAlive())) {
+      this.receiver.onEnd();
+      return;
+    }
+    const message = 'The server ended while it sent an answer without a length.';
+    const { ConnectionLost } = verdict.FailureReason;
+    const failure = this.failure(ConnectionLost, verdict.Verdict.MayHaveRun, message);
+    this.receiver.onFailure(failure, undefined);
+  }
+
   protected override fail(failure: verdict.RequestFailure): void {
     this.receiver.onFailure(failure, this.facts?.load);
   }
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -58,5 +58,8 @@
   /** Asks on a new connection, since silence on an old one does not mean that the server is dead. */
   abstract probe(): Promise<results.Result<probeReport.ProbeReport, verdict.RequestFailure>>;
 
+  /** Asks the same on a connection that is open already. */
+  abstract readBack(): Promise<results.Result<probeReport.ProbeReport, verdict.RequestFailure>>;
+
   abstract close(): Promise<void>;
 }
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -65,7 +65,7 @@
       {
         plane: { status: () => plane.status(), configuration: () => source.snapshot },
         time,
-        engine: (serverId) => pool.relay(serverId),
+        engine: (serverId) => engineLease(pool.relay(serverId)),
         servers: () => membership.servers(),
         observed: (...probe) => membership.probed(...probe),
       },
@@ -104,6 +104,21 @@
   }
 }
 
+/** Read-backs follow each other quickly and do not need a connection each. */
+function engineLease(
+  lease: routing.BackendLease<backend.RelayServer> | undefined,
+): orders.EngineLease | undefined {
+  return (
+    lease && {
+      client: {
+        order: (order) => lease.client.order(order),
+        probe: () => lease.client.readBack(),
+      },
+      release: () => lease.release(),
+    }
+  );
+}
+
 /** The leader's own observation of weights is newer than the list, which lags. */
 function annotated(
   record: backend.MachineRecord,
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -12,7 +12,9 @@
   probe: event.ProbeSucceeded,
   routineMilliseconds: number,
 ): serverChange.ServerChange {
-  const ended = repeatWhileLoading(endProbe(server, probe, routineMilliseconds), probe);
+  const probed = endProbe(server, probe, routineMilliseconds);
+  // Where no server is probed as a routine, the list tells when the load has ended.
+  const ended = Number.isFinite(routineMilliseconds) ? repeatWhileLoading(probed, probe) : probed;
   const seen = serverChange.seeIncarnation(ended, probe.incarnation);
   const alive = serverChange.then(seen, (next) => serverChange.unchanged(revive(next, probe)));
   return probe.leaving
--- a/test/platform/fake-runner.ts
+++ b/test/platform/fake-runner.ts
@@ -17,6 +17,8 @@
 
   connections = 0;
 
+  isDown = false;
+
   private readonly server = http.createServer((request, response) => this.take(request, response));
 
   constructor(
@@ -45,12 +47,26 @@
     });
   }
 
+  /** What the server says of itself; nothing once its process has ended. */
+  private report(response: http.ServerResponse): void {
+    if (this.isDown) {
+      response.destroy();
+      return;
+    }
+    const models = [{ name: 'desk-model', version: 3 }];
+    response.end(JSON.stringify({ models, busy: false, seq: 0, born: 1 }));
+  }
+
   private async take(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
       chunks.push(chunk);
     }
     const { method = '', url = '', headers } = request;
+    if (url === '/-/report') {
+      this.report(response);
+      return;
+    }
     const received = { method, path: url, headers, body: Buffer.concat(chunks).toString() };
     this.requests.push(received);
     response.on('error', () => {});
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -166,6 +166,19 @@
   },
 );
 
+/** Guards against half an answer that looks whole: the end of a process closes its connections in order. */
+suite('an answer without a length is not whole when its server has ended', async () => {
+  const server = runner((request, response) => {
+    const id = request.headers['x-figline-request-id'];
+    const head = `HTTP/1.1 200 OK\r\nx-figline-request-id: ${id}\r\nx-figline-response-seal: s`;
+    response.socket!.end(`${head}\r\n\r\nseven`);
+    server.isDown = true;
+  });
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    assert.is((await gateway.send('POST', '/charge/7')).status, 502);
+  });
+});
+
 suite(
   'a request that runs out of time ends as may-have-run, one never sent as not run',
   async () => {
