Tell a reset from an orderly end of an answer without a length by a write

A write to such a connection fails at once, while after an orderly end it does not. Test: platform/gateway, a reset at once fails before.

--- a/src/backend/connection.ts
+++ b/src/backend/connection.ts
@@ -21,6 +21,8 @@
 
   private ended = false;
 
+  private checksEnd = false;
+
   constructor(
     private readonly address: backendAddress.BackendAddress,
     private readonly limits: backendLimits.BackendLimits,
@@ -53,6 +55,14 @@
     );
   }
 
+  /**
+   * Tells that the end of the connection will be the end of an answer. libuv reports a reset as an orderly end
+   * when it arrives together with data; only a write shows the difference, since it fails after a reset.
+   */
+  expectEnd(): void {
+    this.checksEnd = true;
+  }
+
   /** True once the server has closed the connection in order, and not by a reset. */
   get hasEndedInOrder(): boolean {
     return this.ended && !this.failed;
@@ -82,14 +92,17 @@
       return;
     }
     this.connectStarted = true;
-    const socket = net.connect({ ...this.address, noDelay: true, keepAlive: true });
+    const socket = net.connect({
+      ...this.address,
+      noDelay: true,
+      keepAlive: true,
+      allowHalfOpen: true,
+    });
     this.socket = socket;
     socket.on('error', () => {
       this.failed = true;
     });
-    socket.on('end', () => {
-      this.ended = true;
-    });
+    socket.on('end', () => this.noteEnd(socket));
     const timer = this.time.setTimer(this.limits.connectMilliseconds, () =>
       socket.destroy(new Error('connecting took too long')),
     );
@@ -105,8 +118,20 @@
       callback(null, socket);
     });
   }
+
+  private noteEnd(socket: net.Socket): void {
+    this.ended = true;
+    if (this.checksEnd) {
+      socket.write(BLANK_LINE, (error) => {
+        this.failed ||= error !== null && error !== undefined;
+      });
+    }
+  }
 }
 
+/** Servers ignore a blank line before a request (RFC 9112, section 2.2). */
+const BLANK_LINE = '\r\n';
+
 function origin(address: backendAddress.BackendAddress): string {
   const host = net.isIPv6(address.host) ? `[${address.host}]` : address.host;
   return `http://${host}:${address.port}`;
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -75,6 +75,9 @@
       this.abandon(verdict.FailureReason.BackendError, UNFRAMED);
       return;
     }
+    if (this.isUnframed) {
+      this.connection?.expectEnd();
+    }
     this.head = { status, headers };
     this.receiveHead(this.head);
   }
@@ -89,11 +92,6 @@
     if (this.over) {
       return;
     }
-    // undici takes a reset for the end of an answer without a length.
-    if (this.isUnframed && this.connection?.hasEndedInOrder !== true) {
-      this.abandon(verdict.FailureReason.ConnectionLost, 'The connection to the server was lost.');
-      return;
-    }
     this.finish();
     this.complete();
   }
@@ -157,6 +155,11 @@
     return verdict.failure(reason, outcome, message, details);
   }
 
+  /** Whether the connection ended in order; known a moment after the end of an answer without a length. */
+  protected get hasEndedInOrder(): boolean {
+    return this.connection?.hasEndedInOrder === true;
+  }
+
   protected sentHeaders(): Readonly<Record<string, string>> {
     return { ...this.request.headers, [headerName.HeaderName.RequestId]: this.request.requestId };
   }
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -96,11 +96,12 @@
   }
 
   private async end(): Promise<void> {
-    if (!this.isUnframed || (await this.isAlive())) {
+    const isAlive = !this.isUnframed || (await this.isAlive());
+    if (isAlive && (!this.isUnframed || this.hasEndedInOrder)) {
       this.receiver.onEnd();
       return;
     }
-    const message = 'The server ended while it sent an answer without a length.';
+    const message = 'The connection broke during an answer without a length.';
     const { ConnectionLost } = verdict.FailureReason;
     const failure = this.failure(ConnectionLost, verdict.Verdict.MayHaveRun, message);
     this.receiver.onFailure(failure, undefined);
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -144,27 +144,42 @@
   });
 });
 
-suite(
-  'an answer without a length is whole only when its connection is closed in order',
-  async () => {
-    const unframed =
-      (isReset: boolean): fakeRunner.RunnerBehaviour =>
-      (request, response) => {
-        const { socket } = response;
-        const id = request.headers['x-figline-request-id'];
-        const head = `HTTP/1.1 200 OK\r\nx-figline-request-id: ${id}\r\nx-figline-response-seal: s`;
-        socket!.write(`${head}\r\n\r\nseven`);
-        // Called inside the write, a reset would be preceded by an orderly end.
-        setTimeout(() => (isReset ? socket!.resetAndDestroy() : socket!.end(' sacks')), 20);
-      };
-    await new builder.GatewayBuilder([runner(unframed(false))]).run(async (gateway) => {
-      assert.is((await gateway.send('POST', '/charge/7')).text, 'seven sacks');
-    });
-    await new builder.GatewayBuilder([runner(unframed(true))]).run(async (gateway) => {
-      assert.is((await gateway.send('POST', '/charge/7')).status, 502);
+/** How a server ends an answer without a length. */
+enum Ending {
+  InOrder = 'in-order',
+  /** The reset arrives together with the data. */
+  ResetAtOnce = 'reset-at-once',
+  ResetLater = 'reset-later',
+}
+
+function unframed(ending: Ending): fakeRunner.RunnerBehaviour {
+  return (request, response) => {
+    const socket = response.socket!;
+    const id = request.headers['x-figline-request-id'];
+    const head = `HTTP/1.1 200 OK\r\nx-figline-request-id: ${id}\r\nx-figline-response-seal: s`;
+    const reset = () => socket.resetAndDestroy();
+    socket.write(`${head}\r\n\r\nseven`, ending === Ending.ResetAtOnce ? reset : undefined);
+    if (ending === Ending.InOrder) {
+      socket.end(' sacks');
+    } else if (ending === Ending.ResetLater) {
+      setTimeout(reset, 20);
+    }
+  };
+}
+
+suite('an answer without a length that ends in order is whole', async () => {
+  await new builder.GatewayBuilder([runner(unframed(Ending.InOrder))]).run(async (gateway) => {
+    assert.is((await gateway.send('POST', '/charge/7')).text, 'seven sacks');
+  });
+});
+
+suite('an answer without a length that is reset is not whole', async () => {
+  for (const ending of [Ending.ResetAtOnce, Ending.ResetLater]) {
+    await new builder.GatewayBuilder([runner(unframed(ending))]).run(async (gateway) => {
+      assert.is((await gateway.send('POST', '/charge/7')).status, 502, ending);
     });
-  },
-);
+  }
+});
 
 /** Guards against half an answer that looks whole: the end of a process closes its connections in order. */
 suite('an answer without a length is not whole when its server has ended', async () => {
