Let a stream that has begun survive a row of refusals

Change: a stream that has begun has 15 attempts, refusals included; one that was refused often is not moved. Test: decision/update.

--- a/src/decision/failing.ts
+++ b/src/decision/failing.ts
@@ -49,12 +49,17 @@
 function mayRetry(step: steps.Step, request: state.RequestState): boolean {
   return (
     verdict.mayRetry(request.verdict, request.profile.idempotent) &&
-    request.attemptCount < MAXIMUM_ATTEMPTS &&
+    request.attemptCount < attemptLimit(request) &&
     runsOf(request) < (request.profile.maximumAttempts ?? MAXIMUM_ATTEMPTS) &&
     isPayable(step, request)
   );
 }
 
+/** Refusals cost little, and a stream that has begun can only be lost or go on. */
+function attemptLimit({ nextPiece }: state.RequestState): number {
+  return nextPiece > 0 ? MAXIMUM_STREAM_ATTEMPTS : MAXIMUM_ATTEMPTS;
+}
+
 /** A stream that its caller has begun to read may overdraw the budget, since a refusal would come too late. */
 function isPayable(step: steps.Step, { nextPiece }: state.RequestState): boolean {
   const { retryBudget } = step.state;
@@ -91,6 +96,8 @@
 
 /** More attempts would keep a broken request alive beyond any useful deadline. */
 const MAXIMUM_ATTEMPTS = 5;
+/** Servers that are ordered to load weights refuse one after the other. */
+const MAXIMUM_STREAM_ATTEMPTS = 15;
 const CRASH_SIGNS: ReadonlySet<verdict.FailureReason> = new Set([
   verdict.FailureReason.ConnectionLost,
   verdict.FailureReason.StreamBroken,
--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -27,6 +27,7 @@
   return (
     request.attempts.length === 1 &&
     request.nextPiece > 0 &&
+    request.attemptCount <= MAXIMUM_ATTEMPTS &&
     idempotent &&
     (request.runCount ?? 0) + 1 < maximumAttempts &&
     step.pool(service).some((server) => server.eligible && server.record.loading !== true)
@@ -48,6 +49,9 @@
   'The backend server loads other weights.',
 );
 
+/** A stream that was refused often stays where it runs. */
+const MAXIMUM_ATTEMPTS = 3;
+
 /** Retries that are left to failures. */
 const RESERVED_CREDIT = 2.5;
 
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -92,6 +92,19 @@
   assert.is(desk.take(Dispatch).length, 0);
 });
 
+suite('a stream that has begun survives a row of refusals', () => {
+  // Guards against a stream that is cut because loading engines refused it before and after it began.
+  const desk = builder.desk(4);
+  let [sent] = desk.arrive('begun').take(Dispatch);
+  for (let refusal = 0; refusal < 4; refusal += 1) {
+    [sent] = desk.lose(sent, verdict.Verdict.NotRun).take(Dispatch);
+  }
+  desk.piece(sent, 2).lose(sent, verdict.Verdict.MayHaveRun);
+  [sent] = desk.take(Dispatch);
+  desk.lose(sent, verdict.Verdict.NotRun);
+  assert.is(desk.take(Dispatch)[0]?.resumeFrom, 2);
+});
+
 suite('new work goes to the newest weights while both are served', () => {
   const desk = builder.desk(2);
   const servers = builder
