--- a/src/command/command-line.ts
+++ b/src/command/command-line.ts
@@ -9,6 +9,7 @@
 import * as options from './options';
 import * as outcome from './outcome';
 import * as publish from './publish';
+import * as trace from './trace';
 
 /** What the command touches outside its own process memory; tests replace all of it. */
 export interface Surroundings {
@@ -59,6 +60,10 @@
     .command('credential', 'make a random team credential and its hash (no network)')
     .example('  $ figline credential --json')
     .action(withOptions(async () => credential.credential()));
+  cli
+    .command('trace <request-id> <...logs>', 'print the history of one request from logs')
+    .example('  $ figline trace 9c41d07be2a35f68 front-1.log front-2.log')
+    .action((requestId: string, logs: readonly string[]) => trace.trace(requestId, logs));
   cli.option('--json', 'print one JSON object instead of text');
   cli.version(VERSION);
   cli.help((sections) => [...sections, { title: 'Exit codes', body: exitCodeLines().join('\n') }]);
@@ -206,6 +211,9 @@
 
 /** `cac` ignores surplus arguments, so that a shell pattern would publish only its first folder. */
 function surplusArguments(cli: cac.CAC, command: cac.Command): string[] {
+  if (command.args.some((argument) => argument.variadic)) {
+    return [];
+  }
   return cli.args
     .slice(command.args.length)
     .map(
