--- /dev/null
+++ b/test/gateway/sharing.test.ts
@@ -0,0 +1,114 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as clock from '../../src/clock';
+import * as control from '../../src/control';
+import * as loadExchange from '../../src/gateway/load-exchange';
+import * as sharedMachineList from '../../src/gateway/shared-machine-list';
+import * as countedList from './counted-list';
+import * as peersModule from './peers';
+
+const suite = uvu.suite('sharing between daemons');
+const { Leader, None } = control.ReplicaRole;
+
+// Guards against a price that grows with the number of daemons, and against copies that miss a change.
+suite('the leader reads for all, and tells what it knows beyond the list', async () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const source = new countedList.CountedList();
+  const loading = { ...countedList.RECORD, loading: true as const };
+  let isOrdered = false;
+  const leader = new sharedMachineList.SharedMachineList({
+    plane: peers.plane('a', Leader),
+    source,
+    time,
+    annotate: (record) => (isOrdered ? loading : record),
+  });
+  const other = new sharedMachineList.SharedMachineList({
+    plane: peers.plane('b', None),
+    source,
+    time,
+  });
+  await leader.read();
+  assert.equal((await other.read()).unwrap(), [countedList.RECORD]);
+  isOrdered = true;
+  time.advance(100);
+  await leader.read();
+  assert.equal((await other.read()).unwrap(), [loading]);
+  assert.is(source.reads, 1);
+});
+
+suite('a daemon that hears nothing reads the list itself', async () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const source = new countedList.CountedList();
+  const plane = peers.plane('a', Leader);
+  const leader = new sharedMachineList.SharedMachineList({ plane, source, time });
+  const other = new sharedMachineList.SharedMachineList({
+    plane: peers.plane('b', None),
+    source,
+    time,
+  });
+  await leader.read();
+  peers.isCut = true;
+  source.records = [];
+  time.advance(2_600);
+  assert.equal((await other.read()).unwrap(), []);
+  assert.is(source.reads, 2);
+});
+
+suite('a daemon that missed a change asks for the whole list', async () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const source = new countedList.CountedList();
+  const plane = peers.plane('a', Leader);
+  const leader = new sharedMachineList.SharedMachineList({ plane, source, time });
+  const other = new sharedMachineList.SharedMachineList({
+    plane: peers.plane('b', None),
+    source,
+    time,
+  });
+  await leader.read();
+  peers.isCut = true;
+  source.records = [];
+  time.advance(500);
+  await leader.read();
+  peers.isCut = false;
+  time.advance(900);
+  await leader.read();
+  await leader.read();
+  assert.equal((await other.read()).unwrap(), []);
+  assert.is(source.reads, 3);
+});
+
+// Guards against daemons that all fill the engine that looks idle to each of them.
+suite('sums of all daemons reach each of them, and work of a stopped one is forgotten', () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const work = { serverId: 'i-1', requests: 2, prefillTokens: 100, memoryTokens: 5_000 };
+  let sums: readonly loadExchange.ServerWork[] = [];
+  const leader = new loadExchange.LoadExchange(
+    { plane: peers.plane('a', Leader), time },
+    () => [],
+    () => {},
+  );
+  const first = new loadExchange.LoadExchange(
+    { plane: peers.plane('b', None), time },
+    () => [work],
+    (loads) => {
+      sums = loads;
+    },
+  );
+  const second = new loadExchange.LoadExchange(
+    { plane: peers.plane('c', None), time },
+    () => [work],
+    () => {},
+  );
+  time.advance(400);
+  assert.equal(sums, [{ serverId: 'i-1', requests: 4, prefillTokens: 200, memoryTokens: 10_000 }]);
+  [first, second].forEach((exchange) => exchange.close());
+  time.advance(6_000);
+  assert.equal(sums, []);
+  leader.close();
+});
+
+suite.run();
--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,95 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as platformDialect from '../../platform/platform-dialect';
+import * as routingDocument from '../../platform/routing-document';
+import * as settings from '../../platform/settings';
+import * as verdict from '../../src/verdict';
+import * as builder from './gateway-builder';
+
+const suite = uvu.suite('decoding of the platform');
+const dialect = new platformDialect.PlatformDialect();
+
+const SETTINGS = `
+node: "front-1"
+ip: "10.1.0.23"
+zone: "pl-caudan"
+region: "port-louis"
+zones: { pl-caudan: "port-louis" }
+listen: { front: "10.1.0.23:8782", ready: "10.1.0.23:8789" }
+internal_ports: [7340, 7355]
+seeds: ["10.1.0.26:8783"]
+bootstrap: true
+data_dir: null
+cloud_api: { addr: "10.200.0.117:8784", rate_per_s: 44.0 }
+a_field_of_tomorrow: 7
+`;
+
+suite('settings are decoded; unknown fields are ignored and missing bounds have defaults', () => {
+  const decoded = settings.decodeSettings(SETTINGS).unwrap();
+  assert.equal(decoded.listen.front, { host: '10.1.0.23', port: 8_782 });
+  assert.is(decoded.data_dir, null);
+  assert.is(decoded.bounds.grace_s, 8);
+});
+
+suite('every fault of the settings is in one report', () => {
+  const wrong = SETTINGS.replace('"10.1.0.26:8783"', '"seed-1"').replace('node: "front-1"', '');
+  const faults = settings.decodeSettings(wrong);
+  assert.ok(faults.err);
+  assert.match(String(faults.val), /node: .*seeds\.0: use an IP address and a port/s);
+});
+
+// Guards against a document that is acknowledged and cannot be used.
+suite('documents that cannot be used are refused with every fault', () => {
+  const valid = builder.document() as { routes: object[] };
+  assert.ok(routingDocument.decodeRouting(JSON.stringify(valid)).ok);
+  const text = JSON.stringify(valid);
+  const [route] = valid.routes;
+  const wrong = [
+    text.slice(0, -20),
+    '[]',
+    '{"version":"7","routes":[],"services":[]}',
+    JSON.stringify({ ...valid, routes: [route, route] }),
+    JSON.stringify({ ...valid, routes: [{ ...route, service: 'nowhere' }] }),
+    JSON.stringify({ ...valid, routes: [{ ...route, timeout_ms: 0 }] }),
+    JSON.stringify({ ...valid, routes: [{ ...route, path_prefix: '/open' }] }),
+  ];
+  wrong.forEach((document) => assert.ok(routingDocument.decodeRouting(document).err, document));
+});
+
+suite('headers of callers are read, whatever they hold', () => {
+  const facts = dialect.readCaller({
+    'x-figline-prompt-prefix': '5c1e:800, 91bd:410,broken,zz:1,e440:',
+    'x-figline-token-counts': '1460,80',
+    'x-figline-deadline-ms': 'soon',
+    authorization: 'token  key ',
+  });
+  assert.equal(facts.parts, [
+    { id: '5c1e', tokens: 800 },
+    { id: '91bd', tokens: 410 },
+  ]);
+  assert.is(facts.promptTokens, 1_460);
+  assert.is(facts.waitMilliseconds, undefined);
+  assert.is(facts.credential, 'key');
+  assert.is(dialect.readCaller({ authorization: 'Bearer key' }).credential, undefined);
+});
+
+// Guards against a failure that is taken for a refusal, which would promise that nothing ran.
+suite('only an answer that says so was not run', () => {
+  const refusal = (status: number, headers = {}) => dialect.readAnswer({ status, headers }).refusal;
+  assert.is(refusal(503), undefined);
+  assert.is(refusal(500, { 'x-figline-response-seal': 's' }), undefined);
+  assert.is(refusal(503, { 'x-figline-not-executed': '1' }), verdict.FailureReason.BackendRefused);
+  assert.is(refusal(421), verdict.FailureReason.BackendRefused);
+  const { load } = dialect.readAnswer({
+    status: 200,
+    headers: { 'x-figline-server-load': '3,1,8,250' },
+  });
+  assert.equal(load, { running: 3, waiting: 1, slots: 8, slowness: 2.5 });
+});
+
+suite("an encoded body is not the server's own", () => {
+  const headers = { 'x-figline-response-seal': 's', 'content-encoding': 'gzip' };
+  assert.is(dialect.readAnswer({ status: 200, headers }).isGenuine, false);
+});
+
+suite.run();
