--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import type * as backend from '../../src/backend';
 import * as clock from '../../src/clock';
 import * as control from '../../src/control';
 import * as loadExchange from '../../src/gateway/load-exchange';
@@ -10,24 +11,22 @@
 const suite = uvu.suite('sharing between daemons');
 const { Leader, None } = control.ReplicaRole;
 
-// Guards against a price that grows with the number of daemons, and against copies that miss a change.
-suite('the leader reads for all, and tells what it knows beyond the list', async () => {
+/** The leader and another daemon, with the list that both could read. */
+function readers(annotate?: (record: backend.MachineRecord) => backend.MachineRecord) {
   const peers = new peersModule.Peers();
   const time = new clock.ManualClock();
   const source = new countedList.CountedList();
+  const [leader, other] = [peers.plane('a', Leader), peers.plane('b', None)].map(
+    (plane) => new sharedMachineList.SharedMachineList({ plane, source, time, annotate }),
+  );
+  return { peers, time, source, leader, other };
+}
+
+// Guards against a price that grows with the number of daemons, and against copies that miss a change.
+suite('the leader reads for all, and tells what it knows beyond the list', async () => {
   const loading = { ...countedList.RECORD, loading: true as const };
   let isOrdered = false;
-  const leader = new sharedMachineList.SharedMachineList({
-    plane: peers.plane('a', Leader),
-    source,
-    time,
-    annotate: (record) => (isOrdered ? loading : record),
-  });
-  const other = new sharedMachineList.SharedMachineList({
-    plane: peers.plane('b', None),
-    source,
-    time,
-  });
+  const { time, source, leader, other } = readers((record) => (isOrdered ? loading : record));
   await leader.read();
   assert.equal((await other.read()).unwrap(), [countedList.RECORD]);
   isOrdered = true;
@@ -38,16 +37,7 @@
 });
 
 suite('a daemon that hears nothing reads the list itself', async () => {
-  const peers = new peersModule.Peers();
-  const time = new clock.ManualClock();
-  const source = new countedList.CountedList();
-  const plane = peers.plane('a', Leader);
-  const leader = new sharedMachineList.SharedMachineList({ plane, source, time });
-  const other = new sharedMachineList.SharedMachineList({
-    plane: peers.plane('b', None),
-    source,
-    time,
-  });
+  const { peers, time, source, leader, other } = readers();
   await leader.read();
   peers.isCut = true;
   source.records = [];
@@ -57,16 +47,7 @@
 });
 
 suite('a daemon that missed a change asks for the whole list', async () => {
-  const peers = new peersModule.Peers();
-  const time = new clock.ManualClock();
-  const source = new countedList.CountedList();
-  const plane = peers.plane('a', Leader);
-  const leader = new sharedMachineList.SharedMachineList({ plane, source, time });
-  const other = new sharedMachineList.SharedMachineList({
-    plane: peers.plane('b', None),
-    source,
-    time,
-  });
+  const { peers, time, source, leader, other } = readers();
   await leader.read();
   peers.isCut = true;
   source.records = [];
