Count the grace of each weights version from its own naming

Change: a daemon remembers the versions named before until their grace has ended. Test: gateway/weights-age, fails before.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -65,7 +65,10 @@
 
   private listener: daemon.HttpListener | undefined;
 
-  private graceTimer: clock.Timer | undefined;
+  /** One for each change of the register whose grace has not ended. */
+  private readonly graceTimers = new Set<clock.Timer>();
+
+  private graceSequence = -1;
 
   private stopping: Promise<void> | undefined;
 
@@ -144,7 +147,7 @@
     const { plane, meter } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
-    own('weights grace', () => this.graceTimer?.cancel());
+    own('weights grace', () => this.graceTimers.forEach((timer) => timer.cancel()));
     own('control plane', () => plane.close());
     own('backend clients', () => pool.close());
     own('decision task', () => this.task.close());
@@ -157,6 +160,19 @@
     this.useRegister(plane.register());
   }
 
+  /** The grace of a version that was just named ends without another change of the register. */
+  private awaitGrace(): void {
+    const { time, plane } = this.ports;
+    const timer = time.setTimer(
+      this.options.weightsGraceMilliseconds + TIMER_MARGIN_MILLISECONDS,
+      () => {
+        this.graceTimers.delete(timer);
+        this.useRegister(plane.register());
+      },
+    );
+    this.graceTimers.add(timer);
+  }
+
   private ownLoads(): readonly loadExchange.ServerWork[] {
     const { servers } = this.task.current as decision.DecisionState;
     return [...servers.values()]
@@ -195,11 +211,10 @@
     if (active !== undefined) {
       this.gateway.useTable(active.table, active.snapshot);
     }
-    // The grace of a version that was just named ends without another change of the register.
-    this.graceTimer?.cancel();
-    this.graceTimer = this.ports.time.setTimer(this.options.weightsGraceMilliseconds, () =>
-      this.useRegister(this.ports.plane.register()),
-    );
+    if (register.sequence !== this.graceSequence) {
+      this.graceSequence = register.sequence;
+      this.awaitGrace();
+    }
   }
 
   private async listen(): Promise<void> {
@@ -260,6 +275,9 @@
 
 const TABLE_POLL_MILLISECONDS = 20;
 
+/** A timer that fires a moment early must not find the grace unended. */
+const TIMER_MARGIN_MILLISECONDS = 20;
+
 /** Half of the interval of a daemon and of the leader, and two ways between regions. */
 const SUM_AGE_MILLISECONDS = 220;
 
--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -1,13 +1,23 @@
 import * as clock from '../clock';
 import type * as control from '../control';
 
+interface LearnedVersion {
+  readonly version: number;
+  /** Monotonic time at which this daemon learned of it. */
+  readonly learnedAt: number;
+  /** Wall clock of the leader at which it was named. */
+  readonly namedAt: number;
+}
+
 /**
  * Load pattern: an engine that was unreachable during a roll-out comes back with old weights and looks idle,
- * so that it draws new requests before the leader can order it. Once a version was named long enough ago,
- * engines without it get no work.
+ * so that it draws new requests before the leader can order it; and with a version named every few seconds
+ * some engines are always behind. Once a version was named long enough ago, engines without it get no work,
+ * also when a newer one has been named since.
  */
 export class WeightsAge {
-  private readonly learned = new Map<string, { version: number; at: number }>();
+  /** Versions of each model, the newest last; of those that are old enough only the newest. */
+  private readonly learned = new Map<string, readonly LearnedVersion[]>();
 
   /** @param graceMilliseconds time after which requests must not begin on an older version */
   constructor(
@@ -17,18 +27,27 @@
 
   /** The oldest version of a model that may still get work; absent while any may. */
   minimum(model: string, named: control.NamedWeights | undefined): string | undefined {
-    if (named === undefined) {
-      return undefined;
-    }
-    const isOver = this.age(model, named) >= this.graceMilliseconds;
-    return isOver ? String(named.version) : undefined;
+    const versions = this.withNamed(model, named);
+    const oldEnough = versions.filter((known) => this.age(known) >= this.graceMilliseconds);
+    const minimum = oldEnough.at(-1);
+    const kept = versions.filter((known) => known.version >= (minimum?.version ?? -Infinity));
+    this.learned.set(model, kept);
+    return minimum?.version.toString();
+  }
+
+  private withNamed(
+    model: string,
+    named: control.NamedWeights | undefined,
+  ): readonly LearnedVersion[] {
+    const known = this.learned.get(model) ?? [];
+    const newest = known.at(-1)?.version ?? -Infinity;
+    return named === undefined || named.version <= newest
+      ? known
+      : [...known, { ...named, learnedAt: this.time.monotonic() }];
   }
 
   /** Wall clocks differ a little, and a daemon that has just started learned of the version late. */
-  private age(model: string, { version, namedAt }: control.NamedWeights): number {
-    const known = this.learned.get(model);
-    const at = known?.version === version ? known.at : this.time.monotonic();
-    this.learned.set(model, { version, at });
-    return Math.max(this.time.monotonic() - at, this.time.now() - namedAt);
+  private age({ learnedAt, namedAt }: LearnedVersion): number {
+    return Math.max(this.time.monotonic() - learnedAt, this.time.now() - namedAt);
   }
 }
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -15,7 +15,7 @@
   time.advance(6_000);
   assert.is(age.minimum('desk', second), '2');
   const third = { version: 3, namedAt: time.now() };
-  assert.is(age.minimum('desk', third), undefined);
+  assert.is(age.minimum('desk', third), '2');
 });
 
 suite('a daemon that has just started counts from the time at which the version was named', () => {
@@ -24,4 +24,16 @@
   assert.is(age.minimum('desk', { version: 2, namedAt: time.now() - 7_000 }), '2');
 });
 
+// Guards against versions that follow each other faster than the grace, which kept it from ever ending.
+suite('a version counts from its own naming although newer ones follow', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const minimums = [1, 2, 3, 4].map((version) => {
+    const minimum = age.minimum('desk', { version, namedAt: time.now() });
+    time.advance(4_000);
+    return minimum;
+  });
+  assert.equal(minimums, [undefined, undefined, '1', '2']);
+});
+
 suite.run();
