Remove a lost voter before its successor is added; show only committed voters

In both traced failures the leader was killed within 60 ms of its addition, before its removal entry had reached another replica, so that two disks of a group that still had the lost voter were gone. Ruled out: reopening of a stopped replica (no replica stopped in the logs) and links to the voters that heartbeats name (all links were up). Change: `status` shows the voters of the last committed group. The lost voter is now removed first and the learner added afterwards, so that a learner whose disk is lost as well blocks nothing; the group entry names the awaited address, so that a new leader ends the replacement. A removed voter that stands for election is sent the log. The specification's change of one voter covers both orders and needs no change.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -205,7 +205,8 @@
       leaseRemainingMilliseconds:
         state === undefined ? 0 : replica.leaseRemaining(state, this.options.clock.monotonic()),
       commitIndex: state?.commitIndex ?? 0,
-      voters: state === undefined ? [] : replica.voters(state).map((voter) => voter.replicaId),
+      voters:
+        state === undefined ? [] : replica.committedVoters(state).map((voter) => voter.replicaId),
       revision: this.store.current.revision,
       peers: this.directory.status(),
     };
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -24,7 +24,10 @@
 const counter = zod.int().min(0);
 const bytes = zod.instanceof(Uint8Array);
 const member = zod.object({ replicaId: zod.string(), address: zod.string() });
-const group = zod.object({ voters: zod.array(member) });
+const group = zod.object({
+  voters: zod.array(member),
+  awaited: zod.array(zod.string()).optional(),
+});
 const publishRecord = zod.object({
   revision: counter,
   publishId: zod.string(),
--- a/src/replica/entry.ts
+++ b/src/replica/entry.ts
@@ -8,6 +8,8 @@
 /** The replicas whose majority decides. */
 export interface Group {
   readonly voters: readonly Member[];
+  /** Addresses of learners for whose sake a voter was removed and that are not voters yet. */
+  readonly awaited?: readonly string[];
 }
 
 export enum EntryKind {
--- a/src/replica/membership-change.ts
+++ b/src/replica/membership-change.ts
@@ -11,8 +11,11 @@
 // A learner that went away must not be kept in the leader's memory.
 const LEARNER_TIMEOUT_MILLISECONDS = 10_000;
 
-/** Starts to send the log to a replica that is not a voter. */
-export function onJoin(step: steps.Step, request: message.Join): steps.Step {
+/**
+ * Starts to send the log to a replica that is not a voter: a new one that asks to join, or one that was
+ * removed while it was cut off and stands for election because it does not know.
+ */
+export function onJoin(step: steps.Step, request: message.Join | message.PreVote): steps.Step {
   const { state, context } = step;
   const { replicaId } = request.from;
   if (state.role !== states.Role.Leader || state.progress.has(replicaId)) {
@@ -24,10 +27,11 @@
 }
 
 /**
- * Replaces a voter whose disk was lost: a learner at its address becomes a voter once it has every
- * committed entry, and only then the old id is removed. One change at a time, and only after an entry of
- * the own term is committed, because two majorities of concurrent changes need not overlap (Ongaro,
- * "Consensus: Bridging Theory and Practice", section 4.1, and its correction of July 2015).
+ * Replaces a voter whose disk was lost: once a learner has every committed entry, the old id is removed,
+ * and only then the learner becomes a voter. In this order each VM counts once, so that a learner whose disk
+ * is lost as well blocks nothing. One change at a time, and only after an entry of the own term is
+ * committed, because two majorities of concurrent changes need not overlap (Ongaro, "Consensus: Bridging
+ * Theory and Practice", section 4.1, and its correction of July 2015).
  */
 export function advance(step: steps.Step): steps.Step {
   const { state } = step;
@@ -35,62 +39,82 @@
     return step;
   }
   const kept = dropSilentLearners(step);
-  const changedAt = state.groups.last()?.index ?? 0;
-  const isSettled =
-    changedAt <= state.commitIndex && logs.termAt(state.log, state.commitIndex) === state.term;
-  if (!isSettled) {
-    return kept;
-  }
-  const replaced = replacedVoter(kept);
+  return isSettled(state) ? changeOne(kept) : kept;
+}
+
+function isSettled({ groups, commitIndex, log, term }: states.ReplicaState): boolean {
+  const changedAt = groups.last()?.index ?? 0;
+  return changedAt <= commitIndex && logs.termAt(log, commitIndex) === term;
+}
+
+function changeOne(step: steps.Step): steps.Step {
+  const learners = readyLearners(step);
+  const replaced = learners.flatMap((learner) => {
+    const voter = replacedBy(step, learner);
+    return voter === undefined ? [] : [{ voter, learner }];
+  })[0];
   if (replaced !== undefined) {
-    return remove(kept, replaced);
+    return remove(step, replaced.voter, [replaced.learner.address]);
   }
-  const learner = readyLearner(kept);
-  return learner === undefined ? kept : add(kept, learner);
+  const spare = spareVoter(step);
+  if (spare !== undefined) {
+    return remove(step, spare, []);
+  }
+  const learner = learners.find((ready) => hasPlace(step.state, ready));
+  return learner === undefined ? step : add(step, learner);
 }
 
-/**
- * A voter whose address has a newer voter, since it has lost its disk and can never return, or one that is
- * silent while there are more voters than wanted.
- */
-function replacedVoter(step: steps.Step): entry.Member | undefined {
-  const voters = states.voters(step.state);
+/** Whether the learner can become a voter without another removal. */
+function hasPlace(state: states.ReplicaState, learner: entry.Member): boolean {
+  const { targetVoters } = state.parameters;
+  return targetVoters > 0
+    ? states.voters(state).length < targetVoters
+    : states.awaited(state).includes(learner.address);
+}
+
+/** The voter that is not heard and whose place the learner can take. */
+function replacedBy(step: steps.Step, learner: entry.Member): entry.Member | undefined {
+  return hasPlace(step.state, learner)
+    ? undefined
+    : states
+        .voters(step.state)
+        .find((voter) => isRemovable(step, voter) && takesPlace(step, learner, voter));
+}
+
+/** A voter that is not heard while there are more voters than wanted. */
+function spareVoter(step: steps.Step): entry.Member | undefined {
   const { targetVoters } = step.state.parameters;
-  const hasSpare = targetVoters > 0 && voters.length > targetVoters;
-  return voters.find(
-    (old, position) =>
-      (hasSpare || voters.slice(position + 1).some((newer) => newer.address === old.address)) &&
-      !isAlive(step, old.replicaId),
-  );
+  const voters = states.voters(step.state);
+  return targetVoters > 0 && voters.length > targetVoters
+    ? voters.find((voter) => isRemovable(step, voter))
+    : undefined;
 }
 
-/** A learner that has every committed entry and a place among the voters. */
-function readyLearner(step: steps.Step): entry.Member | undefined {
-  const { state } = step;
-  const found = [...state.progress.values()].find(
-    ({ member, matchIndex }) =>
-      !states.isVoter(state, member.replicaId) &&
-      hasPlace(step, member) &&
-      isAlive(step, member.replicaId) &&
-      matchIndex >= state.commitIndex &&
-      isMajorityAliveWith(step, member.replicaId),
+function isRemovable(step: steps.Step, voter: entry.Member): boolean {
+  return !isAlive(step, voter.replicaId) && isMajorityAlive(step, without(step, voter));
+}
+
+/** A new disk at the same address shows that the old one is lost; elsewhere only long silence counts. */
+function takesPlace(step: steps.Step, learner: entry.Member, voter: entry.Member): boolean {
+  const { replaceMilliseconds } = step.state.parameters;
+  return (
+    voter.address === learner.address ||
+    (replaceMilliseconds > 0 && isSilent(step, voter.replicaId, replaceMilliseconds))
   );
-  return found?.member;
 }
 
-/** Whether voters are wanting, or the learner can take the place of a voter that is not heard any longer. */
-function hasPlace(step: steps.Step, learner: entry.Member): boolean {
+/** Learners that have every committed entry, and with which the group can commit. */
+function readyLearners(step: steps.Step): readonly entry.Member[] {
   const { state } = step;
-  const { targetVoters, replaceMilliseconds } = state.parameters;
-  const voters = states.voters(state);
-  return (
-    voters.length < targetVoters ||
-    voters.some((voter) =>
-      voter.address === learner.address
-        ? !isAlive(step, voter.replicaId)
-        : replaceMilliseconds > 0 && isSilent(step, voter.replicaId, replaceMilliseconds),
+  return [...state.progress.values()]
+    .filter(
+      ({ member, matchIndex }) =>
+        !states.isVoter(state, member.replicaId) &&
+        isAlive(step, member.replicaId) &&
+        matchIndex >= state.commitIndex &&
+        isMajorityAlive(step, [...states.voters(state), member]),
     )
-  );
+    .map(({ member }) => member);
 }
 
 function isSilent(step: steps.Step, replicaId: string, milliseconds: number): boolean {
@@ -99,11 +123,14 @@
   );
 }
 
-/** The group with the learner must be able to commit, or the change would block it. */
-function isMajorityAliveWith(step: steps.Step, learnerId: string): boolean {
-  const ids = [...states.voters(step.state).map((voter) => voter.replicaId), learnerId];
-  const alive = ids.filter((replicaId) => isAlive(step, replicaId));
-  return alive.length * 2 > ids.length;
+/** A change to voters that cannot commit would block the group. */
+function isMajorityAlive(step: steps.Step, voters: readonly entry.Member[]): boolean {
+  const alive = voters.filter((voter) => isAlive(step, voter.replicaId));
+  return alive.length * 2 > voters.length;
+}
+
+function without(step: steps.Step, member: entry.Member): readonly entry.Member[] {
+  return states.voters(step.state).filter((voter) => voter.replicaId !== member.replicaId);
 }
 
 function isAlive(step: steps.Step, replicaId: string): boolean {
@@ -115,19 +142,25 @@
 }
 
 function add(step: steps.Step, member: entry.Member): steps.Step {
-  return change(step, [...states.voters(step.state), member], `added ${describe(member)}`);
+  const voters = [...states.voters(step.state), member];
+  const awaited = states.awaited(step.state).filter((address) => address !== member.address);
+  return change(step, { voters, awaited }, `added ${describe(member)}`);
 }
 
-function remove(step: steps.Step, member: entry.Member): steps.Step {
-  const { state } = step;
-  const rest = states.voters(state).filter((voter) => voter.replicaId !== member.replicaId);
-  const next = change(step, rest, `removed ${describe(member)}`);
+function remove(
+  step: steps.Step,
+  member: entry.Member,
+  replacements: readonly string[],
+): steps.Step {
+  const awaited = [...states.awaited(step.state), ...replacements];
+  const group = { voters: without(step, member), awaited };
+  const next = change(step, group, `removed ${describe(member)}`);
   return steps.withState(next, { progress: next.state.progress.delete(member.replicaId) });
 }
 
-function change(step: steps.Step, voters: readonly entry.Member[], detail: string): steps.Step {
+function change(step: steps.Step, group: entry.Group, detail: string): steps.Step {
   const reported = steps.report(step, effects.Notice.GroupChanged, detail);
-  return replication.appendOwn(reported, [{ kind: entry.EntryKind.Group, group: { voters } }]);
+  return replication.appendOwn(reported, [{ kind: entry.EntryKind.Group, group }]);
 }
 
 function dropSilentLearners(step: steps.Step): steps.Step {
--- a/src/replica/state.ts
+++ b/src/replica/state.ts
@@ -24,7 +24,7 @@
   readonly maximumAppendEntries: number;
   readonly maximumAppendBytes: number;
   readonly snapshotChunkBytes: number;
-  /** Learners become voters until there are this many; 0 leaves the number as it was formed. */
+  /** Learners become voters until there are this many; 0 keeps the number as it was formed. */
   readonly targetVoters: number;
   /** Silence after which a learner at another address may take the place of a voter; 0 never. */
   readonly replaceMilliseconds: number;
@@ -174,6 +174,17 @@
   return state.groups.last()?.group.voters ?? [];
 }
 
+/** The voters of the latest group entry that this replica knows to be committed. */
+export function committedVoters(state: ReplicaState): readonly entry.Member[] {
+  const committed = state.groups.filter((known) => known.index <= state.commitIndex);
+  return committed.last()?.group.voters ?? [];
+}
+
+/** Addresses of learners that will take the place of a removed voter. */
+export function awaited(state: ReplicaState): readonly string[] {
+  return state.groups.last()?.group.awaited ?? [];
+}
+
 export function isVoter(state: ReplicaState, replicaId: string): boolean {
   return voters(state).some((voter) => voter.replicaId === replicaId);
 }
--- a/src/replica/update.ts
+++ b/src/replica/update.ts
@@ -62,7 +62,7 @@
   const current = isNewTerm ? election.adoptTerm(step, received.term) : step;
   switch (received.kind) {
     case message.MessageKind.PreVote:
-      return election.onPreVote(current, received);
+      return membershipChange.onJoin(election.onPreVote(current, received), received);
     case message.MessageKind.PreVoteReply:
       return election.onPreVoteReply(current, received);
     case message.MessageKind.Vote:
