Count the grace of a weights version from its naming also on a daemon that starts late

Ruled out: the age itself, which already counted from the naming. Change: the register keeps the naming times of up to three earlier versions, and the check is due when the grace since the naming ends. Before: the new test in test/platform/gateway sends a request to old weights. After: it is refused as not run.

--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -24,6 +24,11 @@
 const counter = zod.int().min(0);
 const bytes = zod.instanceof(Uint8Array);
 const member = zod.object({ replicaId: zod.string(), address: zod.string() });
+const weightsNaming = { version: zod.int(), namedAt: zod.number() };
+const namedWeights = zod.object({
+  ...weightsNaming,
+  earlier: zod.array(zod.object(weightsNaming)).optional(),
+});
 const group = zod.object({
   voters: zod.array(member),
   awaited: zod.array(zod.string()).optional(),
@@ -220,9 +225,7 @@
     kind: zod.literal(PeerMessageKind.RegisterCopy),
     sequence: counter,
     routing: zod.object({ version: zod.int(), text: zod.string() }).optional(),
-    weights: zod.array(
-      zod.tuple([zod.string(), zod.object({ version: zod.int(), namedAt: zod.number() })]),
-    ),
+    weights: zod.array(zod.tuple([zod.string(), namedWeights])),
   }),
   zod.object({
     kind: zod.literal(PeerMessageKind.Broadcast),
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -19,12 +19,21 @@
 }
 
 /** A weights version, and when it was committed. */
-export interface NamedWeights {
+export interface WeightsNaming {
   readonly version: number;
   /** The leader's time in the log entry, in milliseconds since the Unix epoch. */
   readonly namedAt: number;
 }
 
+/** The highest named weights version of a model. */
+export interface NamedWeights extends WeightsNaming {
+  /** The versions before it, oldest first; absent for none. A daemon that starts learns their times here. */
+  readonly earlier?: readonly WeightsNaming[];
+}
+
+// Covers versions that are named each 2 s with a grace of 6 s.
+const EARLIER_VERSIONS = 3;
+
 export const EMPTY_REGISTER: Register = { sequence: 0, weights: immutable.Map() };
 
 /**
@@ -54,10 +63,18 @@
   if (known !== undefined && known.version >= version) {
     return register;
   }
-  const weights = register.weights.set(model, { version, namedAt: timestamp });
+  const weights = register.weights.set(model, {
+    version,
+    namedAt: timestamp,
+    ...(known === undefined ? {} : { earlier: versionsUpTo(known) }),
+  });
   return { ...register, sequence: register.sequence + 1, weights };
 }
 
+function versionsUpTo({ version, namedAt, earlier = [] }: NamedWeights): readonly WeightsNaming[] {
+  return [...earlier, { version, namedAt }].slice(-EARLIER_VERSIONS);
+}
+
 /** A register as it is written to snapshots and sent to daemons. */
 export interface EncodedRegister {
   readonly sequence: number;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -65,10 +65,7 @@
 
   private listener: daemon.HttpListener | undefined;
 
-  /** One for each change of the register whose grace has not ended. */
-  private readonly graceTimers = new Set<clock.Timer>();
-
-  private graceSequence = -1;
+  private graceTimer: clock.Timer | undefined;
 
   private stopping: Promise<void> | undefined;
 
@@ -147,7 +144,7 @@
     const { plane, meter } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
-    own('weights grace', () => this.graceTimers.forEach((timer) => timer.cancel()));
+    own('weights grace', () => this.graceTimer?.cancel());
     own('control plane', () => plane.close());
     own('backend clients', () => pool.close());
     own('decision task', () => this.task.close());
@@ -160,17 +157,15 @@
     this.useRegister(plane.register());
   }
 
-  /** The grace of a version that was just named ends without another change of the register. */
+  /** The grace of a named version ends without another change of the register. */
   private awaitGrace(): void {
     const { time, plane } = this.ports;
-    const timer = time.setTimer(
-      this.options.weightsGraceMilliseconds + TIMER_MARGIN_MILLISECONDS,
-      () => {
-        this.graceTimers.delete(timer);
-        this.useRegister(plane.register());
-      },
-    );
-    this.graceTimers.add(timer);
+    const left = this.source.untilMinimumChanges;
+    this.graceTimer?.cancel();
+    this.graceTimer =
+      left === undefined
+        ? undefined
+        : time.setTimer(left + TIMER_MARGIN_MILLISECONDS, () => this.useRegister(plane.register()));
   }
 
   private ownLoads(): readonly loadExchange.ServerWork[] {
@@ -211,10 +206,7 @@
     if (active !== undefined) {
       this.gateway.useTable(active.table, active.snapshot);
     }
-    if (register.sequence !== this.graceSequence) {
-      this.graceSequence = register.sequence;
-      this.awaitGrace();
-    }
+    this.awaitGrace();
   }
 
   private async listen(): Promise<void> {
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -35,6 +35,11 @@
     return this.active?.snapshot ?? configuration.EMPTY_SNAPSHOT;
   }
 
+  /** Time until the oldest weights version that may get work changes by itself, if it will. */
+  get untilMinimumChanges(): number | undefined {
+    return this.weightsAge.untilNextMilliseconds();
+  }
+
   /** Takes over a register; returns the routing in force when there is one. */
   take(register: control.Register): ActiveRouting | undefined {
     const { routing } = register;
--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -1,12 +1,9 @@
 import * as clock from '../clock';
 import type * as control from '../control';
 
-interface LearnedVersion {
-  readonly version: number;
+interface LearnedVersion extends control.WeightsNaming {
   /** Monotonic time at which this daemon learned of it. */
   readonly learnedAt: number;
-  /** Wall clock of the leader at which it was named. */
-  readonly namedAt: number;
 }
 
 /**
@@ -35,15 +32,29 @@
     return minimum?.version.toString();
   }
 
+  /** Time until a version becomes the oldest that gets work; absent while none is about to. */
+  untilNextMilliseconds(): number | undefined {
+    const left = [...this.learned.values()]
+      .flat()
+      .map((known) => this.graceMilliseconds - this.age(known))
+      .filter((milliseconds) => milliseconds > 0);
+    return left.length === 0 ? undefined : Math.min(...left);
+  }
+
   private withNamed(
     model: string,
     named: control.NamedWeights | undefined,
   ): readonly LearnedVersion[] {
     const known = this.learned.get(model) ?? [];
     const newest = known.at(-1)?.version ?? -Infinity;
-    return named === undefined || named.version <= newest
-      ? known
-      : [...known, { ...named, learnedAt: this.time.monotonic() }];
+    const learnedAt = this.time.monotonic();
+    const added = named === undefined ? [] : [...(named.earlier ?? []), named];
+    return [
+      ...known,
+      ...added
+        .filter(({ version }) => version > newest)
+        .map(({ version, namedAt }) => ({ version, namedAt, learnedAt })),
+    ];
   }
 
   /** Wall clocks differ a little, and a daemon that has just started learned of the version late. */
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as clock from '../../src/clock';
+import * as control from '../../src/control';
 import * as weightsAge from '../../src/gateway/weights-age';
 
 const suite = uvu.suite('age of weights');
@@ -36,4 +37,25 @@
   assert.equal(minimums, [undefined, undefined, '1', '2']);
 });
 
+// Guards against a daemon that starts between two namings and knows only the later one.
+suite('a daemon that has just started knows the earlier versions too', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const first = control.nameWeights(control.EMPTY_REGISTER, 'desk', 2, time.now() - 7_000);
+  const second = control.nameWeights(first, 'desk', 3, time.now() - 1_000);
+  assert.is(age.minimum('desk', second.weights.get('desk')), '2');
+});
+
+// Guards against a check that comes a whole grace after a daemon has learned of a version.
+suite('the next change is due when the grace since the naming ends', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  assert.is(age.untilNextMilliseconds(), undefined);
+  age.minimum('desk', { version: 2, namedAt: time.now() - 4_000 });
+  assert.is(age.untilNextMilliseconds(), 2_000);
+  time.advance(2_000);
+  age.minimum('desk', undefined);
+  assert.is(age.untilNextMilliseconds(), undefined);
+});
+
 suite.run();
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -36,12 +36,13 @@
   constructor(
     private readonly runners: readonly fakeRunner.FakeRunner[],
     private readonly content: object = document(),
+    private readonly weights: control.Register = control.EMPTY_REGISTER,
   ) {}
 
   async run(work: (builder: GatewayBuilder) => Promise<void>): Promise<void> {
     await Promise.all(this.runners.map((runner) => runner.listen()));
     const text = JSON.stringify(this.content);
-    this.plane.current = control.putRouting(control.EMPTY_REGISTER, { version: 1, text });
+    this.plane.current = control.putRouting(this.weights, { version: 1, text });
     this.daemon = await gateway.GatewayDaemon.start(this.ports(), OPTIONS);
     while (!this.daemon.readiness.isReady) {
       await this.time.sleep(5);
@@ -122,6 +123,8 @@
   }
 }
 
+export const WEIGHTS_GRACE_MILLISECONDS = 6_000;
+
 const OPTIONS: gateway.GatewayOptions = {
   zone: 'pl-caudan',
   region: 'port-louis',
@@ -134,7 +137,7 @@
   },
   stop: { loadBalancerMilliseconds: 10, graceMilliseconds: 500 },
   speeds: { prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 100 },
-  weightsGraceMilliseconds: 6_000,
+  weightsGraceMilliseconds: WEIGHTS_GRACE_MILLISECONDS,
   retryBudget: { credit: 10, maximum: 10, ratio: 0.2 },
   maximumRequests: 100,
 };
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as control from '../../src/control';
 import * as fakeRunner from './fake-runner';
 import * as builder from './gateway-builder';
 
@@ -82,6 +83,19 @@
   });
 });
 
+/** Guards against old weights in use a whole grace after a daemon's start, not after the naming. */
+suite('a daemon that starts late gives no work to weights whose grace is over', async () => {
+  const server = runner(fakeRunner.answer('made with version 3'));
+  const namedAt = Date.now() + 300 - builder.WEIGHTS_GRACE_MILLISECONDS;
+  const named = control.nameWeights(control.EMPTY_REGISTER, 'desk-model', 4, namedAt);
+  const started = new builder.GatewayBuilder([server], builder.document(), named);
+  await started.run(async (gateway) => {
+    await gateway.time.sleep(400);
+    assert.is((await gateway.send('GET', '/balance/7')).status, 503);
+    assert.is(server.requests.length, 0);
+  });
+});
+
 /** Guards against a stream that looks whole although its end is missing. */
 suite('a broken stream that must not be repeated is cut, and never sent again', async () => {
   const servers = runners(fakeRunner.stream(3, 'id: 4\nda'));
