Log the first piece and the longest pause of each answer

Change: the line that ends a request tells its pieces, the time of the first one and the longest pause.

--- a/src/gateway/relay-reply.ts
+++ b/src/gateway/relay-reply.ts
@@ -4,6 +4,7 @@
 import * as daemon from '../daemon';
 import * as logging from '../logging';
 import * as verdict from '../verdict';
+import * as pacings from './pacing';
 
 /** What identifies a reply in the logs. */
 export interface ReplyIdentity {
@@ -16,7 +17,7 @@
 export class RelayReply {
   identity: ReplyIdentity = { requestId: '' };
 
-  private readonly startedAt: number;
+  private pacing: pacings.Pacing;
 
   private outcome: logging.LogFields = { reason: verdict.FailureReason.CallerGone };
 
@@ -26,7 +27,7 @@
     /** Asked when the head is written: a daemon that stops sends its callers elsewhere. */
     private readonly closesConnection: () => boolean,
   ) {
-    this.startedAt = time.monotonic();
+    this.pacing = pacings.startPacing(time.monotonic());
     response.once('close', () => this.log());
   }
 
@@ -56,6 +57,7 @@
 
   /** Writes a part of the body; calls `onDrained` later when it returns false. */
   write(bytes: Buffer, onDrained: () => void): boolean {
+    this.pacing = pacings.pieceWritten(this.pacing, this.time.monotonic());
     if (this.isClosed || this.response.write(bytes)) {
       return true;
     }
@@ -113,7 +115,8 @@
     logger.information('request ended', {
       ...this.identity,
       status: this.response.statusCode,
-      durationMilliseconds: Math.round(this.time.monotonic() - this.startedAt),
+      durationMilliseconds: Math.round(this.time.monotonic() - this.pacing.startedAt),
+      ...pacings.pacingFields(this.pacing),
       ...this.outcome,
     });
   }
