--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -97,6 +97,7 @@
   readonly parked: immutable.OrderedSet<string>;
   readonly index: placement.PrefixIndex;
   readonly heat: placement.Heat;
+  readonly promptMixes: placement.PromptMixes;
   readonly timings: health.Timings;
   /** Servers slower than their peers, with how many times. */
   readonly slowdowns: immutable.Map<string, number>;
@@ -130,6 +131,7 @@
     parked: immutable.OrderedSet<string>(),
     index: placement.EMPTY_INDEX,
     heat: placement.EMPTY_HEAT,
+    promptMixes: placement.EMPTY_MIXES,
     timings: health.EMPTY_TIMINGS,
     slowdowns: immutable.Map<string, number>(),
     serviceTimings: immutable.Map<string, ServiceTiming>(),
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -4,6 +4,7 @@
 export * from './cost-rule';
 export * from './heat';
 export * from './prefix-index';
+export * from './prompt-split';
 export * from './rendezvous';
 export * from './server-load';
 export * from './standard-rules';
