--- a/src/decision/cache-source.ts
+++ b/src/decision/cache-source.ts
@@ -1,6 +1,5 @@
-import * as placement from '../placement';
 import * as choosing from './choosing';
-import type * as event from './event';
+import * as knownCache from './known-cache';
 import type * as state from './state';
 import type * as steps from './step';
 
@@ -21,11 +20,15 @@
   const candidates = step
     .pool(profile.service)
     .filter((server) => mayGive(server, choice.server))
-    .map((server) => ({ server, tokens: knownTokens(step, profile, server) }));
-  const best = candidates.reduce<(typeof candidates)[number] | undefined>(
-    (found, next) => (next.tokens > (found?.tokens ?? 0) ? next : found),
-    undefined,
-  );
+    .map((server) => ({
+      server,
+      tokens: choosing.tokensOf(profile, knownCache.knownPieces(step, profile, server)),
+      isNear: server.record.region === choice.server.record.region,
+    }))
+    .sort(
+      (left, right) => right.tokens - left.tokens || Number(right.isNear) - Number(left.isNear),
+    );
+  const [best] = candidates;
   const gain = (best?.tokens ?? 0) - choice.cachedTokens;
   return gain >= MINIMUM_GAIN_TOKENS
     ? best?.server.record.id
@@ -57,20 +60,5 @@
   );
 }
 
-function knownTokens(
-  step: steps.Step,
-  profile: event.RequestProfile,
-  { record, incarnation }: state.ServerState,
-): number {
-  const pieces = placement.cachedPieces(
-    step.state.index,
-    record.id,
-    incarnation,
-    profile.prefixChain,
-    step.at,
-  );
-  return choosing.tokensOf(profile, pieces);
-}
-
 /** Reading this many tokens takes 3 ms, about as long as asking another server for them. */
 const MINIMUM_GAIN_TOKENS = 128;
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -5,6 +5,7 @@
 import * as prefix from '../prefix';
 import type * as candidateFilter from './candidate-filter';
 import type * as event from './event';
+import * as knownCache from './known-cache';
 import * as standardFilters from './standard-filters';
 import * as suspectShare from './suspect-share';
 import type * as state from './state';
@@ -317,13 +318,7 @@
   server: state.ServerState,
 ): Choice {
   const serverId = server.record.id;
-  const cachedPieces = placement.cachedPieces(
-    step.state.index,
-    serverId,
-    server.incarnation,
-    request.profile.prefixChain,
-    step.at,
-  );
+  const cachedPieces = knownCache.knownPieces(step, request.profile, server);
   const cachedTokens = Math.min(
     request.profile.promptTokens,
     tokensOf(request.profile, cachedPieces),
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -1,5 +1,6 @@
 import * as configuration from '../configuration';
 import * as membership from '../membership';
+import type * as placement from '../placement';
 import * as verdict from '../verdict';
 
 /** What the decision core needs to know about a request; never the prompt itself. */
@@ -45,6 +46,7 @@
   RequestCancelled = 'request-cancelled',
   LoadReported = 'load-reported',
   CacheEvicted = 'cache-evicted',
+  PrefixesPlaced = 'prefixes-placed',
   ServerCrashed = 'server-crashed',
   QuarantineReported = 'quarantine-reported',
   Tick = 'tick',
@@ -141,6 +143,12 @@
   readonly memoryTokens?: number;
 }
 
+/** Other daemons have sent prompts to servers. */
+export interface PrefixesPlaced extends EventBase {
+  readonly kind: DecisionEventKind.PrefixesPlaced;
+  readonly placings: readonly placement.Placing[];
+}
+
 export interface CacheEvicted extends EventBase {
   readonly kind: DecisionEventKind.CacheEvicted;
   readonly serverId: string;
@@ -179,6 +187,7 @@
   | RequestCancelled
   | LoadReported
   | CacheEvicted
+  | PrefixesPlaced
   | ServerCrashed
   | QuarantineReported
   | Tick;
--- a/src/decision/fleet.ts
+++ b/src/decision/fleet.ts
@@ -88,6 +88,11 @@
   step.setServer({ ...server, load: placement.applyMeasurement(server.load, measurement) });
 }
 
+/** Takes over where other daemons have sent prefixes. */
+export function applyPlacings(step: steps.Step, { placings }: event.PrefixesPlaced): void {
+  step.change({ peerCache: placement.learnPlacings(step.state.peerCache, placings, step.at) });
+}
+
 /** A cache event is used as negative evidence only. */
 export function applyEviction(step: steps.Step, given: event.CacheEvicted): void {
   const { serverId, incarnation, chainHash } = given;
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -96,6 +96,8 @@
   readonly queues: immutable.Map<string, admission.ServiceQueue>;
   readonly parked: immutable.OrderedSet<string>;
   readonly index: placement.PrefixIndex;
+  /** Where other daemons have sent prefixes. */
+  readonly peerCache: placement.PeerCache;
   readonly heat: placement.Heat;
   readonly promptMixes: placement.PromptMixes;
   readonly timings: health.Timings;
@@ -130,6 +132,7 @@
     queues: immutable.Map<string, admission.ServiceQueue>(),
     parked: immutable.OrderedSet<string>(),
     index: placement.EMPTY_INDEX,
+    peerCache: placement.EMPTY_PEER_CACHE,
     heat: placement.EMPTY_HEAT,
     promptMixes: placement.EMPTY_MIXES,
     timings: health.EMPTY_TIMINGS,
--- a/src/decision/upkeep.ts
+++ b/src/decision/upkeep.ts
@@ -27,6 +27,7 @@
         return load === server.load ? server : { ...server, load };
       }),
       index: placement.pruneIndex(step.state.index, step.at),
+      peerCache: placement.prunePeerCache(step.state.peerCache, step.at),
       heat: placement.pruneHeat(step.state.heat, step.at),
       quarantine: health.prune(step.state.quarantine, step.at),
     });
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -8,6 +8,7 @@
 import * as routing from '../routing';
 import * as controlService from './control-service';
 import * as loadExchange from './load-exchange';
+import * as placingLog from './placing-log';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 import * as weightsAge from './weights-age';
@@ -59,7 +60,11 @@
       false,
     );
     own('membership', () => membership.close());
-    const exchange = new loadExchange.LoadExchange({ plane, time }, noLoads, () => {});
+    const exchange = new loadExchange.LoadExchange(
+      { plane, time, placings: new placingLog.PlacingLog(time, MAXIMUM_HASHES) },
+      noLoads,
+      () => {},
+    );
     own('load exchange', () => exchange.close());
     this.orders = new orders.OrderTask(
       {
@@ -138,5 +143,8 @@
 /** A control daemon takes no requests. */
 const NO_DECISIONS = { feed: () => {}, now: () => 0 };
 
+/** Hashes that the leader passes on at once: what 10 daemons send between two of its messages. */
+const MAXIMUM_HASHES = 512;
+
 /** Daemons learn within this time that an engine is being brought to other weights. */
 const LIST_MILLISECONDS = 100;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -7,6 +7,7 @@
 import * as lifecycle from '../lifecycle';
 import * as logging from '../logging';
 import * as metrics from '../metrics';
+import type * as placement from '../placement';
 import * as routes from '../routes';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
@@ -15,6 +16,7 @@
 import * as gatewayCallers from './gateway-callers';
 import * as nestModule from './gateway-module';
 import * as loadExchange from './load-exchange';
+import * as placingLog from './placing-log';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 import * as silenceWatch from './silence-watch';
@@ -89,10 +91,11 @@
       new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
     );
     const { task, membership } = this;
+    const placings = new placingLog.PlacingLog(time);
     const exchange = new loadExchange.LoadExchange(
-      { plane, time },
+      { plane, time, placings },
       () => this.ownLoads(),
-      (loads) => this.hearLoads(loads),
+      (loads, placed) => this.hearLoads(loads, placed),
     );
     this.lifecycle.own('load exchange', () => exchange.close());
     const silence = new silenceWatch.SilenceWatch(time, membership);
@@ -106,6 +109,7 @@
         time,
         dialect: ports.dialect,
         silence,
+        placings,
         server: (serverId) => membership.server(serverId),
         storeAddress: () => this.gateway.store?.address,
       },
@@ -181,7 +185,12 @@
   }
 
   /** Servers that the sums leave out have no work. */
-  private hearLoads(loads: readonly loadExchange.ServerWork[]): void {
+  private hearLoads(
+    loads: readonly loadExchange.ServerWork[],
+    placings: readonly placement.Placing[],
+  ): void {
+    const kind = decision.DecisionEventKind.PrefixesPlaced;
+    this.task.feed({ kind, at: this.task.now(), placings });
     const { servers } = this.task.current as decision.DecisionState;
     const byServer = new Map(loads.map((load) => [load.serverId, load]));
     servers.forEach(({ incarnation }, serverId) => {
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -2,6 +2,8 @@
 import * as clock from '../clock';
 import * as control from '../control';
 import * as logging from '../logging';
+import type * as placement from '../placement';
+import type * as placingLog from './placing-log';
 
 enum MessageKind {
   /** Work of the sender. */
@@ -22,15 +24,17 @@
 export interface LoadExchangePorts {
   readonly plane: Pick<control.ControlPlane, 'status' | 'broadcast' | 'onBroadcast'>;
   readonly time: clock.Clock;
+  /** Where this daemon has sent prefixes, or, at the leader, where others have. */
+  readonly placings: placingLog.PlacingLog;
 }
 
-type Listener = (loads: readonly ServerWork[]) => void;
+type Listener = (loads: readonly ServerWork[], placings: readonly placement.Placing[]) => void;
 
 /**
  * Load pattern: several daemons send to the same engines, and each sees only its own requests; at the crest
  * of a swing all of them pick the engine that looks idle. Each daemon tells the control leader its requests
- * in flight, and the leader tells all of them the sums. The messages grow with the backend servers, not
- * with the daemons.
+ * in flight and where it has sent prefixes, and the leader tells all of them the sums. The messages grow
+ * with the backend servers, not with the daemons.
  */
 export class LoadExchange {
   /** Work of each daemon, and when it was told. */
@@ -63,9 +67,14 @@
     const kind = isLeader ? MessageKind.Sums : MessageKind.Own;
     const loads = isLeader ? this.sums() : this.ownLoads();
     const text = JSON.stringify(loads);
-    if (text !== this.lastText) {
+    const placings = this.ports.placings.drain();
+    if (text !== this.lastText || placings.length > 0) {
       this.lastText = text;
-      this.ports.plane.broadcast(control.PeerTopic.Load, { kind, loads: loads.map(encode) });
+      this.ports.plane.broadcast(control.PeerTopic.Load, {
+        kind,
+        loads: loads.map(encode),
+        ...(placings.length === 0 ? {} : { placings: placings.map(encodePlacing) }),
+      });
     }
     this.timer = this.ports.time.setTimer(INTERVAL_MILLISECONDS, () => this.tick());
   }
@@ -90,9 +99,11 @@
       return;
     }
     const loads = parsed.data.loads.map(decode);
+    const placings = (parsed.data.placings ?? []).map(decodePlacing);
     if (parsed.data.kind === MessageKind.Sums) {
-      this.onSums(loads);
+      this.onSums(loads, placings);
     } else {
+      placings.forEach((placing) => this.ports.placings.note(placing));
       this.told.set(from, { at: this.ports.time.monotonic(), loads });
     }
   }
@@ -104,8 +115,20 @@
   kind: zod.enum(MessageKind),
   /** Server, requests, prompt tokens whose prefill has not ended, tokens held in memory. */
   loads: zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()])),
+  /** Server, hashes of the prefixes that were sent to it. */
+  placings: zod.array(zod.tuple([zod.string(), zod.array(zod.int())])).optional(),
 });
 
+type EncodedPlacing = [string, number[]];
+
+function encodePlacing({ serverId, hashes }: placement.Placing): EncodedPlacing {
+  return [serverId, [...hashes]];
+}
+
+function decodePlacing([serverId, hashes]: EncodedPlacing): placement.Placing {
+  return { serverId, hashes };
+}
+
 type Encoded = [string, number, number, number];
 
 function encode({ serverId, requests, prefillTokens, memoryTokens }: ServerWork): Encoded {
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -1,12 +1,14 @@
 import * as membership from '../membership';
 import * as routing from '../routing';
 import type * as dialect from './dialect';
+import type * as placingLog from './placing-log';
 import type * as silenceWatch from './silence-watch';
 
 /** What the executions of relayed requests share. */
 export interface RelayContext extends routing.ExecutionContext {
   readonly dialect: dialect.Dialect;
   readonly silence: silenceWatch.SilenceWatch;
+  readonly placings: placingLog.PlacingLog;
   /** A backend server as membership knows it now. */
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
   /** `host:port` of the store of kept KV cache, if there is one. */
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -99,6 +99,7 @@
   ): Promise<verdict.RequestFailure | undefined> {
     const { call, context } = this;
     logDispatch(this.call, effect, known);
+    this.tellPlacing(effect.serverId, known);
     return new Promise((resolve) => {
       const receiver = new answerReceiver.AnswerReceiver(
         {
@@ -134,6 +135,14 @@
     });
   }
 
+  /** Other daemons then have these prefixes copied rather than read again. */
+  private tellPlacing(serverId: string, known: membership.EligibleServer | undefined): void {
+    if (known?.weightsVersion !== undefined && this.call.cacheWall !== undefined) {
+      const hashes = decision.sharedHashes(known.weightsVersion, this.profile.prefixChain);
+      this.context.placings.note({ serverId, hashes });
+    }
+  }
+
   /** The salt names the weights that the server is believed to have; with others it has to refuse. */
   private cacheFacts(
     effect: decision.Dispatch,
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -3,6 +3,7 @@
 export * from './anchor';
 export * from './cost-rule';
 export * from './heat';
+export * from './peer-cache';
 export * from './prefix-index';
 export * from './prompt-split';
 export * from './rendezvous';
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -4,6 +4,8 @@
 import * as clock from '../../src/clock';
 import * as control from '../../src/control';
 import * as loadExchange from '../../src/gateway/load-exchange';
+import * as placingLog from '../../src/gateway/placing-log';
+import type * as placement from '../../src/placement';
 import * as sharedMachineList from '../../src/gateway/shared-machine-list';
 import * as countedList from './counted-list';
 import * as peersModule from './peers';
@@ -66,21 +68,22 @@
   const peers = new peersModule.Peers();
   const time = new clock.ManualClock();
   const work = { serverId: 'i-1', requests: 2, prefillTokens: 100, memoryTokens: 5_000 };
+  const placings = new placingLog.PlacingLog(time);
   let sums: readonly loadExchange.ServerWork[] = [];
   const leader = new loadExchange.LoadExchange(
-    { plane: peers.plane('a', Leader), time },
+    { plane: peers.plane('a', Leader), time, placings: new placingLog.PlacingLog(time) },
     () => [],
     () => {},
   );
   const first = new loadExchange.LoadExchange(
-    { plane: peers.plane('b', None), time },
+    { plane: peers.plane('b', None), time, placings },
     () => [work],
     (loads) => {
       sums = loads;
     },
   );
   const second = new loadExchange.LoadExchange(
-    { plane: peers.plane('c', None), time },
+    { plane: peers.plane('c', None), time, placings: new placingLog.PlacingLog(time) },
     () => [work],
     () => {},
   );
@@ -92,4 +95,34 @@
   leader.close();
 });
 
+// Guards against prefixes that are read again because a daemon knows only its own requests.
+suite('what one daemon has placed reaches the others once', () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const heard: placement.Placing[] = [];
+  const daemons = [Leader, None, None].map((role, place) => {
+    const placings = new placingLog.PlacingLog(time);
+    const plane = peers.plane(String(place), role);
+    const onSums = (_: unknown, given: readonly placement.Placing[]) => heard.push(...given);
+    return {
+      placings,
+      exchange: new loadExchange.LoadExchange({ plane, time, placings }, () => [], onSums),
+    };
+  });
+  daemons[1].placings.note({ serverId: 'i-1', hashes: [7, 8] });
+  time.advance(400);
+  daemons[1].placings.note({ serverId: 'i-1', hashes: [8] });
+  time.advance(400);
+  daemons.forEach(({ exchange }) => exchange.close());
+  assert.equal(heard, Array(2).fill({ serverId: 'i-1', hashes: [7, 8] }));
+});
+
+// Guards against messages that grow with the load.
+suite('a message holds a bounded number of placings', () => {
+  const log = new placingLog.PlacingLog(new clock.ManualClock(), 2);
+  log.note({ serverId: 'i-1', hashes: [1, 2, 3] });
+  assert.equal(log.drain(), [{ serverId: 'i-1', hashes: [1, 2] }]);
+  assert.equal(log.drain(), []);
+});
+
 suite.run();
