--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -26,7 +26,6 @@
     return;
   }
   recordHeat(step, request);
-  recordSize(step, request);
   enqueue(step, request);
 }
 
@@ -125,30 +124,6 @@
   }
 }
 
-/** Learns how the work divides into short and long prompts, where callers limit pauses. */
-function recordSize(step: steps.Step, { profile }: state.RequestState): void {
-  const size = choosing.promptSizeOf(step, profile);
-  if (size !== undefined) {
-    const service = step.state.services.get(profile.service);
-    const cost = engineMilliseconds(service, profile);
-    const { promptMixes } = step.state;
-    step.change({
-      promptMixes: placement.addWork(promptMixes, profile.service, size, cost, step.at),
-    });
-  }
-}
-
-/** Engine time of a request: a prompt is read alone, while a step makes a token of each stream. */
-function engineMilliseconds(
-  service: configuration.ServiceDocument | undefined,
-  { promptTokens, expectedOutputTokens }: event.RequestProfile,
-): number {
-  const reading = (promptTokens / choosing.prefillRate(service)) * 1_000;
-  return reading + expectedOutputTokens * TOKEN_MILLISECONDS;
-}
-
-/** Part of a step of 5 ms that one of ten streams takes. */
-const TOKEN_MILLISECONDS = 0.5;
 /** Most of a prompt is cached when placement works; the learned stretch corrects the rest. */
 const UNCACHED_FRACTION = 0.2;
 const PLAIN_CALL_MILLISECONDS = 20;
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -101,22 +101,11 @@
   return home === undefined ? undefined : step.state.servers.get(home);
 }
 
-/** The size of a request's prompt, where its callers limit the pauses of the answer. */
-export function promptSizeOf(
-  step: steps.Step,
-  { service, promptTokens, longestPauseMilliseconds }: event.RequestProfile,
-): placement.PromptSize | undefined {
-  return longestPauseMilliseconds === undefined
-    ? undefined
-    : placement.promptSize(promptTokens, prefillRate(step.state.services.get(service)));
-}
-
 interface Context {
   readonly slots: number;
   readonly cacheTokens: number;
   readonly prefillTokensPerSecond: number;
   readonly ranks: ReadonlyMap<string, number>;
-  readonly keptForShort: ReadonlySet<string>;
   readonly spread: number;
   /** Pieces of the prompt that other requests with the same anchor probably share. */
   readonly sharedPieces: number;
@@ -218,33 +207,21 @@
   const anchor = profile.prefixChain[anchorDepth - 1] ?? '';
   const wide = profile.prefixChain[placement.wideDepth(profile.prefixChain.length) - 1];
   const serverIds = pool.map((server) => server.record.id);
-  const promptSize = promptSizeOf(step, profile);
-  const keptForShort = placement.serversForShort(
-    step.state.promptMixes,
-    profile.service,
-    serverIds,
-  );
-  const [fitting, others] = partition(
-    serverIds,
-    (serverId) => promptSize === undefined || promptSize === keptFor(keptForShort, serverId),
-  );
-  const rank = (ids: readonly string[]) =>
+  const ranked =
     wide === undefined
-      ? placement.rankServers(anchor, ids)
+      ? placement.rankServers(anchor, serverIds)
       : placement.rankNested(
           wide,
-          WIDE_RESERVE + placement.spread(step.state.heat, wide, ids.length, step.at),
+          WIDE_RESERVE + placement.spread(step.state.heat, wide, pool.length, step.at),
           anchor,
-          ids,
+          serverIds,
         );
-  const ranked = [...rank(fitting), ...rank(others)];
   const total = pool.reduce((sum, server) => sum + placement.totalWork(server.load).requests, 0);
   return {
     slots: service?.slotsPerRunner ?? 1,
     cacheTokens: cacheTokensOf(service),
     prefillTokensPerSecond: prefillRate(service),
-    ranks: new Map(ranked.map((serverId, place) => [serverId, place])),
-    keptForShort,
+    ranks: new Map(ranked.map((serverId, rank) => [serverId, rank])),
     spread: homes(step, pool, ranked, anchor, total / Math.max(1, pool.length)),
     sharedPieces: Math.max(anchorDepth, profile.prefixChain.length - 1),
     meanRequests: total / Math.max(1, pool.length),
@@ -256,29 +233,10 @@
       region: step.state.options.region,
       suspect: isSuspect(step, request),
       failedServers: request.failedServers,
-      promptSize,
     },
   };
 }
 
-/** The size of prompts that a server is kept for; absent when no server is kept for short ones. */
-function keptFor(
-  keptForShort: ReadonlySet<string>,
-  serverId: string,
-): placement.PromptSize | undefined {
-  if (keptForShort.size === 0) {
-    return undefined;
-  }
-  return keptForShort.has(serverId) ? placement.PromptSize.Short : placement.PromptSize.Long;
-}
-
-function partition(
-  serverIds: readonly string[],
-  fits: (serverId: string) => boolean,
-): readonly [readonly string[], readonly string[]] {
-  return [serverIds.filter(fits), serverIds.filter((serverId) => !fits(serverId))];
-}
-
 /** The part of a server's memory that its requests hold or will hold. */
 function memoryUse({ cacheTokens }: Context, { load }: state.ServerState): number {
   return (placement.totalWork(load).memoryTokens ?? 0) / cacheTokens;
@@ -298,8 +256,7 @@
   return newest !== undefined && known < Number(newest);
 }
 
-/** Tokens of a prompt that an engine of the service reads in a second. */
-export function prefillRate(service: configuration.ServiceDocument | undefined): number {
+function prefillRate(service: configuration.ServiceDocument | undefined): number {
   return service?.type === configuration.ServiceType.ModelEngine
     ? service.prefillTokensPerSecond
     : PLAIN_TOKENS_PER_SECOND;
@@ -339,7 +296,6 @@
     suspected: server.record.suspected,
     runsSuspect: server.suspects > 0,
     outdated: isOutdated(server, context.newestWeights),
-    keptFor: keptFor(context.keptForShort, serverId),
   };
   const waiting = placement.totalWork(server.load).prefillTokens;
   const uncached = request.profile.promptTokens - cachedTokens;
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -22,8 +22,6 @@
   /** Estimated prompt length; 0 for plain services. */
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
-  /** Longest pause between two pieces of the answer that callers accept, if they limit it. */
-  readonly longestPauseMilliseconds?: number;
   readonly idempotent: boolean;
   readonly priority: number;
   /** Backend servers that may run the request; by default a bound on useless attempts. */
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -99,7 +99,6 @@
   /** Where other daemons have sent prefixes. */
   readonly peerCache: placement.PeerCache;
   readonly heat: placement.Heat;
-  readonly promptMixes: placement.PromptMixes;
   readonly timings: health.Timings;
   /** Servers slower than their peers, with how many times. */
   readonly slowdowns: immutable.Map<string, number>;
@@ -134,7 +133,6 @@
     index: placement.EMPTY_INDEX,
     peerCache: placement.EMPTY_PEER_CACHE,
     heat: placement.EMPTY_HEAT,
-    promptMixes: placement.EMPTY_MIXES,
     timings: health.EMPTY_TIMINGS,
     slowdowns: immutable.Map<string, number>(),
     serviceTimings: immutable.Map<string, ServiceTiming>(),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -127,7 +127,6 @@
         ...chainOf(facts.parts, wall),
         promptTokens: facts.promptTokens,
         expectedOutputTokens: facts.outputTokens,
-        longestPauseMilliseconds: route.longestPauseMilliseconds,
         idempotent: isRepeatable(route),
         maximumAttempts: route.maximumAttempts,
         priority: team?.priority ?? route.priority,
--- a/src/placement/cost-rule.ts
+++ b/src/placement/cost-rule.ts
@@ -1,4 +1,3 @@
-import type * as promptSplit from './prompt-split';
 import type * as serverLoad from './server-load';
 
 /** The request as far as placement needs it. */
@@ -9,8 +8,6 @@
   readonly region: string;
   readonly suspect: boolean;
   readonly failedServers: readonly string[];
-  /** Present when the callers of the request limit the pauses of its answer. */
-  readonly promptSize?: promptSplit.PromptSize;
 }
 
 /** A server that could take the request now. */
@@ -37,8 +34,6 @@
   readonly runsSuspect: boolean;
   /** Whether other servers of the service already have newer weights. */
   readonly outdated: boolean;
-  /** The size of prompts that the server is kept for; absent when it takes both. */
-  readonly keptFor?: promptSplit.PromptSize;
 }
 
 /**
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -5,7 +5,6 @@
 export * from './heat';
 export * from './peer-cache';
 export * from './prefix-index';
-export * from './prompt-split';
 export * from './rendezvous';
 export * from './server-load';
 export * from './standard-rules';
--- a/src/placement/standard-rules.ts
+++ b/src/placement/standard-rules.ts
@@ -4,7 +4,6 @@
 import * as outdatedCost from './outdated-cost';
 import * as prefillCost from './prefill-cost';
 import * as queueCost from './queue-cost';
-import * as splitCost from './split-cost';
 import * as suspicionCost from './suspicion-cost';
 
 /** The rules that the daemon uses. */
@@ -15,5 +14,4 @@
   new distanceCost.DistanceCost(),
   new suspicionCost.SuspicionCost(),
   new outdatedCost.OutdatedCost(),
-  new splitCost.SplitCost(),
 ];
--- a/src/routes/routing-table.ts
+++ b/src/routes/routing-table.ts
@@ -34,8 +34,6 @@
   readonly isPublic: boolean;
   /** Whether a broken stream may go on at another backend server. */
   readonly isResumable: boolean;
-  /** Longest pause between two events of a stream that callers accept, if they limit it. */
-  readonly longestPauseMilliseconds?: number;
 }
 
 /** A service whose backend servers run a model. */
