--- a/src/orders/parameters.ts
+++ b/src/orders/parameters.ts
@@ -8,6 +8,8 @@
   readonly settleMilliseconds?: number;
   /** Weight loads in execution at the same time, over all services. */
   readonly maximumLoads: number;
+  /** Part of the servers that may load at the same time where this is more than `maximumLoads`. */
+  readonly loadFraction: number;
   /** Time between two read-backs of one server. */
   readonly probeMilliseconds: number;
   /** Age above which an observation is no reason for an order. */
@@ -25,6 +27,7 @@
   longestOrderMilliseconds: 5_000,
   // Loads get slower when more run at once, and every load takes a runner out of service.
   maximumLoads: 2,
+  loadFraction: 0,
   probeMilliseconds: 100,
   observationMilliseconds: 1_000,
   retryMilliseconds: 1_000,
--- a/src/orders/planning.ts
+++ b/src/orders/planning.ts
@@ -53,7 +53,7 @@
     const engine = planned.engines.get(serverId)!;
     const loads = planned.engines.count(conditions.mayBeLoading);
     const capacity = new capacityModule.Capacity(planned);
-    if (loads >= planned.parameters.maximumLoads || !capacity.allowsTakingOut(engine)) {
+    if (loads >= allowedLoads(planned) || !capacity.allowsTakingOut(engine)) {
       return planned;
     }
     const order = orderFor(planned, issuer, engine, event.at);
@@ -64,6 +64,11 @@
   return transaction.create(state, next, emitted);
 }
 
+function allowedLoads({ parameters, engines }: states.OrderState): number {
+  const { maximumLoads, loadFraction } = parameters;
+  return Math.max(maximumLoads, Math.floor(engines.size * loadFraction));
+}
+
 function orderFor(
   state: states.OrderState,
   issuer: states.Issuer,
--- a/test/orders/succession.test.ts
+++ b/test/orders/succession.test.ts
@@ -9,7 +9,11 @@
 const PARAMETERS = { ...orders.DEFAULT_PARAMETERS, settleMilliseconds: 0, maximumLoads: 1 };
 
 /** A leader that has just read back engines with the given weights. */
-function leaderOf(weights: Record<string, string>, desired: string): orders.OrderState {
+function leaderOf(
+  weights: Record<string, string>,
+  desired: string,
+  parameters: Partial<orders.OrderParameters> = {},
+): orders.OrderState {
   const engines = Object.entries(weights).map(([id, weightsVersion]) => ({
     id,
     service: SERVICE,
@@ -35,24 +39,35 @@
   ];
   return events.reduce(
     (state, event) => orders.update(state, event).state,
-    orders.initialState(PARAMETERS),
+    orders.initialState({ ...PARAMETERS, ...parameters }),
   );
 }
 
+/** The engines to which the leader sends orders with its next tick. */
+function ordered(state: orders.OrderState): readonly string[] {
+  const tick = { kind: orders.OrderEventKind.Tick as const, at: 20, leaseEndsAt: 500 };
+  return orders
+    .update(state, tick)
+    .effects.flatMap((effect) =>
+      effect.kind === orders.OrderEffectKind.SendOrder ? [effect.serverId] : [],
+    );
+}
+
 /**
  * Guards against engines that are left out of every roll-out: with a new version every 3 s, the first ones
  * were ordered again each time and the last one kept the first version for 8 s.
  */
 suite('the engine with the oldest weights is ordered first', () => {
-  const state = leaderOf({ a: '9', b: '9', c: '8', d: '10' }, '11');
-  const tick = { kind: orders.OrderEventKind.Tick as const, at: 20, leaseEndsAt: 500 };
-  const sent = orders
-    .update(state, tick)
-    .effects.filter((effect) => effect.kind === orders.OrderEffectKind.SendOrder);
-  assert.equal(
-    sent.map((effect) => effect.serverId),
-    ['c'],
-  );
+  assert.equal(ordered(leaderOf({ a: '9', b: '9', c: '8', d: '10' }, '11')), ['c']);
+});
+
+// Guards against a third of a small service out of work at once, and against slow roll-outs of a large one.
+suite('a large service loads at more servers at the same time', () => {
+  const weights = (count: number) =>
+    Object.fromEntries(Array.from({ length: count }, (_, index) => [`engine-${index}`, '1']));
+  const parameters = { maximumLoads: 2, loadFraction: 2 / 7 };
+  assert.is(ordered(leaderOf(weights(6), '2', parameters)).length, 2);
+  assert.is(ordered(leaderOf(weights(63), '2', parameters)).length, 18);
 });
 
 suite.run();
