Report timer lateness, processor time and memory of a process, and the size of each request

What was missing: an operator could not tell a gateway without processor time from slow engines. Requests wait in the sockets of such a process before it knows of them, so that no histogram of requests shows it. The last line of a request has its prompt and output tokens. No decision is changed.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -1,6 +1,7 @@
 import * as command from '../command';
 import * as lifecycle from '../lifecycle';
 import * as logging from '../logging';
+import * as metrics from '../metrics';
 import * as orders from '../orders';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
@@ -119,6 +120,8 @@
     const { plane, meter, time } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
+    const watch = new metrics.ProcessWatch(time, meter, metrics.processUsage);
+    own('process watch', () => watch.close());
     own('control plane', () => plane.close());
     own('backend clients', () => this.pool.close());
     own('decision task', () => this.task.close());
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -3,6 +3,7 @@
 import * as control from '../control';
 import * as lifecycle from '../lifecycle';
 import * as logging from '../logging';
+import * as metrics from '../metrics';
 import * as orders from '../orders';
 import * as routes from '../routes';
 import * as routing from '../routing';
@@ -44,6 +45,8 @@
     this.service = new controlService.ControlService(plane, time);
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('control plane', () => plane.close());
+    const watch = new metrics.ProcessWatch(time, NO_METRICS, metrics.processUsage);
+    own('process watch', () => watch.close());
     const source = this.followRegister(speeds);
     const pool = new routing.BackendPool(ports.backends);
     own('backend clients', () => pool.close());
@@ -140,6 +143,9 @@
 
 const noLoads = (): readonly loadExchange.ServerWork[] => [];
 
+/** The metrics address belongs to gateways; a control daemon logs its load. */
+const NO_METRICS = new metrics.SilentMetrics();
+
 /** A control daemon takes no requests. */
 const NO_DECISIONS = { feed: () => {}, now: () => 0 };
 
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -148,6 +148,8 @@
     const { plane, meter } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
+    const watch = new metrics.ProcessWatch(this.ports.time, meter, metrics.processUsage);
+    own('process watch', () => watch.close());
     own('weights grace', () => this.graceTimer?.cancel());
     own('control plane', () => plane.close());
     own('backend clients', () => pool.close());
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -82,7 +82,15 @@
     const facts = this.context.dialect.readCaller(incoming.headers);
     const { requestId } = facts;
     const { route, team } = admitted.ok ? admitted.val : {};
-    Object.assign(reply, { identity: { requestId, route: route?.name, team: team?.name } });
+    Object.assign(reply, {
+      identity: {
+        requestId,
+        route: route?.name,
+        team: team?.name,
+        promptTokens: facts.promptTokens,
+        outputTokens: facts.outputTokens,
+      },
+    });
     if (admitted.err) {
       reply.fail(admitted.val);
     } else if (requestId === undefined) {
--- a/src/gateway/relay-reply.ts
+++ b/src/gateway/relay-reply.ts
@@ -11,6 +11,9 @@
   readonly requestId: string;
   readonly route?: string;
   readonly team?: string;
+  /** Size of the request: tokens of the prompt, and of the longest answer that the caller takes. */
+  readonly promptTokens?: number;
+  readonly outputTokens?: number;
 }
 
 /** Writes one answer to a caller and logs how the request ended. */
--- a/src/metrics/index.ts
+++ b/src/metrics/index.ts
@@ -3,3 +3,4 @@
 export * from './statsd-metrics';
 export * from './silent-metrics';
 export * from './text-metrics';
+export * from './process-watch';
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -17,6 +17,15 @@
   Refusals = 'refusals',
 }
 
+/** Names of the gauges, each with its unit. */
+export enum Gauge {
+  /** How late the latest timer of the last seconds fired. */
+  TimerLateness = 'timer_lateness_milliseconds',
+  /** Processor time since the start of the process. */
+  ProcessorTime = 'processor_milliseconds',
+  ResidentBytes = 'resident_bytes',
+}
+
 /** Tags that split a histogram or counter. */
 export interface MetricTags {
   readonly team?: string;
@@ -39,6 +48,9 @@
   /** Adds to a counter. */
   abstract count(counter: Counter, tags: MetricTags, amount?: number): void;
 
+  /** Replaces the value of a gauge. */
+  abstract set(gauge: Gauge, value: number): void;
+
   /** Sends what is buffered and releases the socket. */
   abstract close(): Promise<void>;
 }
--- a/src/metrics/silent-metrics.ts
+++ b/src/metrics/silent-metrics.ts
@@ -6,5 +6,7 @@
 
   override count(): void {}
 
+  override set(): void {}
+
   override async close(): Promise<void> {}
 }
--- a/src/metrics/statsd-metrics.ts
+++ b/src/metrics/statsd-metrics.ts
@@ -32,6 +32,10 @@
     this.client.increment(counter, amount, definedTags(tags));
   }
 
+  override set(gauge: metrics.Gauge, value: number): void {
+    this.client.gauge(gauge, value);
+  }
+
   override close(): Promise<void> {
     return new Promise((resolve) => {
       this.client.close(() => resolve());
--- a/src/metrics/text-metrics.ts
+++ b/src/metrics/text-metrics.ts
@@ -13,6 +13,8 @@
 
   private readonly counters = new Map<metrics.Counter, prometheus.Counter<Tag>>();
 
+  private readonly gauges = new Map<metrics.Gauge, prometheus.Gauge>();
+
   constructor(labels: Readonly<Record<string, string>>) {
     super();
     this.registry.setDefaultLabels(labels);
@@ -28,6 +30,16 @@
         }),
       ),
     );
+    Object.values(metrics.Gauge).forEach((name) =>
+      this.gauges.set(
+        name,
+        new prometheus.Gauge({
+          name: `figline_${name}`,
+          help: `Present ${name.replaceAll('_', ' ')}`,
+          registers: [this.registry],
+        }),
+      ),
+    );
   }
 
   override observe(
@@ -42,6 +54,10 @@
     this.counters.get(counter)?.inc(defined(tags), amount);
   }
 
+  override set(gauge: metrics.Gauge, value: number): void {
+    this.gauges.get(gauge)?.set(value);
+  }
+
   /**
    * All measurements so far.
    *
--- a/test/support/recording-metrics.ts
+++ b/test/support/recording-metrics.ts
@@ -12,5 +12,11 @@
     this.observations.push({ name: counter, tags });
   }
 
+  readonly gauges = new Map<metrics.Gauge, number>();
+
+  override set(gauge: metrics.Gauge, value: number): void {
+    this.gauges.set(gauge, value);
+  }
+
   override async close(): Promise<void> {}
 }
