Send a message to one peer, and changes in place of the whole list of VMs

Cause: with each change of one engine (an order, the end of a load, a silence) the leader sent all VMs to all daemons. Change: the leader tells what has changed since its edition before. A daemon that lacks that edition asks for the whole list and alone gets it (it was sent to all); a daemon that leads anew begins with the whole list. Ruled out: telling less often. Daemons must know of an order at once, or they send work that is refused. Tests: gateway/sharing (three, and a property of the changes), control/control-node. The first fails before: a change of one of 70 VMs took as many bytes as the list.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -177,11 +177,14 @@
   }
 
   override broadcast(topic: controlPlane.PeerTopic, payload: unknown): void {
-    this.network.broadcast({
-      kind: peerMessage.PeerMessageKind.Broadcast,
-      topic,
-      payload,
-    } as wire.WireMessage);
+    this.network.broadcast(topicMessage(topic, payload));
+  }
+
+  override send(daemonId: string, topic: controlPlane.PeerTopic, payload: unknown): void {
+    const address = this.directory.addressOf(daemonId);
+    if (address !== undefined) {
+      this.network.send(address, topicMessage(topic, payload));
+    }
   }
 
   override onBroadcast(topic: controlPlane.PeerTopic, listener: BroadcastListener): () => void {
@@ -528,6 +531,10 @@
   [replica.Role.Stopped]: controlPlane.ReplicaRole.None,
 };
 
+function topicMessage(topic: controlPlane.PeerTopic, payload: unknown): wire.WireMessage {
+  return { kind: peerMessage.PeerMessageKind.Broadcast, topic, payload } as wire.WireMessage;
+}
+
 function toResult(
   result: command.CommandResult | undefined,
   failure: controlPlane.ProposalFailure | undefined,
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -88,7 +88,10 @@
   /** Sends `payload` to every connected peer daemon, without waiting and without a guarantee. */
   abstract broadcast(topic: PeerTopic, payload: unknown): void;
 
-  /** Calls `listener` for each broadcast of a peer; the payload is unchecked data. */
+  /** Sends `payload` to one peer daemon if it is connected, without waiting and without a guarantee. */
+  abstract send(daemonId: string, topic: PeerTopic, payload: unknown): void;
+
+  /** Calls `listener` for each message that a peer broadcasts or sends to this daemon; the payload is unchecked data. */
   abstract onBroadcast(
     topic: PeerTopic,
     listener: (payload: unknown, fromDaemonId: string) => void,
--- a/src/control/peer-directory.ts
+++ b/src/control/peer-directory.ts
@@ -53,6 +53,13 @@
     }
   }
 
+  /** Where a connected peer listens. */
+  addressOf(daemonId: string): string | undefined {
+    return [...this.peers.values()].find(
+      ({ identity, connected }) => connected && identity.daemonId === daemonId,
+    )?.identity.address;
+  }
+
   /** Whether every connected peer has told what it has, and none has a higher revision or register. */
   isNoneAbove(revision: number, register: number): boolean {
     return [...this.peers.values()]
--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -5,10 +5,11 @@
 import * as control from '../control';
 import * as logging from '../logging';
 import * as verdict from '../verdict';
+import * as machineChanges from './machine-changes';
 
 /** What the list works with. */
 export interface SharedListPorts {
-  readonly plane: Pick<control.ControlPlane, 'status' | 'broadcast' | 'onBroadcast'>;
+  readonly plane: Pick<control.ControlPlane, 'status' | 'send' | 'broadcast' | 'onBroadcast'>;
   /** The platform's list itself. */
   readonly source: backend.MachineList;
   readonly time: clock.Clock;
@@ -20,7 +21,8 @@
 
 /**
  * The platform's list, read by one daemon for all: the control leader reads it and sends its peers what
- * changed. A daemon that hears nothing for a while reads the list itself.
+ * changed. A daemon that lacks the edition before asks the leader for the whole list; one that hears nothing
+ * for a while reads the list itself.
  */
 export class SharedMachineList extends backend.MachineList {
   private machines: readonly backend.MachineRecord[] | undefined;
@@ -31,7 +33,10 @@
   /** Starts from the clock, so that a restarted leader does not repeat an edition. */
   private editions: number;
 
-  private toldText = '';
+  /** What this daemon told its peers last while it led, and the name of that edition. */
+  private told: readonly backend.MachineRecord[] | undefined;
+
+  private toldEdition = '';
 
   private heardAt = Number.NEGATIVE_INFINITY;
 
@@ -39,15 +44,15 @@
 
   private toldAt = Number.NEGATIVE_INFINITY;
 
-  private isFullWanted = false;
+  private askedAt = Number.NEGATIVE_INFINITY;
 
   private readonly unsubscribe: () => void;
 
   constructor(private readonly ports: SharedListPorts) {
     super();
     this.editions = ports.time.now();
-    this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Machines, (payload) =>
-      this.hear(payload),
+    this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Machines, (payload, from) =>
+      this.hear(payload, from),
     );
   }
 
@@ -57,6 +62,7 @@
     if (isLeader) {
       return this.readAndTell(now);
     }
+    this.told = undefined;
     const isFresh = now - this.heardAt < SILENCE_MILLISECONDS;
     return isFresh && this.machines !== undefined
       ? new results.Ok(this.machines)
@@ -74,9 +80,7 @@
     }
     const { annotate = (record) => record } = this.ports;
     const annotated = result.val.map(annotate);
-    const text = JSON.stringify(annotated);
-    this.tell(annotated, text !== this.toldText || this.isFullWanted, now);
-    this.toldText = text;
+    this.tell(annotated, now);
     return new results.Ok(annotated);
   }
 
@@ -95,34 +99,67 @@
     return result.ok && this.machines !== undefined ? new results.Ok(this.machines) : result;
   }
 
-  private tell(machines: readonly backend.MachineRecord[], isFull: boolean, now: number): void {
-    if (isFull || now - this.toldAt >= REPEAT_MILLISECONDS) {
-      this.toldAt = now;
-      this.isFullWanted = false;
-      this.editions += isFull ? 1 : 0;
-      this.edition = `${this.ports.plane.status().daemonId}/${this.editions}`;
-      const payload = { edition: this.edition, ...(isFull ? { machines } : {}) };
-      this.ports.plane.broadcast(control.PeerTopic.Machines, payload);
+  private tell(machines: readonly backend.MachineRecord[], now: number): void {
+    const before = this.told;
+    const changes = machineChanges.changesBetween(before ?? [], machines);
+    const isChanged = changes.changed.length > 0 || changes.removed.length > 0;
+    if (before !== undefined && !isChanged) {
+      if (now - this.toldAt >= REPEAT_MILLISECONDS) {
+        this.broadcast({ edition: this.toldEdition }, now);
+      }
+      return;
     }
+    const base = this.toldEdition;
+    this.editions += 1;
+    const edition = `${this.ports.plane.status().daemonId}/${this.editions}`;
+    this.told = machines;
+    this.toldEdition = edition;
+    this.broadcast(before === undefined ? { edition, machines } : { edition, base, changes }, now);
+  }
+
+  private broadcast(payload: object, now: number): void {
+    this.toldAt = now;
+    this.ports.plane.broadcast(control.PeerTopic.Machines, payload);
   }
 
-  private hear(payload: unknown): void {
+  private hear(payload: unknown, from: string): void {
     const parsed = messageSchema.safeParse(payload);
     if (!parsed.success) {
       logger.warning('peer sent a malformed list of VMs');
       return;
     }
-    const { edition, machines, wanted } = parsed.data;
+    const { edition, machines, base, changes, wanted } = parsed.data;
     if (wanted === true) {
-      this.isFullWanted = true;
+      this.sendWhole(from);
     } else if (machines !== undefined) {
-      this.machines = machines;
-      this.edition = edition;
-      this.heardAt = this.ports.time.monotonic();
+      this.take(machines, edition);
+    } else if (changes !== undefined && base === this.edition && this.machines !== undefined) {
+      this.take(machineChanges.applyChanges(this.machines, changes), edition);
     } else if (edition === this.edition) {
       this.heardAt = this.ports.time.monotonic();
     } else {
-      this.ports.plane.broadcast(control.PeerTopic.Machines, { edition: '', wanted: true });
+      this.askForWhole(from);
+    }
+  }
+
+  private take(machines: readonly backend.MachineRecord[], edition: string): void {
+    this.machines = machines;
+    this.edition = edition;
+    this.heardAt = this.ports.time.monotonic();
+  }
+
+  private sendWhole(to: string): void {
+    if (this.told !== undefined) {
+      const payload = { edition: this.toldEdition, machines: this.told };
+      this.ports.plane.send(to, control.PeerTopic.Machines, payload);
+    }
+  }
+
+  private askForWhole(from: string): void {
+    const now = this.ports.time.monotonic();
+    if (now - this.askedAt >= ASK_MILLISECONDS) {
+      this.askedAt = now;
+      this.ports.plane.send(from, control.PeerTopic.Machines, { edition: '', wanted: true });
     }
   }
 }
@@ -145,8 +182,13 @@
 
 const messageSchema = zod.object({
   edition: zod.string(),
-  /** The whole list; absent when nothing has changed since the edition. */
+  /** The whole list. */
   machines: zod.array(recordSchema).optional(),
+  /** The edition that the changes apply to. */
+  base: zod.string().optional(),
+  changes: zod
+    .object({ changed: zod.array(recordSchema), removed: zod.array(zod.string()) })
+    .optional(),
   /** Asks the leader for the whole list. */
   wanted: zod.boolean().optional(),
 });
@@ -166,3 +208,6 @@
 const ALONE_MILLISECONDS = 1_000;
 
 const REPEAT_MILLISECONDS = 800;
+
+// Two ways between regions, and the turn of a busy leader.
+const ASK_MILLISECONDS = 200;
--- a/test/control/control-node.test.ts
+++ b/test/control/control-node.test.ts
@@ -121,6 +121,23 @@
   await group.close();
 });
 
+/** Guards against messages for one daemon that all others get as well. */
+suite('a message to one daemon reaches it alone', async () => {
+  const group = await builder.TestGroup.start(1, 2);
+  const received: number[] = [];
+  group.nodes.forEach((node, index) =>
+    node.onBroadcast(control.PeerTopic.Machines, () => received.push(index)),
+  );
+  await builder.until(() => connected(group.nodes[0]) === 2);
+  const [, second, third] = group.nodes.map((node) => node.status().daemonId);
+  group.nodes[0].send('unknown', control.PeerTopic.Machines, {});
+  group.nodes[0].send(third, control.PeerTopic.Machines, {});
+  group.nodes[0].send(second, control.PeerTopic.Machines, {});
+  await builder.until(() => received.length >= 2);
+  assert.equal(received.sort(), [1, 2]);
+  await group.close();
+});
+
 /** Guards against a proposal that waits for ever, or is said to have failed when it may be committed. */
 suite('without a replica in reach a proposal ends at its time limit', async () => {
   const group = await builder.TestGroup.start(0, 1);
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -1,9 +1,11 @@
+import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import type * as backend from '../../src/backend';
 import * as clock from '../../src/clock';
 import * as control from '../../src/control';
 import * as loadExchange from '../../src/gateway/load-exchange';
+import * as machineChanges from '../../src/gateway/machine-changes';
 import * as placingLog from '../../src/gateway/placing-log';
 import type * as placement from '../../src/placement';
 import * as sharedMachineList from '../../src/gateway/shared-machine-list';
@@ -63,6 +65,85 @@
   assert.is(source.reads, 3);
 });
 
+/** A list of VMs of one service. */
+function machines(count: number): readonly backend.MachineRecord[] {
+  return Array.from({ length: count }, (_, index) => ({ ...countedList.RECORD, id: `i-${index}` }));
+}
+
+// Guards against messages that grow with the servers: a roll-out changes one of them every few milliseconds.
+suite('a change of one VM is told without the others', async () => {
+  const { peers, time, source, leader, other } = readers();
+  source.records = machines(70);
+  await leader.read();
+  const whole = peers.bytes;
+  source.records = [...machines(69), { ...countedList.RECORD, id: 'i-70', weightsVersion: '2' }];
+  time.advance(500);
+  await leader.read();
+  assert.ok(peers.bytes - whole < whole / 20, `${peers.bytes - whole} of ${whole} bytes`);
+  assert.equal((await other.read()).unwrap(), source.records);
+});
+
+// Guards against daemons that restart one after the other, each of which has the list sent to all.
+suite('the whole list goes to the daemon that lacks it alone', async () => {
+  const { peers, time, source, leader, other } = readers();
+  source.records = machines(70);
+  await leader.read();
+  const whole = peers.bytes;
+  const late = new sharedMachineList.SharedMachineList({
+    plane: peers.plane('c', None),
+    source: new countedList.CountedList(),
+    time,
+  });
+  time.advance(900);
+  await leader.read();
+  assert.ok(peers.bytes < 2 * whole + 500, `${peers.bytes} bytes`);
+  assert.equal((await late.read()).unwrap(), source.records);
+  assert.equal((await other.read()).unwrap(), source.records);
+});
+
+// Guards against a daemon that leads again and tells changes to a list that its peers no longer have.
+suite('a daemon that leads again tells the whole list', async () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const source = new countedList.CountedList();
+  const first = peers.plane('a', Leader);
+  const second = peers.plane('b', None);
+  const [former, latter] = [first, second].map(
+    (plane) => new sharedMachineList.SharedMachineList({ plane, source, time }),
+  );
+  await former.read();
+  Object.assign(first.status(), { role: None });
+  Object.assign(second.status(), { role: Leader });
+  source.records = machines(3);
+  time.advance(500);
+  await latter.read();
+  assert.equal((await former.read()).unwrap(), source.records);
+  Object.assign(first.status(), { role: Leader });
+  Object.assign(second.status(), { role: None });
+  source.records = machines(2);
+  time.advance(500);
+  await former.read();
+  assert.equal((await latter.read()).unwrap(), source.records);
+});
+
+// Guards against a copy that differs from the list after a row of changes.
+suite('applied changes lead to the next list', () => {
+  const id = fastCheck.integer({ min: 0, max: 9 }).map((index) => `i-${index}`);
+  const record = fastCheck
+    .record({ id, weightsVersion: fastCheck.constantFrom('1', '2') })
+    .map((fields) => ({ ...countedList.RECORD, ...fields }));
+  const list = fastCheck.uniqueArray(record, { selector: (entry) => entry.id });
+  fastCheck.assert(
+    fastCheck.property(list, list, (before, after) => {
+      const changes = machineChanges.changesBetween(before, after);
+      const byId = (records: readonly backend.MachineRecord[]) =>
+        [...records].sort((left, right) => left.id.localeCompare(right.id));
+      assert.equal(byId(machineChanges.applyChanges(before, changes)), byId(after));
+    }),
+    { seed: 14, numRuns: 300 },
+  );
+});
+
 // Guards against daemons that all fill the engine that looks idle to each of them.
 suite('sums of all daemons reach each of them, and work of a stopped one is forgotten', () => {
   const peers = new peersModule.Peers();
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -63,6 +63,12 @@
       .forEach((plane) => plane.hear(topic, payload, this.daemonId));
   }
 
+  override send(daemonId: string, topic: control.PeerTopic, payload: unknown): void {
+    [...this.shared.planes]
+      .filter((plane) => plane.daemonId === daemonId && !plane.isCutOff && !this.isCutOff)
+      .forEach((plane) => plane.hear(topic, payload, this.daemonId));
+  }
+
   override onBroadcast(topic: control.PeerTopic, listener: Listener): () => void {
     const listeners = this.listeners.get(topic) ?? new Set();
     this.listeners.set(topic, listeners.add(listener));
