--- a/src/clock/manual-clock.ts
+++ b/src/clock/manual-clock.ts
@@ -10,6 +10,8 @@
 export class ManualClock extends clock.Clock {
   private time: number;
 
+  private suspended = 0;
+
   private nextSequence = 0;
 
   private pending: PendingTimer[] = [];
@@ -20,7 +22,7 @@
   }
 
   override now(): number {
-    return this.time;
+    return this.time + this.suspended;
   }
 
   override monotonic(): number {
@@ -53,6 +55,16 @@
     this.time = end;
   }
 
+  /**
+   * Moves the wall clock alone, as a suspension of the VM does: neither monotonic time nor timers count it.
+   *
+   * @example
+   * manualClock.suspend(5_000);
+   */
+  suspend(milliseconds: number): void {
+    this.suspended += milliseconds;
+  }
+
   private takeDue(end: number): PendingTimer | undefined {
     const [next] = this.pending
       .filter((timer) => timer.due <= end)
--- a/test/control/group-builder.ts
+++ b/test/control/group-builder.ts
@@ -20,15 +20,20 @@
 
   replicas: string[] = [];
 
-  private constructor(readonly folder: string) {}
+  private constructor(
+    readonly folder: string,
+    private readonly clocks: readonly clock.Clock[],
+  ) {}
 
   /** Starts `replicas` nodes with a data folder and `others` without one. */
   static async start(
     replicas: number,
     others = 0,
     fileSystems: readonly storage.FileSystem[] = [],
+    clocks: readonly clock.Clock[] = [],
   ): Promise<TestGroup> {
-    const group = new TestGroup(await fs.mkdtemp(path.join(os.tmpdir(), 'figline-control-')));
+    const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'figline-control-'));
+    const group = new TestGroup(folder, clocks);
     for (let index = 0; index < replicas + others; index += 1) {
       const options = group.options(index, index < replicas);
       const node = new control.ControlNode({ ...options, fileSystem: fileSystems[index] });
@@ -61,7 +66,7 @@
       replicas: this.replicas,
       preSharedKey: PRE_SHARED_KEY,
       dataFolder: hasFolder ? this.folderOf(index) : undefined,
-      clock: time,
+      clock: this.clocks[index] ?? time,
       random: new clock.SystemRandomSource(),
       lifecycle: new lifecycle.LifecycleManager(time),
     };
--- a/test/control/lease.test.ts
+++ b/test/control/lease.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as suspendableClock from '../support/suspendable-clock';
 import * as builder from './group-builder';
 
 const suite = uvu.suite('lease of the control leader');
@@ -15,4 +16,22 @@
   await group.close();
 });
 
+/** Guards against orders of a leader whose VM was suspended while the others elected another one. */
+suite('a leader that was suspended has no lease when it goes on', async () => {
+  const clocks = [0, 1, 2].map(() => new suspendableClock.SuspendableClock());
+  const group = await builder.TestGroup.start(3, 0, [], clocks);
+  const leaseOf = (index: number) => group.nodes[index].status().leaseRemainingMilliseconds ?? 0;
+  let left: number | undefined;
+  await builder.until(() => {
+    const holder = [0, 1, 2].find((index) => leaseOf(index) > 0);
+    if (holder !== undefined) {
+      clocks[holder].suspend(5_000);
+      left = leaseOf(holder);
+    }
+    return holder !== undefined;
+  });
+  await group.close();
+  assert.is(left, 0);
+});
+
 suite.run();
--- a/test/control/register.test.ts
+++ b/test/control/register.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as control from '../../src/control';
+import * as suspendableClock from '../support/suspendable-clock';
 import * as failingFileSystem from './failing-file-system';
 import * as builder from './group-builder';
 
@@ -59,6 +60,26 @@
   },
 );
 
+/** Guards against a time stamp of a clock ahead that makes weights look just named to a daemon that starts. */
+suite('a daemon that starts learns the age of a naming from its peers, not its date', async () => {
+  const clocks = [0, 1, 2].map(() => new suspendableClock.SuspendableClock());
+  clocks.forEach((ahead) => ahead.suspend(3_600_000));
+  const group = await builder.TestGroup.start(3, 0, [], clocks);
+  const named = await group.nodes[0].propose(
+    { kind: NameWeights, model: 'desk', version: 2 },
+    10_000,
+  );
+  assert.ok(named.ok);
+  const acknowledgedAt = Date.now();
+  await clocks[0].sleep(100);
+  const age = Date.now() - acknowledgedAt;
+  const late = await group.restart(3);
+  await builder.until(() => late.register().sequence === 1);
+  const { namedAt = Infinity } = late.register().weights.get('desk') ?? {};
+  await group.close();
+  assert.ok(Date.now() - namedAt >= age, `named at ${namedAt}`);
+});
+
 /** Guards against a disk that was full for a moment and leaves its replica silent for ever. */
 suite('a replica whose disk failed votes again once the disk works', async () => {
   const disk = new failingFileSystem.FailingFileSystem();
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -58,4 +58,25 @@
   assert.is(age.untilNextMilliseconds(), undefined);
 });
 
+// Guards against a daemon that learns of a burst at once and lacks the one version whose grace is over.
+suite('a burst of namings leaves the version known whose grace is over', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const register = [7_000, 1_000, 900, 800, 700, 600].reduce(
+    (named, ago, index) => control.nameWeights(named, 'desk', index + 2, time.now() - ago),
+    control.EMPTY_REGISTER,
+  );
+  assert.is(age.minimum('desk', register.weights.get('desk')), '2');
+});
+
+// Guards against a wall clock ahead of the daemon's own, at the leader, that hides a suspension.
+suite('a suspension counts although the clocks of two VMs differ', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const named = { version: 2, namedAt: time.now() + 3_000 };
+  assert.is(age.minimum('desk', named), undefined);
+  time.suspend(6_000);
+  assert.is(age.minimum('desk', named), '2');
+});
+
 suite.run();
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -24,8 +24,6 @@
 
 /** A gateway in this process in front of scripted runners. */
 export class GatewayBuilder {
-  readonly time = new clock.SystemClock();
-
   readonly plane = new registerPlane.RegisterPlane(
     new fakeControlState.FakeControlState(),
     'gateway-1',
@@ -37,6 +35,7 @@
     private readonly runners: readonly fakeRunner.FakeRunner[],
     private readonly content: object = document(),
     private readonly weights: control.Register = control.EMPTY_REGISTER,
+    readonly time: clock.Clock = new clock.SystemClock(),
   ) {}
 
   async run(work: (builder: GatewayBuilder) => Promise<void>): Promise<void> {
@@ -125,6 +124,9 @@
 
 export const WEIGHTS_GRACE_MILLISECONDS = 6_000;
 
+/** From this time after a naming, requests must not begin on older weights. */
+export const WEIGHTS_LIMIT_MILLISECONDS = 8_000;
+
 const OPTIONS: gateway.GatewayOptions = {
   zone: 'pl-caudan',
   region: 'port-louis',
@@ -143,8 +145,13 @@
 };
 
 /** A routing document with a resumable stream, a charge that may run once, and a look-up. */
-export function document(): object {
-  const base = { host: 'desk.example', timeout_ms: 2_000, max_attempts: 2, service: 'desk' };
+export function document(timeoutMilliseconds = 2_000): object {
+  const base = {
+    host: 'desk.example',
+    timeout_ms: timeoutMilliseconds,
+    max_attempts: 2,
+    service: 'desk',
+  };
   const engine = { slots: 8, kv_capacity_tokens: 80_000, kv_token_bytes: 1, link_mbps: 1 };
   return {
     version: 1,
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as control from '../../src/control';
+import * as suspendableClock from '../support/suspendable-clock';
 import * as fakeRunner from './fake-runner';
 import * as builder from './gateway-builder';
 
@@ -96,6 +97,23 @@
   });
 });
 
+/** Guards against a timer that does not count a suspension, so that old weights stay in use after it. */
+suite(
+  'a daemon that was suspended gives no work to weights whose grace ended meanwhile',
+  async () => {
+    const server = runner(fakeRunner.answer('made with version 3'));
+    const named = control.nameWeights(control.EMPTY_REGISTER, 'desk-model', 4, Date.now());
+    const time = new suspendableClock.SuspendableClock();
+    const started = new builder.GatewayBuilder([server], builder.document(), named, time);
+    await started.run(async (gateway) => {
+      assert.is((await gateway.send('GET', '/balance/7')).status, 200);
+      time.suspend(builder.WEIGHTS_GRACE_MILLISECONDS);
+      assert.is((await gateway.send('GET', '/balance/7')).status, 503);
+      assert.is(server.requests.length, 1);
+    });
+  },
+);
+
 /** Guards against a stream that looks whole although its end is missing. */
 suite('a broken stream that must not be repeated is cut, and never sent again', async () => {
   const servers = runners(fakeRunner.stream(3, 'id: 4\nda'));
@@ -236,4 +254,29 @@
   });
 });
 
+/** Guards against a request that waits in an engine until its weights are too old, and begins then. */
+suite('a stream that has not begun on weights that became too old is taken back', async () => {
+  let isClosed = false;
+  const server = runner((_request, response) => {
+    response.on('close', () => {
+      isClosed = true;
+    });
+  });
+  const named = control.nameWeights(control.EMPTY_REGISTER, 'desk-model', 4, Date.now());
+  const time = new suspendableClock.SuspendableClock();
+  const patient = builder.document(60_000);
+  await new builder.GatewayBuilder([server], patient, named, time).run(async (gateway) => {
+    const headers = { 'x-figline-deadline-ms': '60000' };
+    gateway.send('POST', '/reply/7', headers).catch(() => {});
+    while (server.requests.length === 0) {
+      await time.sleep(5);
+    }
+    time.suspend(builder.WEIGHTS_LIMIT_MILLISECONDS);
+    for (let turn = 0; turn < 200 && !isClosed; turn += 1) {
+      await time.sleep(5);
+    }
+    assert.ok(isClosed);
+  });
+});
+
 suite.run();
