Keep the earlier namings of weights by their age, not by their number

Callers saw (by test, not by a recorded incident): a daemon that starts after a burst of namings sends requests to engines whose weights had to be out of use, until the first version of the burst is old enough itself. Cause: the register kept three earlier namings of a model. With version 2 named 7 s ago and versions 3 to 7 in the last second, version 2 was no longer known to a daemon that starts. Evidence: "a burst of namings leaves the version known whose grace is over" returned no oldest version. Ruled out: a larger number. Any number is passed by a faster operator, and versions may be named by several operators at the same time. Change: namings are kept for 60 s, above any grace, and the newest one beyond that; those within 500 ms of each other count as one, of the newest version and the earliest time. At most 122 are kept of a model. After: the test passes, and so does a property over 300 seeded runs of up to 200 namings: the oldest version that a late daemon allows is never below the true one, and at most 500 ms ahead of it.

--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -27,12 +27,19 @@
 
 /** The highest named weights version of a model. */
 export interface NamedWeights extends WeightsNaming {
-  /** The versions before it, oldest first; absent for none. A daemon that starts learns their times here. */
+  /**
+   * Versions before it, oldest first; absent for none. A daemon that starts learns their times here: the newest
+   * one that was named `NAMING_MEMORY_MILLISECONDS` ago, and those after it. Of versions that were named in quick
+   * succession the newest is kept, with the time of the first.
+   */
   readonly earlier?: readonly WeightsNaming[];
 }
 
-// Covers versions that are named each 2 s with a grace of 6 s.
-const EARLIER_VERSIONS = 3;
+/** Above every time for which engines with an older version may go on. */
+export const NAMING_MEMORY_MILLISECONDS = 60_000;
+
+/** Bounds the namings that are kept, whatever an operator's tools do; small beside such times. */
+export const NAMING_SPACING_MILLISECONDS = 500;
 
 export const EMPTY_REGISTER: Register = { sequence: 0, weights: immutable.Map() };
 
@@ -66,13 +73,31 @@
   const weights = register.weights.set(model, {
     version,
     namedAt: timestamp,
-    ...(known === undefined ? {} : { earlier: versionsUpTo(known) }),
+    ...(known === undefined ? {} : { earlier: versionsUpTo(known, timestamp) }),
   });
   return { ...register, sequence: register.sequence + 1, weights };
 }
 
-function versionsUpTo({ version, namedAt, earlier = [] }: NamedWeights): readonly WeightsNaming[] {
-  return [...earlier, { version, namedAt }].slice(-EARLIER_VERSIONS);
+function versionsUpTo(
+  { version, namedAt, earlier = [] }: NamedWeights,
+  timestamp: number,
+): readonly WeightsNaming[] {
+  const namings = [...earlier, { version, namedAt }];
+  const settled = namings.filter(
+    (naming) => timestamp - naming.namedAt >= NAMING_MEMORY_MILLISECONDS,
+  );
+  return namings.slice(Math.max(0, settled.length - 1)).reduce(withSpacing, []);
+}
+
+/** The time of the first of two versions ends the use of older ones early rather than late. */
+function withSpacing(
+  kept: readonly WeightsNaming[],
+  naming: WeightsNaming,
+): readonly WeightsNaming[] {
+  const last = kept.at(-1);
+  return last !== undefined && naming.namedAt - last.namedAt < NAMING_SPACING_MILLISECONDS
+    ? [...kept.slice(0, -1), { ...naming, namedAt: last.namedAt }]
+    : [...kept, naming];
 }
 
 /** A register as it is written to snapshots and sent to daemons. */
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -1,3 +1,4 @@
+import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as clock from '../../src/clock';
@@ -69,6 +70,35 @@
   assert.is(age.minimum('desk', register.weights.get('desk')), '2');
 });
 
+// Guards against a register that grows with each naming, and against a bound on it that hides an old one.
+suite(
+  'whatever the namings were, a daemon that starts late knows the oldest version in use',
+  () => {
+    const gap = fastCheck.oneof(fastCheck.nat(9), fastCheck.nat(400), fastCheck.nat(90_000));
+    const gaps = fastCheck.array(gap, { minLength: 1, maxLength: 200, size: 'max' });
+    fastCheck.assert(
+      fastCheck.property(gaps, fastCheck.nat(20_000), (between, wait) => {
+        const namings = namingsAfter(between);
+        const named = namings
+          .reduce(
+            (state, { version, namedAt }) => control.nameWeights(state, 'desk', version, namedAt),
+            control.EMPTY_REGISTER,
+          )
+          .weights.get('desk')!;
+        const time = new clock.ManualClock(named.namedAt + wait);
+        const oldEnough = (grace: number) =>
+          namings.filter(({ namedAt }) => time.now() - namedAt >= grace).at(-1)?.version ?? 0;
+        const found = Number(new weightsAge.WeightsAge(time, 6_000).minimum('desk', named) ?? 0);
+        assert.ok(found >= oldEnough(6_000));
+        assert.ok(found <= oldEnough(6_000 - control.NAMING_SPACING_MILLISECONDS));
+        const bound = control.NAMING_MEMORY_MILLISECONDS / control.NAMING_SPACING_MILLISECONDS;
+        assert.ok((named.earlier ?? []).length <= bound + 2);
+      }),
+      { seed: 14, numRuns: 300 },
+    );
+  },
+);
+
 // Guards against a wall clock ahead of the daemon's own, at the leader, that hides a suspension.
 suite('a suspension counts although the clocks of two VMs differ', () => {
   const time = new clock.ManualClock();
@@ -79,4 +109,12 @@
   assert.is(age.minimum('desk', named), '2');
 });
 
+function namingsAfter(gaps: readonly number[]): readonly control.WeightsNaming[] {
+  let namedAt = 0;
+  return gaps.map((gap, index) => {
+    namedAt += gap;
+    return { version: index + 1, namedAt };
+  });
+}
+
 suite.run();
