Look up the age of weights at each decision, not by a timer

Callers saw (by test): a daemon whose VM was suspended for the rest of a grace went on to send requests to older weights until its timer fired, late by the whole suspension. Cause: the oldest version that gets work was computed when the register changed and by one timer at the end of the next grace. Timers do not count a suspension, and neither does the monotonic clock. Evidence: "a daemon that was suspended gives no work to weights whose grace ended meanwhile" got 200 in place of 503. Ruled out: the age itself, which already follows the wall clock; it was not looked up. Change: the decision task asks before each event whether time alone has changed the configuration, so that no dispatch, retry, resume or hedge rests on an earlier answer. The timer is gone. A version that was old enough once stays so. The unit test of the time until the next check asked for a number that nothing uses any more; in its place the test checks the exact millisecond from which a change is due. After: the test passes; the one of (a daemon that starts late) still does.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -67,8 +67,6 @@
 
   private listener: daemon.HttpListener | undefined;
 
-  private graceTimer: clock.Timer | undefined;
-
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -78,7 +76,12 @@
     const { plane, time, random, meter } = ports;
     this.lifecycle = new lifecycle.LifecycleManager(time);
     const pool = new routing.BackendPool(ports.backends);
-    this.task = new routing.DecisionTask<unknown>(coreOf(options, random), time, () => {});
+    this.task = new routing.DecisionTask<unknown>(
+      coreOf(options, random),
+      time,
+      () => {},
+      (at) => this.renewedConfiguration(at),
+    );
     const list = new sharedMachineList.SharedMachineList({ plane, source: ports.list, time });
     this.membership = new routing.MembershipTask(
       { list, pool, plane, task: this.task, time, random },
@@ -148,7 +151,6 @@
     const { plane, meter } = this.ports;
     const own = this.lifecycle.own.bind(this.lifecycle);
     own('metrics', () => meter.close());
-    own('weights grace', () => this.graceTimer?.cancel());
     own('control plane', () => plane.close());
     own('backend clients', () => pool.close());
     own('decision task', () => this.task.close());
@@ -161,15 +163,11 @@
     this.useRegister(plane.register());
   }
 
-  /** The grace of a named version ends without another change of the register. */
-  private awaitGrace(): void {
-    const { time, plane } = this.ports;
-    const left = this.source.untilMinimumChanges;
-    this.graceTimer?.cancel();
-    this.graceTimer =
-      left === undefined
-        ? undefined
-        : time.setTimer(left + TIMER_MARGIN_MILLISECONDS, () => this.useRegister(plane.register()));
+  /** The grace of a named version ends without a change of the register. */
+  private renewedConfiguration(at: number): decision.ConfigurationChanged | undefined {
+    const active = this.source.renew();
+    const kind = decision.DecisionEventKind.ConfigurationChanged;
+    return active && { kind, at, snapshot: active.snapshot };
   }
 
   private ownLoads(): readonly loadExchange.ServerWork[] {
@@ -215,7 +213,6 @@
     if (active !== undefined) {
       this.gateway.useTable(active.table, active.snapshot);
     }
-    this.awaitGrace();
   }
 
   private async listen(): Promise<void> {
@@ -276,9 +273,6 @@
 
 const TABLE_POLL_MILLISECONDS = 20;
 
-/** A timer that fires a moment early must not find the grace unended. */
-const TIMER_MARGIN_MILLISECONDS = 20;
-
 /** Half of the interval of a daemon and of the leader, and two ways between regions. */
 const SUM_AGE_MILLISECONDS = 220;
 
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -18,6 +18,8 @@
 
 /** Follows the register and turns each change into an active routing table. */
 export class RoutingSource {
+  private register = control.EMPTY_REGISTER;
+
   private active: ActiveRouting | undefined;
 
   private decodedVersion: number | undefined;
@@ -35,14 +37,15 @@
     return this.active?.snapshot ?? configuration.EMPTY_SNAPSHOT;
   }
 
-  /** Time until the oldest weights version that may get work changes by itself, if it will. */
-  get untilMinimumChanges(): number | undefined {
-    return this.weightsAge.untilNextMilliseconds();
+  /** The routing in force when time alone has changed it since it was returned last. */
+  renew(): ActiveRouting | undefined {
+    return this.weightsAge.isChangeDue() ? this.take(this.register) : undefined;
   }
 
   /** Takes over a register; returns the routing in force when there is one. */
   take(register: control.Register): ActiveRouting | undefined {
     const { routing } = register;
+    this.register = register;
     if (routing !== undefined && routing.version !== this.decodedVersion) {
       this.decodedVersion = routing.version;
       this.decodeTable(routing);
--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -6,15 +6,24 @@
   readonly learnedAt: number;
 }
 
+/** What is known of one model. */
+interface ModelVersions {
+  /** The oldest version that gets work; absent while any does. */
+  readonly minimum?: LearnedVersion;
+  /** Later versions, the newest last. */
+  readonly waiting: readonly LearnedVersion[];
+}
+
 /**
  * Load pattern: an engine that was unreachable during a roll-out comes back with old weights and looks idle,
  * so that it draws new requests before the leader can order it; and with a version named every few seconds
  * some engines are always behind. Once a version was named long enough ago, engines without it get no work,
  * also when a newer one has been named since.
+ *
+ * The age of a version is looked up whenever it matters. A timer would fire late after a suspension of the VM.
  */
 export class WeightsAge {
-  /** Versions of each model, the newest last; of those that are old enough only the newest. */
-  private readonly learned = new Map<string, readonly LearnedVersion[]>();
+  private readonly models = new Map<string, ModelVersions>();
 
   /** @param graceMilliseconds time after which requests must not begin on an older version */
   constructor(
@@ -24,37 +33,35 @@
 
   /** The oldest version of a model that may still get work; absent while any may. */
   minimum(model: string, named: control.NamedWeights | undefined): string | undefined {
-    const versions = this.withNamed(model, named);
-    const oldEnough = versions.filter((known) => this.age(known) >= this.graceMilliseconds);
-    const minimum = oldEnough.at(-1);
-    const kept = versions.filter((known) => known.version >= (minimum?.version ?? -Infinity));
-    this.learned.set(model, kept);
+    const known = this.models.get(model) ?? { waiting: [] };
+    const versions = [...known.waiting, ...this.newVersions(known, named)];
+    const minimum = versions.filter((version) => this.isOldEnough(version)).at(-1) ?? known.minimum;
+    const waiting = versions.filter(({ version }) => version > (minimum?.version ?? -Infinity));
+    this.models.set(model, { minimum, waiting });
     return minimum?.version.toString();
   }
 
-  /** Time until a version becomes the oldest that gets work; absent while none is about to. */
-  untilNextMilliseconds(): number | undefined {
-    const left = [...this.learned.values()]
-      .flat()
-      .map((known) => this.graceMilliseconds - this.age(known))
-      .filter((milliseconds) => milliseconds > 0);
-    return left.length === 0 ? undefined : Math.min(...left);
+  /** Whether `minimum` would return another version for some model than it did last. */
+  isChangeDue(): boolean {
+    return [...this.models.values()].some(({ waiting }) =>
+      waiting.some((version) => this.isOldEnough(version)),
+    );
   }
 
-  private withNamed(
-    model: string,
+  private newVersions(
+    { minimum, waiting }: ModelVersions,
     named: control.NamedWeights | undefined,
   ): readonly LearnedVersion[] {
-    const known = this.learned.get(model) ?? [];
-    const newest = known.at(-1)?.version ?? -Infinity;
+    const newest = waiting.at(-1) ?? minimum;
     const learnedAt = this.time.monotonic();
-    const added = named === undefined ? [] : [...(named.earlier ?? []), named];
-    return [
-      ...known,
-      ...added
-        .filter(({ version }) => version > newest)
-        .map(({ version, namedAt }) => ({ version, namedAt, learnedAt })),
-    ];
+    const namings = named === undefined ? [] : [...(named.earlier ?? []), named];
+    return namings
+      .filter(({ version }) => version > (newest?.version ?? -Infinity))
+      .map(({ version, namedAt }) => ({ version, namedAt, learnedAt }));
+  }
+
+  private isOldEnough(version: LearnedVersion): boolean {
+    return this.age(version) >= this.graceMilliseconds;
   }
 
   /** Wall clocks differ a little, and a daemon that has just started learned of the version late. */
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -8,6 +8,9 @@
 /** Receives the crash reports that go to the peer daemons. */
 export type CrashReporter = (report: decision.ReportCrash) => void;
 
+/** What the core has to know before the event of the given time, because time alone has changed it. */
+export type Renewal = (at: number) => decision.DecisionEvent | undefined;
+
 /**
  * Owns the state of the decision core. Feeds it one event at a time, in the order of arrival, and
  * hands its effects to the executions of the requests concerned.
@@ -31,6 +34,7 @@
     private readonly core: decisionCore.DecisionCore<State>,
     private readonly time: clock.Clock,
     private readonly reportCrash: CrashReporter,
+    private readonly renewal: Renewal = () => undefined,
   ) {
     this.state = core.startState;
     this.planTick();
@@ -113,9 +117,11 @@
   /** A fault in the handling of one event ends the request concerned, not the daemon with all others. */
   private apply(event: decision.DecisionEvent): void {
     try {
-      const step = this.core.update(this.state, event);
-      this.state = step.state;
-      step.effects.forEach((effect) => this.carryOut(effect));
+      const renewed = this.renewal(event.at);
+      if (renewed !== undefined) {
+        this.advance(renewed);
+      }
+      this.advance(event);
     } catch (error) {
       const { message } = error as Error;
       logger.error('event could not be handled', { event: event.kind, reason: message });
@@ -123,6 +129,12 @@
     }
   }
 
+  private advance(event: decision.DecisionEvent): void {
+    const step = this.core.update(this.state, event);
+    this.state = step.state;
+    step.effects.forEach((effect) => this.carryOut(effect));
+  }
+
   private abandon(requestId: string | undefined): void {
     const execution = requestId === undefined ? undefined : this.executions.get(requestId);
     if (execution !== undefined && requestId !== undefined) {
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -48,15 +48,18 @@
 });
 
 // Guards against a check that comes a whole grace after a daemon has learned of a version.
-suite('the next change is due when the grace since the naming ends', () => {
+suite('a change is due from the moment at which the grace since the naming ends', () => {
   const time = new clock.ManualClock();
   const age = new weightsAge.WeightsAge(time, 6_000);
-  assert.is(age.untilNextMilliseconds(), undefined);
+  assert.not(age.isChangeDue());
   age.minimum('desk', { version: 2, namedAt: time.now() - 4_000 });
-  assert.is(age.untilNextMilliseconds(), 2_000);
-  time.advance(2_000);
+  assert.not(age.isChangeDue());
+  time.advance(1_999);
+  assert.not(age.isChangeDue());
+  time.advance(1);
+  assert.ok(age.isChangeDue());
   age.minimum('desk', undefined);
-  assert.is(age.untilNextMilliseconds(), undefined);
+  assert.not(age.isChangeDue());
 });
 
 // Guards against a daemon that learns of a burst at once and lacks the one version whose grace is over.
