Count a suspension in the age of weights also where the leader's clock is ahead

Callers saw (by test): with the leader's clock 3 s ahead, a daemon that had learned of a version at once and was then suspended for the whole grace sent requests to older weights for 3 s more. Cause: of the two measures of age, one leaves out the suspension and the other is taken from another VM's clock. Evidence: "a suspension counts although the clocks of two VMs differ" found no oldest version. Change: the wall-clock time since this daemon learned of the version counts too. After: the test passes.

--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -4,6 +4,8 @@
 interface LearnedVersion extends control.WeightsNaming {
   /** Monotonic time at which this daemon learned of it. */
   readonly learnedAt: number;
+  /** Wall-clock time at which it did. */
+  readonly learnedOn: number;
 }
 
 /** What is known of one model. */
@@ -54,18 +56,24 @@
   ): readonly LearnedVersion[] {
     const newest = waiting.at(-1) ?? minimum;
     const learnedAt = this.time.monotonic();
+    const learnedOn = this.time.now();
     const namings = named === undefined ? [] : [...(named.earlier ?? []), named];
     return namings
       .filter(({ version }) => version > (newest?.version ?? -Infinity))
-      .map(({ version, namedAt }) => ({ version, namedAt, learnedAt }));
+      .map(({ version, namedAt }) => ({ version, namedAt, learnedAt, learnedOn }));
   }
 
   private isOldEnough(version: LearnedVersion): boolean {
     return this.age(version) >= this.graceMilliseconds;
   }
 
-  /** Wall clocks differ a little, and a daemon that has just started learned of the version late. */
-  private age({ learnedAt, namedAt }: LearnedVersion): number {
-    return Math.max(this.time.monotonic() - learnedAt, this.time.now() - namedAt);
+  /**
+   * The largest of three measures, each of which may be too small: a clock that is set back hides time since
+   * the daemon learned of the version, a suspension is missing on the monotonic clock, and the date of the
+   * naming is from the clock of another VM.
+   */
+  private age({ learnedAt, learnedOn, namedAt }: LearnedVersion): number {
+    const now = this.time.now();
+    return Math.max(this.time.monotonic() - learnedAt, now - learnedOn, now - namedAt);
   }
 }
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -112,6 +112,16 @@
   assert.is(age.minimum('desk', named), '2');
 });
 
+// Guards against a wall clock that is set back and puts weights in use again that were out of use.
+suite('a clock that is set back does not bring older weights back', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const named = { version: 2, namedAt: time.now() - 7_000 };
+  assert.is(age.minimum('desk', named), '2');
+  time.suspend(-5_000);
+  assert.is(age.minimum('desk', named), '2');
+});
+
 function namingsAfter(gaps: readonly number[]): readonly control.WeightsNaming[] {
   let namedAt = 0;
   return gaps.map((gap, index) => {
