Send no work to an engine that tells no version while older weights must not be used

Callers saw (by test): an engine that the list names without a version got requests after the grace of a version. On the platform they carried no expected version, so that the engine could not refuse them. Cause: the filter compared only versions that are known. Evidence: "an engine whose weights are not known gets no work while old ones must not" saw a dispatch. Ruled out: always sending an expected version. Without a known one it could only be a guess. Change: while a version is the oldest that gets work, an engine without a known version gets none. Before the first grace of a model has ended, such engines are used as before; so are versions that are not numbers. After: the test passes. Whether the platform lists such engines in use was not seen; its pages say that entries with missing fields name no server to use.

--- a/src/decision/weights-filter.ts
+++ b/src/decision/weights-filter.ts
@@ -16,12 +16,18 @@
   }: candidateFilter.Pairing): boolean {
     const { weightsVersion: known, loading } = server.record;
     const isOther = known !== undefined && known !== request.profile.weightsVersion;
-    const isObsolete =
-      minimumWeights !== undefined && known !== undefined && Number(known) < minimumWeights;
-    return loading !== true && !isObsolete && !(weightsExpected && isOther);
+    return loading !== true && !isObsolete(known, minimumWeights) && !(weightsExpected && isOther);
   }
 }
 
+/** An engine that does not tell its version may have any. Versions that are not numbers are not compared. */
+function isObsolete(known: string | undefined, minimum: number | undefined): boolean {
+  if (minimum === undefined || Number.isNaN(minimum)) {
+    return false;
+  }
+  return known === undefined || Number(known) < minimum;
+}
+
 /**
  * Whether it makes sense to wait for a server with the request's weights. A stream that has started has
  * no deadline of its own, so it waits only for servers that are known.
