Tell daemons how long a naming of weights has been known, beside its date

Callers saw (by test): a daemon that starts after a naming by a leader whose clock is ahead counts the grace from its own start, as releases before did, and sends requests to older weights for that much longer. Cause: the only time that a copy of the register carried was the date on the leader's clock. A log never dates an entry before an earlier one, so that one leader with a clock ahead dates the namings of its successors too, until the true time has caught up. Evidence: "a daemon that starts learns the age of a naming from its peers, not its date" got a date an hour ahead. Ruled out: sending the age by the sender's clock. A single control daemon with a clock ahead would then put the older engines of all gateways out of use at once. Change: copies say for how long, on a monotonic clock, their senders have known a naming. That is never more than its age. A naming that is dated later than it was known gets the earlier date in a daemon's copy; the log is not touched. The test now waits until every replica knows the naming: a copy from a replica that learned it a heartbeat after the acknowledgement is younger by that heartbeat, which is not the fault that the test is for. After: the test passes.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -54,7 +54,7 @@
 
   private readonly store = new configurationStore.ConfigurationStore();
 
-  private readonly registerStore = new registerStore.RegisterStore();
+  private readonly registerStore: registerStore.RegisterStore;
 
   private readonly directory: peerDirectory.PeerDirectory;
 
@@ -86,6 +86,7 @@
     super();
     const { clock: time } = options;
     this.startedAt = time.monotonic();
+    this.registerStore = new registerStore.RegisterStore(time);
     this.directory = new peerDirectory.PeerDirectory(time);
     this.network = new wire.PeerNetwork(
       { ...options, heartbeat: () => this.heartbeat() },
@@ -427,7 +428,7 @@
       return;
     }
     const kind = peerMessage.PeerMessageKind.RegisterCopy;
-    const message = { kind, ...registers.encodeRegister(current) };
+    const message = { kind, ...this.registerStore.encode() };
     if (!this.network.send(peer.address, message as unknown as wire.WireMessage)) {
       logger.warning('register could not be sent', { peer: peer.address });
     }
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -24,7 +24,11 @@
 const counter = zod.int().min(0);
 const bytes = zod.instanceof(Uint8Array);
 const member = zod.object({ replicaId: zod.string(), address: zod.string() });
-const weightsNaming = { version: zod.int(), namedAt: zod.number() };
+const weightsNaming = {
+  version: zod.int(),
+  namedAt: zod.number(),
+  knownMilliseconds: zod.number().min(0).optional(),
+};
 const namedWeights = zod.object({
   ...weightsNaming,
   earlier: zod.array(zod.object(weightsNaming)).optional(),
--- a/src/control/register-store.ts
+++ b/src/control/register-store.ts
@@ -1,4 +1,6 @@
+import * as clock from '../clock';
 import * as logging from '../logging';
+import * as namingTimes from './naming-times';
 import * as registers from './register';
 
 /** Called on each newer register. */
@@ -10,6 +12,12 @@
 
   private readonly listeners = new Set<RegisterListener>();
 
+  private readonly times: namingTimes.NamingTimes;
+
+  constructor(time: clock.Clock) {
+    this.times = new namingTimes.NamingTimes(time);
+  }
+
   get current(): registers.Register {
     return this.register;
   }
@@ -24,10 +32,16 @@
     if (register.sequence <= this.register.sequence) {
       return false;
     }
-    this.register = register;
-    this.listeners.forEach((listener) => notify(listener, register));
+    this.register = { ...register, weights: this.times.learn(register.weights) };
+    this.listeners.forEach((listener) => notify(listener, this.register));
     return true;
   }
+
+  /** The register for a message to another daemon. */
+  encode(): registers.EncodedRegister {
+    const { register } = this;
+    return registers.encodeRegister({ ...register, weights: this.times.tell(register.weights) });
+  }
 }
 
 const logger = new logging.Logger('control');
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -23,6 +23,8 @@
   readonly version: number;
   /** The leader's time in the log entry, in milliseconds since the Unix epoch. */
   readonly namedAt: number;
+  /** How long the sender of a copy has known of it; only in messages between daemons. */
+  readonly knownMilliseconds?: number;
 }
 
 /** The highest named weights version of a model. */
--- a/test/control/register.test.ts
+++ b/test/control/register.test.ts
@@ -70,9 +70,10 @@
     10_000,
   );
   assert.ok(named.ok);
-  const acknowledgedAt = Date.now();
+  await builder.until(() => group.nodes.every((node) => node.register().sequence === 1));
+  const knownAt = Date.now();
   await clocks[0].sleep(100);
-  const age = Date.now() - acknowledgedAt;
+  const age = Date.now() - knownAt;
   const late = await group.restart(3);
   await builder.until(() => late.register().sequence === 1);
   const { namedAt = Infinity } = late.register().weights.get('desk') ?? {};
