Take back streams that have not begun when their engine's weights become too old

Callers saw (by test): a stream that was sent to older weights inside the grace waited in the engine for as long as its deadline allowed, and could begin there at any later time. Cause: the grace ended only the dispatch. What was sent before was left to the engine. The expected version that it carries protects it only where the engine gets its new weights first; an engine that has no order yet begins it. Ruled out: an earlier end of the grace. Waits inside engines have no bound below the caller's deadline, and each second takes older engines out of use during a roll-out. A shorter deadline for the engine would also end answers that began in time. Change: 0.9 of the limit after a naming (the grace is 0.75 of it), streams without an event on engines with older weights are cancelled. Those that may run again go on elsewhere within the retry budget; the others end as may-have-run, which costs one answer. Whole answers are left alone, since nothing shows whether they have begun. A control daemon no longer keeps the age of every version that was ever named; it never used them.

--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -63,6 +63,8 @@
   weightsVersion: zod.string().min(1).max(128),
   /** Engines with an older version get no work. Versions that are not numbers are not compared. */
   minimumWeightsVersion: zod.string().min(1).max(128).optional(),
+  /** Streams that have not begun on an engine with an older version are taken back. */
+  minimumStartWeightsVersion: zod.string().min(1).max(128).optional(),
   /** Requests that one runner executes at the same time. */
   slotsPerRunner: zod.int().min(1).max(1_024).default(8),
   /** Uncached prompt tokens that one runner processes in a second. */
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -23,6 +23,8 @@
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
   readonly idempotent: boolean;
+  /** Whether the first piece of the answer shows that a server has begun; a whole answer comes at its end. */
+  readonly isStreamed?: boolean;
   readonly priority: number;
   /** Backend servers that may run the request; by default a bound on useless attempts. */
   readonly maximumAttempts?: number;
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -7,6 +7,7 @@
 import * as event from './event';
 import * as failing from './failing';
 import * as fleet from './fleet';
+import * as lateStart from './late-start';
 import * as progress from './progress';
 import type * as state from './state';
 import * as steps from './step';
@@ -33,7 +34,8 @@
 function apply(step: steps.Step, given: event.DecisionEvent): void {
   switch (given.kind) {
     case event.DecisionEventKind.ConfigurationChanged:
-      return fleet.applyConfiguration(step, given);
+      fleet.applyConfiguration(step, given);
+      return lateStart.takeBackLateStarts(step);
     case event.DecisionEventKind.ServersChanged:
       return fleet.applyServers(step, given);
     case event.DecisionEventKind.PeersChanged:
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -11,7 +11,6 @@
 import * as placingLog from './placing-log';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
-import * as weightsAge from './weights-age';
 
 /** Adapters of a control daemon. */
 export interface ControlPorts {
@@ -95,11 +94,7 @@
 
   private followRegister(speeds: routes.EngineSpeeds): routingSource.RoutingSource {
     const { plane, decode } = this.ports;
-    const source = new routingSource.RoutingSource(
-      decode,
-      speeds,
-      new weightsAge.WeightsAge(this.ports.time, Infinity),
-    );
+    const source = new routingSource.RoutingSource(decode, speeds);
     this.lifecycle.own(
       'register',
       plane.onRegister((register) => source.take(register)),
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -46,6 +46,8 @@
   readonly speeds: routes.EngineSpeeds;
   /** Time after which engines without the weights named last get no work. */
   readonly weightsGraceMilliseconds: number;
+  /** Time after which streams that have not begun on older weights are taken back. */
+  readonly weightsStartMilliseconds: number;
   /** This daemon's part of the retries that all daemons may make. */
   readonly retryBudget: admission.Budget;
   readonly maximumRequests: number;
@@ -88,11 +90,10 @@
       LIST_MILLISECONDS,
       false,
     );
-    this.source = new routingSource.RoutingSource(
-      ports.decode,
-      options.speeds,
-      new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
-    );
+    this.source = new routingSource.RoutingSource(ports.decode, options.speeds, {
+      work: new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
+      start: new weightsAge.WeightsAge(time, options.weightsStartMilliseconds),
+    });
     const { task, membership } = this;
     const placings = new placingLog.PlacingLog(time);
     const exchange = new loadExchange.LoadExchange(
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -128,6 +128,7 @@
         promptTokens: facts.promptTokens,
         expectedOutputTokens: facts.outputTokens,
         idempotent: isRepeatable(route),
+        isStreamed: route.kind === routes.RouteKind.Stream,
         maximumAttempts: route.maximumAttempts,
         priority: team?.priority ?? route.priority,
         firstTokenDeadline: now + wait,
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -16,6 +16,14 @@
   readonly snapshot: configuration.ConfigurationSnapshot;
 }
 
+/** Ages of weights versions that end something each. */
+export interface WeightsAges {
+  /** Ends the dispatch to engines with older versions. */
+  readonly work: weightsAge.WeightsAge;
+  /** Ends the wait inside engines with older versions. */
+  readonly start: weightsAge.WeightsAge;
+}
+
 /** Follows the register and turns each change into an active routing table. */
 export class RoutingSource {
   private register = control.EMPTY_REGISTER;
@@ -29,7 +37,8 @@
   constructor(
     private readonly decode: RoutingDecoder,
     private readonly speeds: routes.EngineSpeeds,
-    private readonly weightsAge: weightsAge.WeightsAge,
+    /** Absent where no requests are sent. */
+    private readonly ages?: WeightsAges,
   ) {}
 
   /** The snapshot in force; empty before the first routing document. */
@@ -39,7 +48,8 @@
 
   /** The routing in force when time alone has changed it since it was returned last. */
   renew(): ActiveRouting | undefined {
-    return this.weightsAge.isChangeDue() ? this.take(this.register) : undefined;
+    const isDue = this.ages?.work.isChangeDue() === true || this.ages?.start.isChangeDue() === true;
+    return isDue ? this.take(this.register) : undefined;
   }
 
   /** Takes over a register; returns the routing in force when there is one. */
@@ -52,10 +62,14 @@
     }
     const { table } = this;
     if (table !== undefined) {
-      const snapshot = routes.decisionSnapshot(table, this.speeds, (model) => ({
-        named: register.weights.get(model)?.version.toString(),
-        minimum: this.weightsAge.minimum(model, register.weights.get(model)),
-      }));
+      const snapshot = routes.decisionSnapshot(table, this.speeds, (model) => {
+        const named = register.weights.get(model);
+        return {
+          named: named?.version.toString(),
+          minimum: this.ages?.work.minimum(model, named),
+          minimumStart: this.ages?.start.minimum(model, named),
+        };
+      });
       this.active = { table, snapshot };
     }
     return this.active;
--- a/src/routes/decision-documents.ts
+++ b/src/routes/decision-documents.ts
@@ -15,6 +15,8 @@
   readonly named?: string;
   /** Engines with an older version must get no work. */
   readonly minimum?: string;
+  /** Streams must not begin any more on engines with an older version. */
+  readonly minimumStart?: string;
 }
 
 /**
@@ -47,7 +49,7 @@
     const type = configuration.ServiceType.Plain;
     return { kind, name, type, routes: [], slotsPerRunner: DEFAULT_PLAIN_SLOTS };
   }
-  const { named, minimum } = weightsOf(engine.model);
+  const { named, minimum, minimumStart } = weightsOf(engine.model);
   return {
     kind,
     name,
@@ -55,6 +57,7 @@
     model: engine.model,
     weightsVersion: named ?? FIRST_WEIGHTS_VERSION,
     ...(minimum === undefined ? {} : { minimumWeightsVersion: minimum }),
+    ...(minimumStart === undefined ? {} : { minimumStartWeightsVersion: minimumStart }),
     slotsPerRunner: engine.slots,
     ...(engine.cacheTokens > 0 ? { cacheTokensPerRunner: engine.cacheTokens } : {}),
     checksFencing: true,
--- a/test/decision/weights.test.ts
+++ b/test/decision/weights.test.ts
@@ -2,27 +2,52 @@
 import * as assert from 'uvu/assert';
 import * as configuration from '../../src/configuration';
 import * as decision from '../../src/decision';
+import * as verdict from '../../src/verdict';
 import * as builder from './builder';
 
 const suite = uvu.suite('weights of engines');
-const { Dispatch } = decision.DecisionEffectKind;
+const { CancelAttempt, Dispatch, Fail } = decision.DecisionEffectKind;
 const { ConfigurationChanged, ServersChanged } = decision.DecisionEventKind;
 
-/** A desk whose engines tell these weights, where older ones than version 2 must get no work. */
-function deskWith(...versions: readonly (string | undefined)[]): builder.Desk {
-  const desk = builder.desk(versions.length);
+type Weights = Pick<
+  configuration.ModelServiceDocument,
+  'minimumWeightsVersion' | 'minimumStartWeightsVersion'
+>;
+
+function configure(desk: builder.Desk, weights: Weights): builder.Desk {
   const service = configuration.modelServiceSchema.parse({
     ...desk.state.services.first(),
     weightsVersion: '2',
-    minimumWeightsVersion: '2',
+    ...weights,
   });
   const documents = new Map([[configuration.documentKey(service), service]]);
+  const snapshot = { revision: 2, documents };
+  return desk.apply({ kind: ConfigurationChanged, at: desk.at, snapshot });
+}
+
+function give(desk: builder.Desk, ...versions: readonly (string | undefined)[]): builder.Desk {
   const servers = builder
     .list(versions.length)
     .map((server, index) => ({ ...server, weightsVersion: versions[index] }));
-  return desk
-    .apply({ kind: ConfigurationChanged, at: 0, snapshot: { revision: 2, documents } })
-    .apply({ kind: ServersChanged, at: 0, servers });
+  return desk.apply({ kind: ServersChanged, at: desk.at, servers });
+}
+
+/** A desk whose engines tell these weights, where older ones than version 2 must get no work. */
+function deskWith(...versions: readonly (string | undefined)[]): builder.Desk {
+  const desk = configure(builder.desk(versions.length), { minimumWeightsVersion: '2' });
+  return give(desk, ...versions);
+}
+
+/** A desk with one engine and a request that is there, with old weights, when they become too old. */
+function lateStart(
+  changes: Partial<decision.RequestProfile>,
+  begin: (desk: builder.Desk, sent: decision.Dispatch) => void = () => {},
+): builder.Desk {
+  const desk = give(configure(builder.desk(1), {}), '1');
+  const [sent] = desk.arrive('a', { isStreamed: true, ...changes }).take(Dispatch);
+  begin(desk, sent);
+  give(desk, '1', '2');
+  return configure(desk, { minimumWeightsVersion: '2', minimumStartWeightsVersion: '2' });
 }
 
 suite('a request goes to an engine whose weights are new enough', () => {
@@ -38,4 +63,31 @@
   assert.is(deskWith(undefined).arrive('a').take(Dispatch).length, 0);
 });
 
+// Guards against a request that waits in an engine until its weights are too old, and begins then.
+suite('a stream that has not begun on weights that became too old goes to another engine', () => {
+  const desk = lateStart({});
+  assert.is(desk.take(CancelAttempt).length, 1);
+  assert.equal(
+    desk.take(Dispatch).map(({ serverId }) => serverId),
+    ['runner-1'],
+  );
+});
+
+suite('one that may run once is ended as may-have-run', () => {
+  const desk = lateStart({ idempotent: false });
+  assert.is(desk.take(CancelAttempt).length, 1);
+  assert.is(desk.take(Dispatch).length, 0);
+  assert.equal(
+    desk.take(Fail).map(({ failure }) => failure.verdict),
+    [verdict.Verdict.MayHaveRun],
+  );
+});
+
+// Guards against answers that are broken off although they began in time.
+suite('a stream that has begun and a whole answer stay where they are', () => {
+  const begun = lateStart({}, (desk, sent) => desk.piece(sent, 1));
+  const whole = lateStart({ isStreamed: false });
+  [begun, whole].forEach((desk) => assert.is(desk.take(CancelAttempt).length, 0));
+});
+
 suite.run();
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -140,6 +140,7 @@
   stop: { loadBalancerMilliseconds: 10, graceMilliseconds: 500 },
   speeds: { prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 100 },
   weightsGraceMilliseconds: WEIGHTS_GRACE_MILLISECONDS,
+  weightsStartMilliseconds: 0.9 * WEIGHTS_LIMIT_MILLISECONDS,
   retryBudget: { credit: 10, maximum: 10, ratio: 0.2 },
   maximumRequests: 100,
 };
