End the lease of a leader whose VM was suspended

Operators could see (by test): a leader that goes on after a suspension of 5 s believed for up to 400 ms that it may still order weights, while another leader had been elected. Engines that check fencing numbers refuse its order; others take it. Cause: the lease is counted on the monotonic clock, which leaves out a suspension. Evidence: "a leader that was suspended has no lease when it goes on" had 397 ms left. Ruled out: the wall clock for the lease itself, which an operator may set back. Change: whenever the lease is asked for, wall and monotonic clock are compared. A clock that is set forward costs one round trip.

--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -2,6 +2,7 @@
 export * from './clock';
 export * from './system-clock';
 export * from './manual-clock';
+export * from './suspension-watch';
 export * from './random-source';
 export * from './system-random-source';
 export * from './seeded-random-source';
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -56,6 +56,8 @@
 
   private readonly registerStore: registerStore.RegisterStore;
 
+  private readonly suspensions: clock.SuspensionWatch;
+
   private readonly directory: peerDirectory.PeerDirectory;
 
   private readonly forwarder: proposalForwarder.ProposalForwarder;
@@ -87,6 +89,7 @@
     const { clock: time } = options;
     this.startedAt = time.monotonic();
     this.registerStore = new registerStore.RegisterStore(time);
+    this.suspensions = new clock.SuspensionWatch(time);
     this.directory = new peerDirectory.PeerDirectory(time);
     this.network = new wire.PeerNetwork(
       { ...options, heartbeat: () => this.heartbeat() },
@@ -203,8 +206,7 @@
       replicaId: state?.self.replicaId,
       leaderReplicaId: leader?.replicaId,
       term: Math.max(state?.term ?? 0, leader?.term ?? 0),
-      leaseRemainingMilliseconds:
-        state === undefined ? 0 : replica.leaseRemaining(state, this.options.clock.monotonic()),
+      leaseRemainingMilliseconds: state === undefined ? 0 : this.leaseRemaining(state),
       commitIndex: state?.commitIndex ?? 0,
       voters:
         state === undefined ? [] : replica.committedVoters(state).map((voter) => voter.replicaId),
@@ -213,6 +215,11 @@
     };
   }
 
+  private leaseRemaining(state: replica.ReplicaState): number {
+    const suspendedUntil = this.suspensions.lastNoticedAt();
+    return replica.leaseRemaining(state, this.options.clock.monotonic(), suspendedUntil);
+  }
+
   /** Bytes on the links to each peer by daemon id. */
   peerTraffic(): ReadonlyMap<string, wire.LinkTraffic> {
     return this.network.traffic();
--- a/src/replica/lease.ts
+++ b/src/replica/lease.ts
@@ -8,10 +8,16 @@
  * leader of a higher term is elected only by a majority that answers no message of this term any more, so
  * this lease ends less than `electionTimeoutMilliseconds` after that election.
  *
+ * @param notBefore messages that were sent earlier do not count: the end of the last suspension of the VM, which
+ *   the clock of `now` leaves out
  * @example
  * if (replica.leaseRemaining(state, clock.monotonic()) > 0) { sendOrder(); }
  */
-export function leaseRemaining(state: states.ReplicaState, now: number): number {
+export function leaseRemaining(
+  state: states.ReplicaState,
+  now: number,
+  notBefore = Number.NEGATIVE_INFINITY,
+): number {
   if (state.role !== states.Role.Leader) {
     return 0;
   }
@@ -19,6 +25,7 @@
   const starts = states
     .voters(state)
     .map(({ replicaId }) => startOf(state, replicaId, now))
+    .map((start) => (start >= notBefore ? start : Number.NEGATIVE_INFINITY))
     .sort((left, right) => right - left);
   const start = starts[Math.floor(starts.length / 2)] ?? Number.NEGATIVE_INFINITY;
   return Math.max(0, start + milliseconds - now);
--- a/test/replica/replica.test.ts
+++ b/test/replica/replica.test.ts
@@ -75,6 +75,15 @@
   assert.is(replica.leaseRemaining(leader.state, leader.now), 0);
 });
 
+/** Guards against orders of a leader that was suspended while the others elected another one. */
+suite('answers to messages from before a suspension give no lease after it', () => {
+  const leader = builder.ReplicaBuilder.inGroup(0, 2, []).elect(1);
+  const leaderTime = leader.now;
+  leader.tick(150).receive(1, 3, { ...appendReply(2), leaderTime } as replica.Body);
+  assert.is(replica.leaseRemaining(leader.state, leader.now, leaderTime), 250);
+  assert.is(replica.leaseRemaining(leader.state, leader.now, leaderTime + 1), 0);
+});
+
 /** Guards against a vote by a replica whose disk cannot keep it. */
 suite('a replica whose storage failed sends nothing any more', () => {
   const follower = builder.ReplicaBuilder.inGroup(1, 2, []);
