--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -54,7 +54,9 @@
 
   private readonly store = new configurationStore.ConfigurationStore();
 
-  private readonly registerStore = new registerStore.RegisterStore();
+  private readonly registerStore: registerStore.RegisterStore;
+
+  private readonly suspensions: clock.SuspensionWatch;
 
   private readonly directory: peerDirectory.PeerDirectory;
 
@@ -86,6 +88,8 @@
     super();
     const { clock: time } = options;
     this.startedAt = time.monotonic();
+    this.registerStore = new registerStore.RegisterStore(time);
+    this.suspensions = new clock.SuspensionWatch(time);
     this.directory = new peerDirectory.PeerDirectory(time);
     this.network = new wire.PeerNetwork(
       { ...options, heartbeat: () => this.heartbeat() },
@@ -205,8 +209,7 @@
       replicaId: state?.self.replicaId,
       leaderReplicaId: leader?.replicaId,
       term: Math.max(state?.term ?? 0, leader?.term ?? 0),
-      leaseRemainingMilliseconds:
-        state === undefined ? 0 : replica.leaseRemaining(state, this.options.clock.monotonic()),
+      leaseRemainingMilliseconds: state === undefined ? 0 : this.leaseRemaining(state),
       commitIndex: state?.commitIndex ?? 0,
       voters:
         state === undefined ? [] : replica.committedVoters(state).map((voter) => voter.replicaId),
@@ -215,6 +218,11 @@
     };
   }
 
+  private leaseRemaining(state: replica.ReplicaState): number {
+    const suspendedUntil = this.suspensions.lastNoticedAt();
+    return replica.leaseRemaining(state, this.options.clock.monotonic(), suspendedUntil);
+  }
+
   /** Bytes on the links to each peer by daemon id. */
   peerTraffic(): ReadonlyMap<string, wire.LinkTraffic> {
     return this.network.traffic();
@@ -430,7 +438,7 @@
       return;
     }
     const kind = peerMessage.PeerMessageKind.RegisterCopy;
-    const message = { kind, ...registers.encodeRegister(current) };
+    const message = { kind, ...this.registerStore.encode() };
     if (!this.network.send(peer.address, message as unknown as wire.WireMessage)) {
       logger.warning('register could not be sent', { peer: peer.address });
     }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -46,6 +46,8 @@
   readonly speeds: routes.EngineSpeeds;
   /** Time after which engines without the weights named last get no work. */
   readonly weightsGraceMilliseconds: number;
+  /** Time after which streams that have not begun on older weights are taken back. */
+  readonly weightsStartMilliseconds: number;
   /** This daemon's part of the retries that all daemons may make. */
   readonly retryBudget: admission.Budget;
   readonly maximumRequests: number;
@@ -67,8 +69,6 @@
 
   private listener: daemon.HttpListener | undefined;
 
-  private graceTimer: clock.Timer | undefined;
-
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -78,18 +78,22 @@
     const { plane, time, random, meter } = ports;
     this.lifecycle = new lifecycle.LifecycleManager(time);
     const pool = new routing.BackendPool(ports.backends);
-    this.task = new routing.DecisionTask<unknown>(coreOf(options, random), time, () => {});
+    this.task = new routing.DecisionTask<unknown>(
+      coreOf(options, random),
+      time,
+      () => {},
+      (at) => this.renewedConfiguration(at),
+    );
     const list = new sharedMachineList.SharedMachineList({ plane, source: ports.list, time });
     this.membership = new routing.MembershipTask(
       { list, pool, plane, task: this.task, time, random },
       LIST_MILLISECONDS,
       false,
     );
-    this.source = new routingSource.RoutingSource(
-      ports.decode,
-      options.speeds,
-      new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
-    );
+    this.source = new routingSource.RoutingSource(ports.decode, options.speeds, {
+      work: new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
+      start: new weightsAge.WeightsAge(time, options.weightsStartMilliseconds),
+    });
     const { task, membership } = this;
     const placings = new placingLog.PlacingLog(time);
     const exchange = new loadExchange.LoadExchange(
@@ -150,7 +154,6 @@
     own('metrics', () => meter.close());
     const watch = new metrics.ProcessWatch(this.ports.time, meter, metrics.processUsage);
     own('process watch', () => watch.close());
-    own('weights grace', () => this.graceTimer?.cancel());
     own('control plane', () => plane.close());
     own('backend clients', () => pool.close());
     own('decision task', () => this.task.close());
@@ -163,15 +166,11 @@
     this.useRegister(plane.register());
   }
 
-  /** The grace of a named version ends without another change of the register. */
-  private awaitGrace(): void {
-    const { time, plane } = this.ports;
-    const left = this.source.untilMinimumChanges;
-    this.graceTimer?.cancel();
-    this.graceTimer =
-      left === undefined
-        ? undefined
-        : time.setTimer(left + TIMER_MARGIN_MILLISECONDS, () => this.useRegister(plane.register()));
+  /** The grace of a named version ends without a change of the register. */
+  private renewedConfiguration(at: number): decision.ConfigurationChanged | undefined {
+    const active = this.source.renew();
+    const kind = decision.DecisionEventKind.ConfigurationChanged;
+    return active && { kind, at, snapshot: active.snapshot };
   }
 
   private ownLoads(): readonly loadExchange.ServerWork[] {
@@ -217,7 +216,6 @@
     if (active !== undefined) {
       this.gateway.useTable(active.table, active.snapshot);
     }
-    this.awaitGrace();
   }
 
   private async listen(): Promise<void> {
@@ -278,9 +276,6 @@
 
 const TABLE_POLL_MILLISECONDS = 20;
 
-/** A timer that fires a moment early must not find the grace unended. */
-const TIMER_MARGIN_MILLISECONDS = 20;
-
 /** Half of the interval of a daemon and of the leader, and two ways between regions. */
 const SUM_AGE_MILLISECONDS = 220;
 
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -1,3 +1,4 @@
+import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as clock from '../../src/clock';
@@ -47,15 +48,86 @@
 });
 
 // Guards against a check that comes a whole grace after a daemon has learned of a version.
-suite('the next change is due when the grace since the naming ends', () => {
+suite('a change is due from the moment at which the grace since the naming ends', () => {
   const time = new clock.ManualClock();
   const age = new weightsAge.WeightsAge(time, 6_000);
-  assert.is(age.untilNextMilliseconds(), undefined);
+  assert.not(age.isChangeDue());
   age.minimum('desk', { version: 2, namedAt: time.now() - 4_000 });
-  assert.is(age.untilNextMilliseconds(), 2_000);
-  time.advance(2_000);
+  assert.not(age.isChangeDue());
+  time.advance(1_999);
+  assert.not(age.isChangeDue());
+  time.advance(1);
+  assert.ok(age.isChangeDue());
   age.minimum('desk', undefined);
-  assert.is(age.untilNextMilliseconds(), undefined);
+  assert.not(age.isChangeDue());
 });
 
+// Guards against a daemon that learns of a burst at once and lacks the one version whose grace is over.
+suite('a burst of namings leaves the version known whose grace is over', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const register = [7_000, 1_000, 900, 800, 700, 600].reduce(
+    (named, ago, index) => control.nameWeights(named, 'desk', index + 2, time.now() - ago),
+    control.EMPTY_REGISTER,
+  );
+  assert.is(age.minimum('desk', register.weights.get('desk')), '2');
+});
+
+// Guards against a register that grows with each naming, and against a bound on it that hides an old one.
+suite(
+  'whatever the namings were, a daemon that starts late knows the oldest version in use',
+  () => {
+    const gap = fastCheck.oneof(fastCheck.nat(9), fastCheck.nat(400), fastCheck.nat(90_000));
+    const gaps = fastCheck.array(gap, { minLength: 1, maxLength: 200, size: 'max' });
+    fastCheck.assert(
+      fastCheck.property(gaps, fastCheck.nat(20_000), (between, wait) => {
+        const namings = namingsAfter(between);
+        const named = namings
+          .reduce(
+            (state, { version, namedAt }) => control.nameWeights(state, 'desk', version, namedAt),
+            control.EMPTY_REGISTER,
+          )
+          .weights.get('desk')!;
+        const time = new clock.ManualClock(named.namedAt + wait);
+        const oldEnough = (grace: number) =>
+          namings.filter(({ namedAt }) => time.now() - namedAt >= grace).at(-1)?.version ?? 0;
+        const found = Number(new weightsAge.WeightsAge(time, 6_000).minimum('desk', named) ?? 0);
+        assert.ok(found >= oldEnough(6_000));
+        assert.ok(found <= oldEnough(6_000 - control.NAMING_SPACING_MILLISECONDS));
+        const bound = control.NAMING_MEMORY_MILLISECONDS / control.NAMING_SPACING_MILLISECONDS;
+        assert.ok((named.earlier ?? []).length <= bound + 2);
+      }),
+      { seed: 14, numRuns: 300 },
+    );
+  },
+);
+
+// Guards against a wall clock ahead of the daemon's own, at the leader, that hides a suspension.
+suite('a suspension counts although the clocks of two VMs differ', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const named = { version: 2, namedAt: time.now() + 3_000 };
+  assert.is(age.minimum('desk', named), undefined);
+  time.suspend(6_000);
+  assert.is(age.minimum('desk', named), '2');
+});
+
+// Guards against a wall clock that is set back and puts weights in use again that were out of use.
+suite('a clock that is set back does not bring older weights back', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const named = { version: 2, namedAt: time.now() - 7_000 };
+  assert.is(age.minimum('desk', named), '2');
+  time.suspend(-5_000);
+  assert.is(age.minimum('desk', named), '2');
+});
+
+function namingsAfter(gaps: readonly number[]): readonly control.WeightsNaming[] {
+  let namedAt = 0;
+  return gaps.map((gap, index) => {
+    namedAt += gap;
+    return { version: index + 1, namedAt };
+  });
+}
+
 suite.run();
