Log what a gateway knows of the weights that a request meets

`request dispatched` named the engine's version alone, and a change of the oldest version left no line. `request dispatched` says how long ago the engine's version was superseded.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -115,6 +115,8 @@
         silence,
         placings,
         server: (serverId) => membership.server(serverId),
+        supersededMilliseconds: (service, version) =>
+          this.source.supersededMilliseconds(service, version),
         storeAddress: () => this.gateway.store?.address,
       },
       random,
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -11,6 +11,8 @@
   readonly placings: placingLog.PlacingLog;
   /** A backend server as membership knows it now. */
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
+  /** How long ago the weights of a server of a service were superseded; absent when they are the newest. */
+  readonly supersededMilliseconds: (service: string, weightsVersion: string) => number | undefined;
   /** `host:port` of the store of kept KV cache, if there is one. */
   readonly storeAddress: () => string | undefined;
 }
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -98,7 +98,7 @@
     signal: AbortSignal,
   ): Promise<verdict.RequestFailure | undefined> {
     const { call, context } = this;
-    logDispatch(this.call, effect, known);
+    this.logDispatch(effect, known);
     this.tellPlacing(effect.serverId, known);
     return new Promise((resolve) => {
       const receiver = new answerReceiver.AnswerReceiver(
@@ -135,6 +135,30 @@
     });
   }
 
+  /** The inputs that decided where a request went. */
+  private logDispatch(
+    effect: decision.Dispatch,
+    known: membership.EligibleServer | undefined,
+  ): void {
+    const { requestId, profile } = this.call;
+    const weightsVersion = known?.weightsVersion;
+    logger.information('request dispatched', {
+      requestId,
+      service: profile.service,
+      backendServer: effect.serverId,
+      attempt: effect.attemptId,
+      weightsVersion,
+      supersededMilliseconds:
+        weightsVersion === undefined
+          ? undefined
+          : this.context.supersededMilliseconds(profile.service, weightsVersion),
+      queuedMilliseconds: Math.round(effect.queuedMilliseconds),
+      expectedCachedTokens: effect.expectedCachedTokens,
+      cacheSource: effect.cacheSource,
+      resumeFrom: effect.resumeFrom,
+    });
+  }
+
   /** Other daemons then have these prefixes copied rather than read again. */
   private tellPlacing(serverId: string, known: membership.EligibleServer | undefined): void {
     if (known?.weightsVersion !== undefined && this.call.cacheWall !== undefined) {
@@ -225,25 +249,6 @@
   }
 }
 
-/** The inputs that decided where a request went. */
-function logDispatch(
-  { requestId, profile }: RelayCall,
-  effect: decision.Dispatch,
-  known: membership.EligibleServer | undefined,
-): void {
-  logger.information('request dispatched', {
-    requestId,
-    service: profile.service,
-    backendServer: effect.serverId,
-    attempt: effect.attemptId,
-    weightsVersion: known?.weightsVersion,
-    queuedMilliseconds: Math.round(effect.queuedMilliseconds),
-    expectedCachedTokens: effect.expectedCachedTokens,
-    cacheSource: effect.cacheSource,
-    resumeFrom: effect.resumeFrom,
-  });
-}
-
 const logger = new logging.Logger('gateway');
 
 /** One way from a server in another region. */
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -4,6 +4,7 @@
 import * as logging from '../logging';
 import * as routes from '../routes';
 import type * as weightsAge from './weights-age';
+import * as weightsLog from './weights-log';
 
 /** Decodes the platform's text of a routing document; `Err` lists every fault. */
 export type RoutingDecoder = (
@@ -26,6 +27,8 @@
 
 /** Follows the register and turns each change into an active routing table. */
 export class RoutingSource {
+  private readonly log = new weightsLog.WeightsLog();
+
   private register = control.EMPTY_REGISTER;
 
   private active: ActiveRouting | undefined;
@@ -64,17 +67,29 @@
     if (table !== undefined) {
       const snapshot = routes.decisionSnapshot(table, this.speeds, (model) => {
         const named = register.weights.get(model);
-        return {
+        const weights = {
           named: named?.version.toString(),
           minimum: this.ages?.work.minimum(model, named),
           minimumStart: this.ages?.start.minimum(model, named),
         };
+        if (this.ages !== undefined) {
+          this.log.note(model, weights, this.ages.work);
+        }
+        return weights;
       });
       this.active = { table, snapshot };
     }
     return this.active;
   }
 
+  /** How long ago the weights of a server of a service were superseded, as far as this daemon knows. */
+  supersededMilliseconds(serviceName: string, weightsVersion: string): number | undefined {
+    const service = this.table?.services.find(({ name }) => name === serviceName);
+    return service?.engine === undefined
+      ? undefined
+      : this.ages?.work.supersededMilliseconds(service.engine.model, weightsVersion);
+  }
+
   /** Documents are checked before they are written, so that a fault here is one of this program. */
   private decodeTable(routing: control.RoutingText): void {
     const decoded = this.decode(routing.text);
--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -8,6 +8,14 @@
   readonly learnedOn: number;
 }
 
+/** Ages of a version, for logs. */
+export interface NamingFacts {
+  /** Time since it was named. */
+  readonly ageMilliseconds: number;
+  /** Time from its naming until this daemon learned of it. */
+  readonly ageWhenLearnedMilliseconds: number;
+}
+
 /** What is known of one model. */
 interface ModelVersions {
   /** The oldest version that gets work; absent while any does. */
@@ -50,6 +58,31 @@
     );
   }
 
+  /**
+   * How long ago the first version after the given one was named, as far as this daemon knows; absent for the newest.
+   * For a version that gets no work any more it is at least this long.
+   */
+  supersededMilliseconds(model: string, version: string): number | undefined {
+    const newer = this.versions(model).find((known) => known.version > Number(version));
+    return newer && Math.round(this.age(newer));
+  }
+
+  /** Ages of a version that gets work; absent when it is not known. */
+  facts(model: string, version: string): NamingFacts | undefined {
+    const known = this.versions(model).find((other) => other.version === Number(version));
+    return (
+      known && {
+        ageMilliseconds: Math.round(this.age(known)),
+        ageWhenLearnedMilliseconds: Math.round(Math.max(0, known.learnedOn - known.namedAt)),
+      }
+    );
+  }
+
+  private versions(model: string): readonly LearnedVersion[] {
+    const { minimum, waiting = [] } = this.models.get(model) ?? {};
+    return minimum === undefined ? waiting : [minimum, ...waiting];
+  }
+
   private newVersions(
     { minimum, waiting }: ModelVersions,
     named: control.NamedWeights | undefined,
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -43,7 +43,9 @@
 
   override cancelAttempt(attemptId: string): void {
     this.attempts.get(attemptId)?.abort();
-    this.attempts.delete(attemptId);
+    if (this.attempts.delete(attemptId)) {
+      logger.information('attempt cancelled', { ...this.fields(), attempt: attemptId });
+    }
   }
 
   /** Runs one attempt to its end; reports a failure with `attemptFailed`. */
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -122,6 +122,19 @@
   assert.is(age.minimum('desk', named), '2');
 });
 
+suite('a version is superseded since the first newer one was named', () => {
+  const time = new clock.ManualClock();
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const first = control.nameWeights(control.EMPTY_REGISTER, 'desk', 2, time.now() - 4_000);
+  const second = control.nameWeights(first, 'desk', 3, time.now() - 1_000);
+  const superseded = () => ['1', '2', '3'].map((own) => age.supersededMilliseconds('desk', own));
+  age.minimum('desk', second.weights.get('desk'));
+  assert.equal(superseded(), [4_000, 1_000, undefined]);
+  time.advance(3_000);
+  age.minimum('desk', undefined);
+  assert.equal(superseded(), [7_000, 4_000, undefined]);
+});
+
 function namingsAfter(gaps: readonly number[]): readonly control.WeightsNaming[] {
   let namedAt = 0;
   return gaps.map((gap, index) => {
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as control from '../../src/control';
+import * as capturedLog from '../support/captured-log';
 import * as suspendableClock from '../support/suspendable-clock';
 import * as fakeRunner from './fake-runner';
 import * as builder from './gateway-builder';
@@ -254,6 +255,24 @@
   });
 });
 
+/** Guards against logs that do not show whether a request on old weights was sent in time. */
+suite(
+  'the log of a dispatch says how long ago the weights of the server were superseded',
+  async () => {
+    const server = runner(fakeRunner.answer('made with version 3'));
+    const named = control.nameWeights(control.EMPTY_REGISTER, 'desk-model', 4, Date.now() - 1_000);
+    const started = new builder.GatewayBuilder([server], builder.document(), named);
+    const lines = await capturedLog.linesOf('request dispatched', () =>
+      started.run(async (gateway) => {
+        await gateway.send('GET', '/balance/7');
+      }),
+    );
+    assert.is(lines.length, 1);
+    assert.is(lines[0].weightsVersion, '3');
+    assert.ok(Number(lines[0].supersededMilliseconds) >= 1_000);
+  },
+);
+
 /** Guards against a request that waits in an engine until its weights are too old, and begins then. */
 suite('a stream that has not begun on weights that became too old is taken back', async () => {
   let isClosed = false;
