Make the routing anew once, not for each event, when a model has left it

Seen by reading again, then by test: once the grace of a model's version ended that no service runs any more, each event of the decision task made the routing anew, since only the models of services were looked at. Requests would have paid for it with processor time for as long as the daemon ran. Change: all models of the register are looked at when the routing is made. Evidence: "the end of a grace changes the routing once, also for a model that has left it" fails on (renewed four times in place of two) and passes now.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -215,11 +215,6 @@
     };
   }
 
-  private leaseRemaining(state: replica.ReplicaState): number {
-    const suspendedUntil = this.suspensions.lastNoticedAt();
-    return replica.leaseRemaining(state, this.options.clock.monotonic(), suspendedUntil);
-  }
-
   /** Bytes on the links to each peer by daemon id. */
   peerTraffic(): ReadonlyMap<string, wire.LinkTraffic> {
     return this.network.traffic();
@@ -316,6 +311,11 @@
     });
   }
 
+  private leaseRemaining(state: replica.ReplicaState): number {
+    const suspendedUntil = this.suspensions.lastNoticedAt();
+    return replica.leaseRemaining(state, this.options.clock.monotonic(), suspendedUntil);
+  }
+
   /** The leader of the highest known term. */
   private knownLeader(): peerMessage.KnownLeader | undefined {
     const state = this.replicaTask?.current;
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -64,24 +64,31 @@
       this.decodeTable(routing);
     }
     const { table } = this;
+    // Models that no service runs now are looked at too, or a change of theirs would stay due.
+    const weights = register.weights.map((named, model) => this.weightsOf(model, named));
     if (table !== undefined) {
-      const snapshot = routes.decisionSnapshot(table, this.speeds, (model) => {
-        const named = register.weights.get(model);
-        const weights = {
-          named: named?.version.toString(),
-          minimum: this.ages?.work.minimum(model, named),
-          minimumStart: this.ages?.start.minimum(model, named),
-        };
-        if (this.ages !== undefined) {
-          this.log.note(model, weights, this.ages.work);
-        }
-        return weights;
-      });
+      const snapshot = routes.decisionSnapshot(
+        table,
+        this.speeds,
+        (model) => weights.get(model) ?? {},
+      );
       this.active = { table, snapshot };
     }
     return this.active;
   }
 
+  private weightsOf(model: string, named: control.NamedWeights): routes.ModelWeights {
+    const weights = {
+      named: named.version.toString(),
+      minimum: this.ages?.work.minimum(model, named),
+      minimumStart: this.ages?.start.minimum(model, named),
+    };
+    if (this.ages !== undefined) {
+      this.log.note(model, weights, this.ages.work);
+    }
+    return weights;
+  }
+
   /** How long ago the weights of a server of a service were superseded, as far as this daemon knows. */
   supersededMilliseconds(serviceName: string, weightsVersion: string): number | undefined {
     const service = this.table?.services.find(({ name }) => name === serviceName);
--- /dev/null
+++ b/test/gateway/routing-source.test.ts
@@ -0,0 +1,42 @@
+import * as results from 'ts-results';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as clock from '../../src/clock';
+import * as control from '../../src/control';
+import * as routingSource from '../../src/gateway/routing-source';
+import * as weightsAge from '../../src/gateway/weights-age';
+import * as routes from '../../src/routes';
+
+const suite = uvu.suite('source of the routing');
+
+const TRAITS = { slots: 8, cacheTokens: 0, cacheTokenBytes: 1, linkMegabitsPerSecond: 1 };
+
+/** Reads a document that is the name of a model, which its only service runs. */
+function decode(text: string): results.Result<routes.RoutingTable, readonly string[]> {
+  const engine = { ...TRAITS, model: text };
+  const services = [{ name: 'desk', healthPath: '/health', maximumConnections: 8, engine }];
+  return new results.Ok({ version: 1, routes: [], services });
+}
+
+// Guards against a routing that is made anew for each event once no service runs a model any more.
+suite('the end of a grace changes the routing once, also for a model that has left it', () => {
+  const time = new clock.ManualClock();
+  const ages = {
+    work: new weightsAge.WeightsAge(time, 6_000),
+    start: new weightsAge.WeightsAge(time, 7_000),
+  };
+  const speeds = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1 };
+  const source = new routingSource.RoutingSource(decode, speeds, ages);
+  const old = control.putRouting(control.EMPTY_REGISTER, { version: 1, text: 'old-model' });
+  const named = control.nameWeights(old, 'old-model', 2, time.now());
+  source.take(named);
+  source.take(control.putRouting(named, { version: 2, text: 'new-model' }));
+  assert.is(source.renew(), undefined);
+  const renewed = [6_000, 0, 1_000, 0].map((milliseconds) => {
+    time.advance(milliseconds);
+    return source.renew() !== undefined;
+  });
+  assert.equal(renewed, [true, false, true, false]);
+});
+
+suite.run();
