Start the built program of the platform in a test

Change: `test/platform/process.test.ts` copies the sources into a folder of its own, builds them with the command of the deploy file, starts a control daemon and a gateway with settings files on loopback, puts a routing document, sends a request to a scripted server, and stops both with SIGTERM. Further: other V8 flags and a missing file lead to a start without compiled code and a warning. Waits have no limit of their own; they end with the line, the answer or the end of the process.

--- /dev/null
+++ b/test/platform/process.test.ts
@@ -0,0 +1,124 @@
+import * as http from 'node:http';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as deployFile from '../../platform/local/deploy-file';
+import * as platformProcess from '../../platform/local/platform-process';
+import * as surroundingsModule from '../../platform/local/surroundings';
+import * as builtCheckout from './built-checkout';
+import * as fakeRunner from './fake-runner';
+import * as builder from './gateway-builder';
+
+const suite = uvu.suite('processes of the platform');
+
+const checkout = new builtCheckout.BuiltCheckout();
+const started: platformProcess.PlatformProcess[] = [];
+let surroundings: surroundingsModule.Surroundings;
+
+suite.before(() => checkout.build());
+suite.after(() => checkout.remove());
+
+suite.before.each(async () => {
+  surroundings = new surroundingsModule.Surroundings();
+  await surroundings.start();
+});
+
+suite.after.each(async () => {
+  await Promise.all(started.splice(0).map((process) => process.stop('SIGKILL')));
+  await surroundings.stop();
+});
+
+/** Guards against a build without a part that only a running process loads, and against a start without its compiled code. */
+suite('built from a checkout, a control daemon and a gateway serve and stop', async () => {
+  const runner = new fakeRunner.FakeRunner('i-1', [fakeRunner.answer('7 sacks')]);
+  await runner.listen();
+  surroundings.servers = [serverOf(runner)];
+  const core = surroundings.controlDaemon('core-1');
+  const control = start(deployFile.commandOf(deployFile.Role.Control, checkout.root), core);
+  await control.logged('started');
+  await surroundingsModule.putRouting(core, patientDocument());
+  const front = surroundings.gateway('front-1');
+  const gateway = start(deployFile.commandOf(deployFile.Role.Gateway, checkout.root), front);
+  await gateway.logged('ready');
+
+  assert.is((await fetch(front.readyUrl)).status, 200);
+  assert.equal(await send(`${front.url}/balance/7`), { status: 200, text: '7 sacks' });
+  assert.is(runner.requests[0].headers['x-figline-tenant'], 'depot');
+  assert.match(await (await fetch(front.metricsUrl)).text(), /figline_/);
+
+  for (const process of [gateway, control]) {
+    assert.equal(await process.stop('SIGTERM'), { code: 0, signal: null }, process.errors);
+    assert.is(process.log.find(isCompiledAtStart), undefined);
+    assert.is(process.errors, '');
+  }
+  await runner.close();
+});
+
+/** Guards against a process that does not start, or does not say why it is slow, beside compiled code of other flags. */
+suite('compiled code that does not fit is refused, and the process starts without it', async () => {
+  const command = deployFile.commandOf(deployFile.Role.Control, checkout.root);
+  const other = command.replace('--max-old-space-size=160', '--max-old-space-size=161');
+  assert.is.not(other, command);
+  const control = start(other, surroundings.controlDaemon('core-1'));
+  await control.logged('started');
+  assert.is(control.log.find(isCompiledAtStart)?.codeCache, 'refused');
+});
+
+/** Guards against a start that needs what only the build machine has. */
+suite('a process starts without compiled code', async () => {
+  const command = deployFile.commandOf(deployFile.Role.Control, checkout.root);
+  const control = start(
+    command.replace(/ control$/, ' other'),
+    surroundings.controlDaemon('core-1'),
+  );
+  await control.logged('started');
+  assert.is(control.log.find(isCompiledAtStart)?.codeCache, 'missing');
+});
+
+suite.run();
+
+function start(
+  command: string,
+  { settingsFile }: surroundingsModule.PlatformNode,
+): platformProcess.PlatformProcess {
+  const child = platformProcess.PlatformProcess.start(command, checkout.root, settingsFile);
+  started.push(child);
+  return child;
+}
+
+function isCompiledAtStart({ message }: platformProcess.LogLine): boolean {
+  return message === 'the program is compiled at start';
+}
+
+function serverOf({ id, port }: fakeRunner.FakeRunner): surroundingsModule.ListedServer {
+  const models = [{ name: 'desk-model', version: 3 }];
+  return { id, service: 'desk', addr: `127.0.0.1:${port}`, models };
+}
+
+/** The timeouts of routes are not examined here, and a busy machine must not reach them. */
+function patientDocument(): object {
+  const document = builder.document() as { routes: object[] };
+  const routes = document.routes.map((route) => ({ ...route, timeout_ms: PATIENCE_MILLISECONDS }));
+  return { ...document, routes };
+}
+
+const PATIENCE_MILLISECONDS = 60_000;
+
+/** `fetch` does not let its caller choose the host. */
+function send(url: string): Promise<{ readonly status?: number; readonly text: string }> {
+  return new Promise((resolve, reject) => {
+    const headers = {
+      host: 'desk.example',
+      authorization: `Token ${builder.CREDENTIAL}`,
+      'x-figline-request-id': 'request-1',
+      'x-figline-deadline-ms': PATIENCE_MILLISECONDS,
+    };
+    const request = http.get(url, { headers, agent: false }, async (response) => {
+      const chunks: Buffer[] = [];
+      for await (const chunk of response) {
+        chunks.push(chunk);
+      }
+      resolve({ status: response.statusCode, text: Buffer.concat(chunks).toString() });
+    });
+    request.on('error', reject);
+  });
+}
