Add failing tests of servers that send bytes without end

What callers saw: a server that sends bytes that are no answer, without end, holds a request until its deadline (504) although it is known at once that nothing will come of it (502, or another server). One long event in small parts kept the whole daemon busy: look-ups at a sound server timed out beside it.

The tests script servers on raw sockets that send one line, header, chunk size, event, comment or body without end, at full speed or a byte at a time; each loop ends by itself after 128 MiB. Verdicts count bytes, events and closed connections.

--- /dev/null
+++ b/test/gateway/answer-receiver.test.ts
@@ -0,0 +1,178 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as answerReceiver from '../../src/gateway/answer-receiver';
+import type * as relayReply from '../../src/gateway/relay-reply';
+import * as verdict from '../../src/verdict';
+
+const suite = uvu.suite('answer receiver');
+
+/** A receiver whose caller and server only count. */
+class Received {
+  events = 0;
+
+  arrivals = 0;
+
+  cancelled = 0;
+
+  pauses = 0;
+
+  resumes = 0;
+
+  written = '';
+
+  drained: (() => void) | undefined;
+
+  failure: verdict.RequestFailure | undefined;
+
+  readonly delivered: answerReceiver.Delivered = { events: 0 };
+
+  readonly receiver: answerReceiver.AnswerReceiver;
+
+  constructor(isSlow = false) {
+    const reply = {
+      head: () => {},
+      write: (bytes: Buffer, onDrained: () => void) => {
+        this.written += bytes.toString();
+        this.drained = onDrained;
+        return !isSlow;
+      },
+      send: (_head: unknown, body: Buffer) => {
+        this.written += body.toString();
+      },
+      end: () => {},
+    } as unknown as relayReply.RelayReply;
+    this.receiver = new answerReceiver.AnswerReceiver(
+      {
+        reply,
+        delivered: this.delivered,
+        isCurrent: () => true,
+        onEvent: () => {
+          this.events += 1;
+        },
+        onArrival: () => {
+          this.arrivals += 1;
+        },
+        onLoad: () => {},
+      },
+      (failure) => {
+        this.failure = failure;
+      },
+    );
+    this.receiver.handle = {
+      pause: () => {
+        this.pauses += 1;
+      },
+      resume: () => {
+        this.resumes += 1;
+      },
+      cancel: () => {
+        this.cancelled += 1;
+      },
+    };
+  }
+
+  start(type: string): this {
+    this.receiver.onHead({ status: 200, headers: { 'content-type': type } }, undefined);
+    return this;
+  }
+
+  /** Feeds a text again and again until the receiver gives up; returns how many bytes that took. */
+  flood(text: string, maximumBytes: number): number {
+    let bytes = 0;
+    while (this.failure === undefined && bytes < maximumBytes) {
+      this.receiver.onData(Buffer.from(text));
+      bytes += text.length;
+    }
+    return bytes;
+  }
+}
+
+const EVENTS = 'text/event-stream';
+
+const MEBIBYTE = 1_024 * 1_024;
+
+// Guards against a server that counts as alive, and a request as being answered, without any event.
+[': idle\n\n', ': idle\n', '\n', 'da'].forEach((drip) => {
+  suite(`${JSON.stringify(drip)} without end is no event, no life, and given up`, () => {
+    const received = new Received().start(EVENTS);
+    received.receiver.onData(Buffer.from('id: 1\ndata: a\n\n'));
+    const { arrivals, events } = received;
+    const bytes = received.flood(drip, MEBIBYTE);
+    assert.is(received.arrivals, arrivals);
+    assert.is(received.events, events);
+    assert.ok(received.failure !== undefined, `${bytes} bytes did not end the attempt`);
+    assert.is(received.failure?.verdict, verdict.Verdict.MayHaveRun);
+    assert.is(received.failure?.reason, verdict.FailureReason.BackendError);
+    assert.is(received.cancelled, 1);
+  });
+});
+
+suite('events that the caller has, without end, are given up', () => {
+  const received = new Received().start(EVENTS);
+  received.flood('id: 1\ndata: a\n\n', MEBIBYTE);
+  assert.is(received.events, 1);
+  assert.ok(received.failure !== undefined);
+});
+
+suite('comments between events reach the caller, however many there are in all', () => {
+  const received = new Received().start(EVENTS);
+  const comments = ': idle\n\n'.repeat(1_024);
+  let expected = '';
+  for (let id = 1; id <= 256; id += 1) {
+    const text = `${comments}id: ${id}\ndata: a\n\n`;
+    expected += text;
+    received.receiver.onData(Buffer.from(text));
+  }
+  received.receiver.onEnd();
+  assert.is(received.failure, undefined);
+  assert.is(received.written, expected);
+  assert.is(received.delivered.events, 256);
+});
+
+// Guards against a daemon that holds the large answers of many requests in memory.
+suite('a large answer is passed on while it arrives, and waits for a slow caller', () => {
+  const received = new Received(true).start('application/json');
+  const part = 'sacks and sacks\n'.repeat(1_024);
+  let sent = '';
+  while (received.pauses === 0 && sent.length < 8 * MEBIBYTE) {
+    sent += part;
+    received.receiver.onData(Buffer.from(part));
+  }
+  assert.is(received.pauses, 1, 'the server was not paused');
+  assert.ok(sent.length <= MEBIBYTE, `${sent.length} bytes were held`);
+  received.drained?.();
+  assert.is(received.resumes, 1);
+  received.receiver.onData(Buffer.from(part));
+  received.receiver.onEnd();
+  received.delivered.complete?.({});
+  assert.is(received.written, sent + part);
+});
+
+suite('a small answer is passed on only when it is whole', () => {
+  const received = new Received().start('application/json');
+  received.receiver.onData(Buffer.from('7 sacks'));
+  assert.is(received.written, '');
+  received.receiver.onEnd();
+  received.delivered.complete?.({});
+  assert.is(received.written, '7 sacks');
+});
+
+// Guards against small parts of an answer that keep the large buffers alive in which they arrived.
+suite('the parts of an answer have been copied', () => {
+  const received = new Received().start('application/json');
+  const part = Buffer.from('sacks');
+  received.receiver.onData(part);
+  part.fill(0);
+  received.receiver.onEnd();
+  received.delivered.complete?.({});
+  assert.is(received.written, 'sacks');
+});
+
+suite('a body without end is given up', () => {
+  const received = new Received().start('application/json');
+  received.flood('sacks and sacks\n'.repeat(4_096), 64 * MEBIBYTE);
+  assert.is(received.failure?.reason, verdict.FailureReason.BackendError);
+  assert.is(received.cancelled, 1);
+});
+
+suite.run();
--- a/test/gateway/event-splitter.test.ts
+++ b/test/gateway/event-splitter.test.ts
@@ -29,4 +29,40 @@
   assert.throws(() => splitter.push(Buffer.from('x'.repeat(20))));
 });
 
+// Guards against a server that occupies the daemon with one long event in many small parts.
+suite('an event in parts of one byte takes work in proportion to its size', () => {
+  const bytes = 32 * 1_024;
+  const splitter = new eventSplitter.EventSplitter(2 * bytes);
+  const { concat } = Buffer;
+  const { indexOf } = Buffer.prototype;
+  let touched = 0;
+  Buffer.concat = (parts: readonly Uint8Array[], length?: number) => {
+    touched += parts.reduce((sum, part) => sum + part.length, 0);
+    return concat(parts, length);
+  };
+  Buffer.prototype.indexOf = function counted(this: Buffer, ...given: [string, number?]) {
+    touched += this.length - (given[1] ?? 0);
+    return indexOf.apply(this, given);
+  };
+  try {
+    for (let part = 0; part < bytes; part += 1) {
+      splitter.push(Buffer.from('x'));
+    }
+  } finally {
+    Buffer.concat = concat;
+    Buffer.prototype.indexOf = indexOf;
+  }
+  assert.ok(touched < 32 * bytes, `${touched} bytes were touched for ${bytes}`);
+  assert.is(splitter.push(Buffer.from('\n\n'))[0].bytes.length, bytes + 2);
+});
+
+// Guards against a small part that keeps the large buffer alive in which it arrived.
+suite('what is pending has been copied', () => {
+  const splitter = new eventSplitter.EventSplitter(1_000);
+  const part = Buffer.from('id: 1\nda');
+  splitter.push(part);
+  part.fill(0);
+  assert.is(splitter.push(Buffer.from('ta: a\n\n'))[0].bytes.toString(), 'id: 1\ndata: a\n\n');
+});
+
 suite.run();
--- /dev/null
+++ b/test/platform/endless-answer.test.ts
@@ -0,0 +1,189 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as flood from '../support/flood';
+import * as floodServer from '../support/flood-server';
+import * as fakeRunner from './fake-runner';
+import * as builder from './gateway-builder';
+
+const suite = uvu.suite('answers without end on the platform');
+
+/** What the kernels of both sides hold on one connection, and the largest answer that may pass. */
+const MAXIMUM_TAKEN_BYTES = 40 * 1_024 * 1_024;
+
+/** The sound server is asked first in some of them. */
+const MAXIMUM_REQUESTS = 24;
+
+function faulty(given: flood.Flood): floodServer.FloodServer {
+  return new floodServer.FloodServer('i-1', given, floodServer.reports);
+}
+
+/** Waits for the close of every flood; the limit only ends a test that would fail anyway. */
+async function closed(gateway: builder.GatewayBuilder, server: floodServer.FloodServer) {
+  for (let turn = 0; turn < 200 && server.closedFloods < server.requests; turn += 1) {
+    await gateway.time.sleep(5);
+  }
+  assert.is(server.closedFloods, server.requests, 'a flood was not ended');
+}
+
+/** Sends requests until the faulty server got one; every one of them must be answered by the other. */
+async function sendUntilFlooded(
+  gateway: builder.GatewayBuilder,
+  server: floodServer.FloodServer,
+  path: string,
+): Promise<readonly builder.Answer[]> {
+  const answers: builder.Answer[] = [];
+  for (let turn = 0; turn < MAXIMUM_REQUESTS && server.requests === 0; turn += 1) {
+    answers.push(await gateway.send('POST', path, {}, `body ${turn}`));
+  }
+  assert.ok(server.requests > 0, 'the faulty server got no request');
+  return answers;
+}
+
+// Guards against a request that may have run and waits for its deadline while nonsense arrives.
+Object.entries({ ...flood.HEAD_FLOODS, ...flood.TRAILER_FLOODS }).forEach(([name, given]) => {
+  suite(`a charge is answered as may-have-run at once after ${name} without end`, async () => {
+    const server = faulty(given);
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/charge/7');
+      assert.is(answer.status, 502, answer.text);
+      assert.is(JSON.parse(answer.text).error.code, 'backend_error');
+      await closed(gateway, server);
+      assert.is(server.requests, 1);
+      assert.ok(server.mostBytes < MAXIMUM_TAKEN_BYTES, `${server.mostBytes} bytes`);
+    });
+  });
+
+  suite(`a look-up is answered by another server after ${name} without end`, async () => {
+    const server = faulty(given);
+    const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.answer('own')]);
+    await new builder.GatewayBuilder([server, sound]).run(async (gateway) => {
+      const answers = await sendUntilFlooded(gateway, server, '/balance/7');
+      answers.forEach((answer) => assert.is(answer.text, 'own'));
+      await closed(gateway, server);
+    });
+  });
+
+  suite(`a slow drip of ${name} ends with the caller's time`, async () => {
+    const server = faulty(flood.slowly(given));
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/charge/7', { 'x-figline-deadline-ms': '300' });
+      assert.ok([502, 504].includes(answer.status), answer.text);
+      await closed(gateway, server);
+    });
+  });
+});
+
+// Guards against a body that fills the memory, and against a part of it that looks whole.
+Object.entries(flood.BODY_FLOODS).forEach(([name, given]) => {
+  suite(`${name} without end is cut and never looks whole`, async () => {
+    const server = faulty(given);
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/charge/7');
+      assert.ok(!answer.isComplete || answer.status === 502, String(answer.status));
+      await closed(gateway, server);
+      assert.ok(server.mostBytes < MAXIMUM_TAKEN_BYTES, `${server.mostBytes} bytes`);
+    });
+  });
+
+  suite(`a slow drip of ${name} ends with the caller's time`, async () => {
+    const server = faulty(flood.slowly(given));
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/charge/7', { 'x-figline-deadline-ms': '300' });
+      assert.ok(!answer.isComplete || answer.status === 504, String(answer.status));
+      await closed(gateway, server);
+    });
+  });
+});
+
+// Guards against a stream that is kept open by bytes that bring no event.
+Object.entries(flood.EVENT_FLOODS).forEach(([name, given]) => {
+  suite(`a stream that must not be repeated is cut after ${name} without end`, async () => {
+    const server = faulty(given);
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/report/7');
+      assert.ok(!answer.isComplete || answer.status === 502, 'the stream looks whole');
+      const delivered = [...answer.text.matchAll(/^id: 1$/gm)].length;
+      assert.is(delivered, given.start.includes('piece 1') ? 1 : 0);
+      await closed(gateway, server);
+      assert.ok(server.mostBytes < MAXIMUM_TAKEN_BYTES, `${server.mostBytes} bytes`);
+    });
+  });
+
+  suite(`a resumable stream goes on elsewhere after ${name} without end`, async () => {
+    const server = faulty(given);
+    const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.stream(3)]);
+    await new builder.GatewayBuilder([server, sound]).run(async (gateway) => {
+      const answers = await sendUntilFlooded(gateway, server, '/reply/7');
+      answers.forEach((answer) => {
+        assert.ok(answer.isComplete, answer.text.slice(-100));
+        const ids = [...answer.text.matchAll(/^id: (\d+)$/gm)].map((found) => Number(found[1]));
+        assert.equal(ids, [1, 2, 3]);
+      });
+      await closed(gateway, server);
+    });
+  });
+});
+
+// Guards against a connection of the pool that takes bytes for ever, and against their mix-up with answers.
+Object.entries(flood.EXTRA_FLOODS).forEach(([name, given]) => {
+  suite(`a whole answer arrives, and its connection is closed after ${name}`, async () => {
+    const server = faulty(given);
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      for (let turn = 1; turn <= 3; turn += 1) {
+        const answer = await gateway.send('POST', '/charge/7', {}, `body ${turn}`);
+        assert.is(answer.text, 'sacks');
+        await closed(gateway, server);
+      }
+      assert.ok(server.mostBytes < MAXIMUM_TAKEN_BYTES, `${server.mostBytes} bytes`);
+    });
+  });
+
+  suite(`a connection that idles is closed after a drip of ${name}`, async () => {
+    const server = faulty(flood.slowly(given));
+    await new builder.GatewayBuilder([server]).run(async (gateway) => {
+      assert.is((await gateway.send('POST', '/charge/7')).text, 'sacks');
+      await closed(gateway, server);
+    });
+  });
+});
+
+// Guards against other callers that wait or fail while one server floods its connections.
+suite('requests at a sound server are answered while another one floods', async () => {
+  const server = faulty(flood.EVENT_FLOODS['an event']);
+  const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.answer('own')]);
+  await new builder.GatewayBuilder([server, sound]).run(async (gateway) => {
+    const sends = Array.from({ length: 20 }, (_, turn) =>
+      gateway.send('POST', turn % 2 === 0 ? '/report/7' : '/balance/7', {}, `body ${turn}`),
+    );
+    const answers = await Promise.all(sends);
+    const lookUps = answers.filter((_, turn) => turn % 2 === 1);
+    lookUps.forEach((answer) => assert.is(answer.text, 'own'));
+    await closed(gateway, server);
+  });
+});
+
+const PART = 'sacks and sacks\n'.repeat(4_096);
+
+// Guards against a large answer that is lost or cut because its caller reads slowly.
+suite('an answer of several MiB passes whole to a slow caller', async () => {
+  const parts = 128;
+  const large: fakeRunner.RunnerBehaviour = (request, response) => {
+    response.writeHead(200, fakeRunner.sealed(request));
+    Array.from({ length: parts }).forEach(() => response.write(PART));
+    response.end();
+  };
+  const server = new fakeRunner.FakeRunner('i-1', [large]);
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    const received = await gateway.receive('/charge/7', async (response) => {
+      let bytes = 0;
+      for await (const chunk of response as AsyncIterable<Buffer>) {
+        bytes += chunk.length;
+        await gateway.time.sleep(1);
+      }
+      return bytes;
+    });
+    assert.is(received, parts * PART.length);
+  });
+});
+
+suite.run();
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -9,7 +9,6 @@
 import * as routingDocument from '../../platform/routing-document';
 import * as serverClient from '../../platform/server-client';
 import * as fakeControlState from '../support/fake-control-state';
-import type * as fakeRunner from './fake-runner';
 import * as registerPlane from './register-plane';
 
 export const CREDENTIAL = 'key-of-the-depot';
@@ -22,6 +21,14 @@
   readonly isComplete: boolean;
 }
 
+/** A scripted backend server. */
+export interface Runner {
+  readonly id: string;
+  readonly port: number;
+  listen(): Promise<void>;
+  close(): Promise<void>;
+}
+
 /** A gateway in this process in front of scripted runners. */
 export class GatewayBuilder {
   readonly time = new clock.SystemClock();
@@ -34,7 +41,7 @@
   private daemon!: gateway.GatewayDaemon;
 
   constructor(
-    private readonly runners: readonly fakeRunner.FakeRunner[],
+    private readonly runners: readonly Runner[],
     private readonly content: object = document(),
     private readonly weights: control.Register = control.EMPTY_REGISTER,
   ) {}
@@ -71,6 +78,20 @@
     });
   }
 
+  /** Sends one request whose answer the test reads itself. */
+  receive<Outcome>(
+    path: string,
+    read: (response: http.IncomingMessage) => Promise<Outcome>,
+  ): Promise<Outcome> {
+    return new Promise((resolve, reject) => {
+      const request = http.request(this.requestOptions('POST', path, {}), (response) =>
+        read(response).then(resolve, reject),
+      );
+      request.on('error', reject);
+      request.end();
+    });
+  }
+
   /** Sends a request and closes its connection after a while. */
   async abandon(method: string, path: string, afterMilliseconds: number): Promise<void> {
     const request = http.request(this.requestOptions(method, path, {}));
@@ -159,7 +180,7 @@
   };
 }
 
-function machineOf(runner: fakeRunner.FakeRunner): backend.MachineRecord {
+function machineOf(runner: Runner): backend.MachineRecord {
   return {
     id: runner.id,
     host: '127.0.0.1',
