Close a connection on which too many bytes are no part of a body

What callers saw: a server that sends a status line, blank lines, blanks before a header value, interim answers, a chunk size or a chunk extension without end holds a request until its deadline (504). Probes, orders and the list of VMs waited for their whole time, and an idle connection took blank lines for ever.

Cause: undici bounds the names and values of headers only. llhttp skips the other bytes without a call, so that nothing counted them, and blank lines before a status line do not even begin a message.

Ruled out: undici's maxResponseSize counts body bytes only; headersTimeout and bodyTimeout start anew with interim answers and parts of a body, and a time is no verdict at once. A bound on all bytes would cut large answers; so the budget counts what is no body, and each body byte earns the framing of its chunk.

--- a/src/backend/backend-limits.ts
+++ b/src/backend/backend-limits.ts
@@ -9,6 +9,11 @@
   /** Idle connections kept for one server. */
   readonly maximumIdleConnections: number;
   readonly maximumHeaderBytes: number;
+  /**
+   * Bytes of an answer that are no part of its body; they may grow with the body, since each chunk has a size
+   * line.
+   */
+  readonly maximumFramingBytes: number;
   /** Largest event of a stream. */
   readonly maximumEventBytes: number;
   /** Received but not consumed bytes of a stream after which reading pauses. */
@@ -36,6 +41,8 @@
   idleConnectionMilliseconds: 10_000,
   maximumIdleConnections: 64,
   maximumHeaderBytes: 32 * 1_024,
+  // The headers, and as much again for the status line, line ends and interim answers.
+  maximumFramingBytes: 64 * 1_024,
   maximumEventBytes: 1_024 * 1_024,
   maximumBufferedBytes: 1_024 * 1_024,
   maximumAnswerBytes: 16 * 1_024 * 1_024,
--- a/src/backend/connection.ts
+++ b/src/backend/connection.ts
@@ -3,6 +3,7 @@
 import * as clock from '../clock';
 import type * as backendAddress from './backend-address';
 import type * as backendLimits from './backend-limits';
+import * as framingBudget from './framing-budget';
 
 /**
  * One TCP connection to a backend server, which carries one request at a time. It connects once: undici's
@@ -23,6 +24,14 @@
 
   private checksEnd = false;
 
+  private watched: WatchedAnswer | undefined;
+
+  /** Bytes of the socket that are accounted for. */
+  private countedBytes = 0;
+
+  /** Bytes of a body that arrived since the last count. */
+  private bodyBytes = 0;
+
   constructor(
     private readonly address: backendAddress.BackendAddress,
     private readonly limits: backendLimits.BackendLimits,
@@ -51,6 +60,7 @@
       !socket.destroyed &&
       !socket.readableEnded &&
       socket.readableLength === 0 &&
+      socket.bytesRead === this.countedBytes &&
       socket.writableLength === 0
     );
   }
@@ -68,6 +78,32 @@
     return this.ended && !this.failed;
   }
 
+  /** Bytes that the server has sent on this connection. */
+  get receivedBytes(): number {
+    return this.socket?.bytesRead ?? 0;
+  }
+
+  /**
+   * Expects one answer from now on. Calls `onExcess` when too many of its bytes are no part of a body, which the
+   * HTTP parser alone does not notice in every place.
+   */
+  watch(onExcess: () => void): void {
+    const budget = new framingBudget.FramingBudget(this.limits.maximumFramingBytes);
+    this.watched = { budget, onExcess };
+  }
+
+  /** Tells that bytes were part of the body of the expected answer. */
+  countBody(bytes: number): void {
+    this.bodyBytes += bytes;
+  }
+
+  /** Expects nothing more: whatever arrives from now on closes the connection. */
+  unwatch(): void {
+    this.watched = undefined;
+    this.countedBytes = this.receivedBytes;
+    this.bodyBytes = 0;
+  }
+
   dispatch(
     options: undici.Dispatcher.DispatchOptions,
     handler: undici.Dispatcher.DispatchHandler,
@@ -116,9 +152,27 @@
       timer.cancel();
       socket.off('error', onError);
       callback(null, socket);
+      // After the listener of undici, which has read what there is.
+      socket.on('readable', () => this.countReceived(socket));
     });
   }
 
+  private countReceived(socket: net.Socket): void {
+    const parsed = socket.bytesRead - socket.readableLength;
+    const received = parsed - this.countedBytes;
+    const body = this.bodyBytes;
+    if (received <= 0) {
+      return;
+    }
+    this.countedBytes = parsed;
+    this.bodyBytes = 0;
+    if (this.watched === undefined) {
+      this.destroy();
+    } else if (!this.watched.budget.count(received, body)) {
+      this.watched.onExcess();
+    }
+  }
+
   private noteEnd(socket: net.Socket): void {
     this.ended = true;
     if (this.checksEnd) {
@@ -129,6 +183,12 @@
   }
 }
 
+/** An answer that is expected on a connection. */
+interface WatchedAnswer {
+  readonly budget: framingBudget.FramingBudget;
+  readonly onExcess: () => void;
+}
+
 /** Servers ignore a blank line before a request (RFC 9112, section 2.2). */
 const BLANK_LINE = '\r\n';
 
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -83,6 +83,7 @@
   }
 
   onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.connection?.countBody(chunk.length);
     if (!this.over) {
       this.receiveData(chunk);
     }
@@ -189,6 +190,7 @@
       body: body.length === 0 ? null : Buffer.from(body.buffer, body.byteOffset, body.length),
       reset: freshConnection,
     };
+    used.watch(() => this.abandon(verdict.FailureReason.BackendError, EXCESS));
     used.dispatch(options, this);
   }
 
@@ -216,6 +218,7 @@
 const FIRST_ERROR_STATUS = 400;
 const ABORTED = 'The request was cancelled.';
 const MISMATCH = 'The backend server answered another request.';
+const EXCESS = 'The backend server sent bytes that are no answer.';
 const UNFRAMED = 'The backend server sent an answer without a length.';
 
 function flatten(
