Report answers with status 100 or 101 that nobody asked for as broken protocol

What callers saw: 502 with connection_lost instead of backend_error, and a record in the quarantine as if the request might have crashed its server.

Cause: undici reports these, and bytes that arrive before a request, as a socket error ('bad response', 'bad upgrade'), which counted as a lost connection.

Ruled out: a lost connection as the verdict, since the server lives and speaks; a lost connection is a sign of a crash (src/decision/failing.ts).

--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -249,10 +249,14 @@
 function isProtocolError(error: Error): boolean {
   return (
     error instanceof undici.errors.HeadersOverflowError ||
+    (error instanceof undici.errors.SocketError && UNEXPECTED_ANSWERS.has(error.message)) ||
     (error instanceof undici.errors.HTTPParserError && 'data' in error && error.data !== '')
   );
 }
 
+/** How undici names answers with status 100 or 101 that nobody asked for, and bytes before a request. */
+const UNEXPECTED_ANSWERS = new Set(['bad response', 'bad upgrade']);
+
 function retryAfterMilliseconds(head: httpRequest.HttpHead): number | undefined {
   const text = head.headers['retry-after'] ?? '';
   return /^\d{1,6}$/.test(text) ? Number(text) * 1_000 : undefined;
