--- a/src/backend/index.ts
+++ b/src/backend/index.ts
@@ -16,4 +16,5 @@
 export * from './relay-exchange';
 export * from './relay-server';
 export * from './whole-exchange';
+export * from './byte-collector';
 export * from './http-request';
--- a/src/backend/whole-exchange.ts
+++ b/src/backend/whole-exchange.ts
@@ -1,6 +1,7 @@
 import * as results from 'ts-results';
 import * as clock from '../clock';
 import * as verdict from '../verdict';
+import * as byteCollector from './byte-collector';
 import type * as connectionPool from './connection-pool';
 import * as exchange from './exchange';
 import type * as httpRequest from './http-request';
@@ -18,9 +19,7 @@
 
 /** An exchange that collects the whole answer within a time and a size. */
 export class WholeExchange extends exchange.Exchange {
-  private readonly chunks: Buffer[] = [];
-
-  private size = 0;
+  private readonly body: byteCollector.ByteCollector;
 
   private resolve:
     ((result: results.Result<HttpAnswer, verdict.RequestFailure>) => void) | undefined;
@@ -33,6 +32,7 @@
     private readonly limits: AnswerLimits,
   ) {
     super(request, serverId, pool, time);
+    this.body = new byteCollector.ByteCollector(limits.maximumBytes);
   }
 
   /** Sends the request; a refusal is an `Err` with the verdict "not run". Never rejects. */
@@ -50,12 +50,9 @@
   protected override receiveHead(): void {}
 
   protected override receiveData(chunk: Buffer): void {
-    this.size += chunk.length;
-    if (this.size > this.limits.maximumBytes) {
+    if (!this.body.add(chunk)) {
       this.abandon(verdict.FailureReason.BackendError, 'The answer of the server is too large.');
-      return;
     }
-    this.chunks.push(chunk);
   }
 
   protected override complete(): void {
@@ -64,7 +61,7 @@
       return;
     }
     const refusal = this.refusal(head);
-    const answer = { ...head, body: Buffer.concat(this.chunks) };
+    const answer = { ...head, body: this.body.take() };
     this.resolve?.(refusal === undefined ? results.Ok(answer) : results.Err(refusal));
   }
 
