Pass large answers on as they arrive, and count only events as life of a stream

What callers saw: a stream of comments, blank lines or events that the caller has was kept open until the request's deadline, its first comment counted as the first event, and the silence watch believed the server alive. A whole answer was held in memory up to 16 MiB for each request, whatever the pace of its caller.

Causes, both in the receiver of an answer: every byte counted as arrival and every comment as an event, and only the size of one event was bounded; answers that are no streams were collected until they were whole.

Now bytes that bring no new event end an attempt after 256 KiB (backend_error, so that a resumable stream goes on elsewhere), and only events are life. Comments before the first event wait for it, so that the answer can still become another one. An answer above 256 KiB is passed on with backpressure; once it has begun, a failure is final and cuts it. What all requests together hold of unfinished events and small answers is bounded by 34 MiB, a fifth of the memory of an entry VM of 178 MB. An answer above 16 MiB is cut, as before.

New tests: a begun answer that breaks is final and not asked for again; all requests together stay within the shared bound.

Ruled out: a lower bound for whole answers, since legitimate answers have several MiB; a bound for each request alone, since 1,000 requests with 256 KiB each exceed the VM.

The fake handle of test/gateway/answer-receiver gets the new method reject in place of cancel; the checks are the same.

--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -56,6 +56,10 @@
     this.abandon(verdict.FailureReason.CallerGone, 'The request was cancelled.');
   }
 
+  reject(reason: verdict.FailureReason, message: string): void {
+    this.abandon(reason, message);
+  }
+
   protected override sentHeaders(): Readonly<Record<string, string>> {
     return this.relayed.headers;
   }
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -44,6 +44,8 @@
   resume(): void;
   /** Closes the connection because nobody wants the rest. */
   cancel(): void;
+  /** Closes the connection because the answer is faulty; the receiver gets the failure. */
+  reject(reason: verdict.FailureReason, message: string): void;
 }
 
 /** Port for one backend server, engine or plain service, whose requests pass unchanged. */
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -15,6 +15,7 @@
 import * as gatewayModule from './gateway';
 import * as gatewayCallers from './gateway-callers';
 import * as nestModule from './gateway-module';
+import * as heldBytes from './held-bytes';
 import * as loadExchange from './load-exchange';
 import * as placingLog from './placing-log';
 import * as routingSource from './routing-source';
@@ -109,6 +110,7 @@
         time,
         dialect: ports.dialect,
         silence,
+        held: new heldBytes.HeldBytes(),
         placings,
         server: (serverId) => membership.server(serverId),
         storeAddress: () => this.gateway.store?.address,
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -1,6 +1,7 @@
 import * as membership from '../membership';
 import * as routing from '../routing';
 import type * as dialect from './dialect';
+import type * as heldBytes from './held-bytes';
 import type * as placingLog from './placing-log';
 import type * as silenceWatch from './silence-watch';
 
@@ -8,6 +9,7 @@
 export interface RelayContext extends routing.ExecutionContext {
   readonly dialect: dialect.Dialect;
   readonly silence: silenceWatch.SilenceWatch;
+  readonly held: heldBytes.HeldBytes;
   readonly placings: placingLog.PlacingLog;
   /** A backend server as membership knows it now. */
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
--- a/test/gateway/answer-receiver.test.ts
+++ b/test/gateway/answer-receiver.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as answerReceiver from '../../src/gateway/answer-receiver';
+import * as heldBytes from '../../src/gateway/held-bytes';
 import type * as relayReply from '../../src/gateway/relay-reply';
 import * as verdict from '../../src/verdict';
 
@@ -26,9 +27,14 @@
 
   readonly delivered: answerReceiver.Delivered = { events: 0 };
 
+  readonly ports: answerReceiver.ReceiverPorts;
+
   readonly receiver: answerReceiver.AnswerReceiver;
 
-  constructor(isSlow = false) {
+  constructor(
+    isSlow = false,
+    readonly held = new heldBytes.HeldBytes(),
+  ) {
     const reply = {
       head: () => {},
       write: (bytes: Buffer, onDrained: () => void) => {
@@ -41,23 +47,22 @@
       },
       end: () => {},
     } as unknown as relayReply.RelayReply;
-    this.receiver = new answerReceiver.AnswerReceiver(
-      {
-        reply,
-        delivered: this.delivered,
-        isCurrent: () => true,
-        onEvent: () => {
-          this.events += 1;
-        },
-        onArrival: () => {
-          this.arrivals += 1;
-        },
-        onLoad: () => {},
+    this.ports = {
+      reply,
+      delivered: this.delivered,
+      isCurrent: () => true,
+      onEvent: () => {
+        this.events += 1;
       },
-      (failure) => {
-        this.failure = failure;
+      onArrival: () => {
+        this.arrivals += 1;
       },
-    );
+      onLoad: () => {},
+      held,
+    };
+    this.receiver = new answerReceiver.AnswerReceiver(this.ports, (failure) => {
+      this.failure = failure;
+    });
     this.receiver.handle = {
       pause: () => {
         this.pauses += 1;
@@ -65,8 +70,11 @@
       resume: () => {
         this.resumes += 1;
       },
-      cancel: () => {
+      cancel: () => {},
+      reject: (reason, message) => {
         this.cancelled += 1;
+        const failure = verdict.failure(reason, verdict.Verdict.MayHaveRun, message);
+        this.receiver.onFailure(failure, undefined);
       },
     };
   }
@@ -148,6 +156,40 @@
   assert.is(received.written, sent + part);
 });
 
+// Guards against an answer that is begun by one server and ended, or sent once more, by another.
+suite('an answer that has begun and breaks is final', () => {
+  const received = new Received().start('application/json');
+  received.receiver.onData(Buffer.alloc(MEBIBYTE, 's'));
+  assert.is(received.written.length, MEBIBYTE);
+  const { ConnectionLost } = verdict.FailureReason;
+  const lost = verdict.failure(ConnectionLost, verdict.Verdict.MayHaveRun, 'lost');
+  received.receiver.onFailure(lost, undefined);
+  assert.not(verdict.mayRetry(received.failure!.verdict, true));
+  const again = new answerReceiver.AnswerReceiver(received.ports, (failure) => {
+    received.failure = failure;
+  });
+  again.onHead({ status: 200, headers: {} }, undefined);
+  assert.is(received.failure?.reason, verdict.FailureReason.StreamBroken);
+  assert.is(received.written.length, MEBIBYTE);
+});
+
+// Guards against many requests that hold more than the daemon has, each of them a little.
+suite('all requests together hold no more than the shared bound', () => {
+  const held = new heldBytes.HeldBytes(MEBIBYTE);
+  const answers = Array.from({ length: 32 }, () => new Received(false, held));
+  answers.forEach((answer) => answer.start('application/json'));
+  answers.forEach((answer) => answer.receiver.onData(Buffer.alloc(100_000, 's')));
+  assert.ok(held.size <= MEBIBYTE);
+  const begun = answers.filter(({ written }) => written.length === 100_000);
+  assert.ok(begun.length >= 21, `${begun.length} answers were passed on early`);
+  const streams = Array.from({ length: 32 }, () => new Received(false, held).start(EVENTS));
+  streams.forEach((answer) => answer.receiver.onData(Buffer.alloc(100_000, 's')));
+  assert.ok(held.size <= MEBIBYTE);
+  assert.ok(streams.every(({ failure }) => failure !== undefined));
+  answers.forEach((answer) => answer.receiver.onEnd());
+  assert.is(held.size, 0);
+});
+
 suite('a small answer is passed on only when it is whole', () => {
   const received = new Received().start('application/json');
   received.receiver.onData(Buffer.from('7 sacks'));
--- a/test/platform/endless-answer.test.ts
+++ b/test/platform/endless-answer.test.ts
@@ -186,4 +186,20 @@
   });
 });
 
+// Guards against half an answer that looks whole, and against a second run of what the caller has in part.
+suite('a large answer that breaks is cut and not asked for again', async () => {
+  const broken: fakeRunner.RunnerBehaviour = (request, response) => {
+    const head = { ...fakeRunner.sealed(request), 'content-length': 64 * PART.length };
+    response.writeHead(200, head);
+    Array.from({ length: 32 }).forEach(() => response.write(PART));
+    response.write(PART, () => response.destroy());
+  };
+  const servers = ['i-1', 'i-2'].map((id) => new fakeRunner.FakeRunner(id, [broken]));
+  await new builder.GatewayBuilder(servers).run(async (gateway) => {
+    const answer = await gateway.send('POST', '/balance/7');
+    assert.not(answer.isComplete);
+    assert.is(servers.flatMap((server) => server.requests).length, 1);
+  });
+});
+
 suite.run();
