Break streams of engines on which bytes arrive without a piece

What callers saw: a stream of an engine stays open while empty data lines, ids, blank lines or single bytes of one event arrive, and after its last piece the connection stays open as long as anything arrives. One long event in small chunks keeps the daemon busy for minutes.

Cause: each byte restarted the time of silence, also after the last piece and in a refusal; the parser split all pending text again for each part that arrived, and counted only the values of data lines, so that empty ones grew its memory without a bound.

Ruled out: a bound on comment lines in time, since an engine that waits for a slot or a long prefill may comment for as long as the request may wait (docs/BACKENDS.md, section 2.1).

--- a/src/backend/stream-exchange.ts
+++ b/src/backend/stream-exchange.ts
@@ -15,6 +15,9 @@
 
   private refusalBytes = 0;
 
+  /** Bytes since the last piece. */
+  private idleBytes = 0;
+
   private started = false;
 
   private done = false;
@@ -60,11 +63,17 @@
   }
 
   protected override receiveHead(): void {
-    this.expectBytes();
+    if (this.isEventStream()) {
+      this.expectBytes();
+    } else {
+      this.setDeadline(
+        this.limits.managementMilliseconds,
+        'The refusal of the engine did not end.',
+      );
+    }
   }
 
   protected override receiveData(chunk: Buffer): void {
-    this.expectBytes();
     if (this.isEventStream()) {
       this.parse(chunk);
       return;
@@ -99,15 +108,24 @@
     return this.head?.status === 200 && type.startsWith('text/event-stream');
   }
 
+  /** Only whole comments and events show that the engine lives; after the last piece nothing does. */
   private expectBytes(): void {
-    if (!this.paused) {
+    if (!this.paused && !this.done) {
       this.setDeadline(this.limits.silenceMilliseconds, 'The engine has been silent for too long.');
     }
   }
 
   private parse(chunk: Buffer): void {
+    const { signsOfLife } = this.parser;
+    this.idleBytes += chunk.length;
     try {
       this.parser.push(chunk).forEach((event) => this.onEvent(event));
+      if (this.parser.signsOfLife > signsOfLife) {
+        this.expectBytes();
+      }
+      if (this.idleBytes > this.limits.maximumEventBytes) {
+        throw new RangeError('stream without a piece');
+      }
     } catch {
       this.abandon(verdict.FailureReason.StreamBroken, 'The stream of the engine is malformed.');
     }
@@ -142,6 +160,7 @@
     if (!this.started || !/^\d{1,9}$/.test(event.id ?? '')) {
       throw new TypeError('piece without a number or before the head');
     }
+    this.idleBytes = 0;
     this.listener.onPiece({ number: Number(event.id), data: event.data });
     if (event.data === DONE) {
       this.done = true;
