--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -12,10 +12,18 @@
 
 const checkout = new builtCheckout.BuiltCheckout();
 const started: platformProcess.PlatformProcess[] = [];
+const runner = new fakeRunner.FakeRunner('i-1', [fakeRunner.answer('7 sacks')]);
 let surroundings: surroundingsModule.Surroundings;
 
-suite.before(() => checkout.build());
-suite.after(() => checkout.remove());
+suite.before(async () => {
+  checkout.build();
+  await runner.listen();
+});
+
+suite.after(async () => {
+  await runner.close();
+  checkout.remove();
+});
 
 suite.before.each(async () => {
   surroundings = new surroundingsModule.Surroundings();
@@ -29,8 +37,6 @@
 
 /** Guards against a build without a part that only a running process loads, and against a start without its compiled code. */
 suite('built from a checkout, a control daemon and a gateway serve and stop', async () => {
-  const runner = new fakeRunner.FakeRunner('i-1', [fakeRunner.answer('7 sacks')]);
-  await runner.listen();
   surroundings.servers = [serverOf(runner)];
   const core = surroundings.controlDaemon('core-1');
   const control = start(deployFile.commandOf(deployFile.Role.Control, checkout.root), core);
@@ -50,7 +56,6 @@
     assert.is(process.log.find(isCompiledAtStart), undefined);
     assert.is(process.errors, '');
   }
-  await runner.close();
 });
 
 /** Guards against a process that does not start, or does not say why it is slow, beside compiled code of other flags. */
