Log and count answers that are given up because of bytes that are no answer

What was seen: an on-call engineer could not tell a server that speaks nonsense from one that answers with an error: both were 'attempt failed ... reason=backend_error', and a failed probe or order left no line at all.

Now a failure says whether its answer was garbled and how many bytes had arrived on the connection. One line 'answer is garbled' for each such answer names the server, the call, the bytes and the verdict, for management calls too; 'attempt failed' carries the fault; the counter garbled_answers counts attempts by service.

Ruled out: the path of a caller's request in the line, since it may carry account names.

--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -1,5 +1,6 @@
 import * as undici from 'undici';
 import * as clock from '../clock';
+import * as logging from '../logging';
 import * as verdict from '../verdict';
 import type * as connection from './connection';
 import type * as connectionPool from './connection-pool';
@@ -103,7 +104,7 @@
     } else if (!this.mayHaveLeft) {
       this.abandon(verdict.FailureReason.ConnectFailed, 'The backend server is not reachable.');
     } else if (isProtocolError(error)) {
-      this.abandon(verdict.FailureReason.BackendError, 'The backend server broke the protocol.');
+      this.abandonGarbled('The backend server broke the protocol.');
     } else {
       this.abandon(verdict.FailureReason.ConnectionLost, 'The connection to the server was lost.');
     }
@@ -111,13 +112,40 @@
 
   /** Gives the exchange up: destroys its connection, so that no late byte can reach another request. */
   protected abandon(reason: verdict.FailureReason, message: string): void {
+    if (!this.over) {
+      this.close();
+      this.fail(this.failure(reason, this.outcome, message));
+    }
+  }
+
+  /** Gives the exchange up because the server sends bytes that are no answer. */
+  protected abandonGarbled(message: string): void {
     if (this.over) {
       return;
     }
+    this.close();
+    const { method, label = method, requestId } = this.request;
+    const receivedBytes = this.connection?.receivedBytes ?? 0;
+    logger.warning('answer is garbled', {
+      backendServer: this.serverId,
+      call: label,
+      requestId,
+      receivedBytes,
+      verdict: this.outcome,
+      fault: message,
+    });
+    const { BackendError } = verdict.FailureReason;
+    const failure = this.failure(BackendError, this.outcome, message);
+    this.fail({ ...failure, garbled: true, receivedBytes });
+  }
+
+  private get outcome(): verdict.Verdict {
+    return this.mayHaveLeft ? verdict.Verdict.MayHaveRun : verdict.Verdict.NotRun;
+  }
+
+  private close(): void {
     this.stop();
     this.connection?.destroy();
-    const outcome = this.mayHaveLeft ? verdict.Verdict.MayHaveRun : verdict.Verdict.NotRun;
-    this.fail(this.failure(reason, outcome, message));
   }
 
   /** Restarts the timer that abandons the exchange; 0 switches it off. */
@@ -190,7 +218,7 @@
       body: body.length === 0 ? null : Buffer.from(body.buffer, body.byteOffset, body.length),
       reset: freshConnection,
     };
-    used.watch(() => this.abandon(verdict.FailureReason.BackendError, EXCESS));
+    used.watch(() => this.abandonGarbled(EXCESS));
     used.dispatch(options, this);
   }
 
@@ -214,6 +242,8 @@
   }
 }
 
+const logger = new logging.Logger('backend');
+
 const FIRST_FINAL_STATUS = 200;
 const FIRST_ERROR_STATUS = 400;
 const ABORTED = 'The request was cancelled.';
--- a/src/backend/http-request.ts
+++ b/src/backend/http-request.ts
@@ -8,6 +8,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
   /** Opens a connection for this request and closes it afterwards. */
+  /** Names a call of the router itself in logs; absent for requests of callers. */
+  readonly label?: string;
   readonly freshConnection: boolean;
   readonly signal?: AbortSignal;
 }
--- a/src/backend/management-client.ts
+++ b/src/backend/management-client.ts
@@ -65,6 +65,7 @@
       requestId: `${this.idPrefix}-${this.nextId}`,
       method: call.method,
       path: call.path,
+      label: `${call.method} ${call.path.split('?')[0]}`,
       headers: JSON_HEADERS,
       body: Buffer.from(call.body === undefined ? '' : JSON.stringify(call.body)),
       freshConnection: call.freshConnection,
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -56,8 +56,12 @@
     this.abandon(verdict.FailureReason.CallerGone, 'The request was cancelled.');
   }
 
-  reject(reason: verdict.FailureReason, message: string): void {
-    this.abandon(reason, message);
+  reject({ reason, message, garbled }: relayServer.AnswerFault): void {
+    if (garbled === true) {
+      this.abandonGarbled(message);
+    } else {
+      this.abandon(reason, message);
+    }
   }
 
   protected override sentHeaders(): Readonly<Record<string, string>> {
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -37,6 +37,9 @@
   readonly slowness: number;
 }
 
+/** Why an answer is given up by its receiver. */
+export type AnswerFault = Pick<verdict.RequestFailure, 'reason' | 'message' | 'garbled'>;
+
 /** Controls an answer in progress. */
 export interface RelayHandle {
   /** Stops reading while the caller is slow. */
@@ -45,7 +48,7 @@
   /** Closes the connection because nobody wants the rest. */
   cancel(): void;
   /** Closes the connection because the answer is faulty; the receiver gets the failure. */
-  reject(reason: verdict.FailureReason, message: string): void;
+  reject(fault: AnswerFault): void;
 }
 
 /** Port for one backend server, engine or plain service, whose requests pass unchanged. */
--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -201,7 +201,7 @@
 
   /** Gives up an answer that goes on arriving. */
   private reject(failure: verdict.RequestFailure): void {
-    this.handle?.reject(failure.reason, failure.message);
+    this.handle?.reject(failure);
     this.end(failure);
   }
 
@@ -242,12 +242,14 @@
   FailureReason.BackendError,
   Verdict.MayHaveRun,
   'An event of the stream is too large.',
+  { garbled: true },
 );
 
 const NO_EVENTS = verdict.failure(
   FailureReason.BackendError,
   Verdict.MayHaveRun,
   'The stream goes on without an event.',
+  { garbled: true },
 );
 
 const TOO_MUCH_HELD = verdict.failure(
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -15,6 +15,8 @@
   Resumes = 'resumes',
   Hedges = 'hedges',
   Refusals = 'refusals',
+  /** Attempts given up because the server sent bytes that are no answer. */
+  GarbledAnswers = 'garbled_answers',
 }
 
 /** Tags that split a histogram or counter. */
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -61,7 +61,9 @@
       backendServer: serverId,
       verdict: outcome,
       reason,
+      ...(failure.garbled === true ? garbledFields(failure) : {}),
     });
+    this.meter.attemptFailed(failure);
     this.context.observer.attemptFailed(serverId, failure);
     const { task } = this.context;
     task.feed({
@@ -109,6 +111,10 @@
   }
 }
 
+function garbledFields({ message, receivedBytes }: verdict.RequestFailure): logging.LogFields {
+  return { fault: message, receivedBytes };
+}
+
 const logger = new logging.Logger('routing');
 
 /** The chosen server was removed from the list before the attempt could start. */
--- a/src/routing/stream-meter.ts
+++ b/src/routing/stream-meter.ts
@@ -59,6 +59,14 @@
     this.meter.observe(metrics.Histogram.RequestTime, duration, this.tags);
   }
 
+  /** Counts answers of faulty servers, also those of attempts after which the request goes on. */
+  attemptFailed({ garbled, reason, verdict: outcome }: verdict.RequestFailure): void {
+    if (garbled === true) {
+      const tags = { ...this.tags, reason, verdict: outcome };
+      this.meter.count(metrics.Counter.GarbledAnswers, tags);
+    }
+  }
+
   failed(failure: verdict.RequestFailure): void {
     const counter =
       failure.verdict === verdict.Verdict.NotRun
--- a/src/verdict/request-failure.ts
+++ b/src/verdict/request-failure.ts
@@ -39,6 +39,10 @@
   readonly retryAfterMilliseconds?: number;
   /** The id of the backend server involved, for logs. */
   readonly backendServerId?: string;
+  /** The server sent bytes that are no answer; it is to blame, and not the request. */
+  readonly garbled?: true;
+  /** What had arrived on the connection when a garbled answer was given up, for logs. */
+  readonly receivedBytes?: number;
 }
 
 /**
@@ -51,7 +55,7 @@
   reason: FailureReason,
   outcome: verdict.Verdict,
   message: string,
-  details: Pick<RequestFailure, 'retryAfterMilliseconds' | 'backendServerId'> = {},
+  details: Omit<RequestFailure, 'reason' | 'verdict' | 'message'> = {},
 ): RequestFailure {
   return { reason, verdict: outcome, message, ...details };
 }
--- a/test/gateway/answer-receiver.test.ts
+++ b/test/gateway/answer-receiver.test.ts
@@ -71,7 +71,7 @@
         this.resumes += 1;
       },
       cancel: () => {},
-      reject: (reason, message) => {
+      reject: ({ reason, message }) => {
         this.cancelled += 1;
         const failure = verdict.failure(reason, verdict.Verdict.MayHaveRun, message);
         this.receiver.onFailure(failure, undefined);
--- a/test/metrics/text-metrics.test.ts
+++ b/test/metrics/text-metrics.test.ts
@@ -23,4 +23,13 @@
   await meter.close();
 });
 
+suite('garbled answers are counted by service, reason and verdict', async () => {
+  const meter = new metrics.TextMetrics({ node: 'front-1' });
+  const tags = { service: 'desk', reason: 'backend_error', verdict: 'may-have-run' };
+  meter.count(metrics.Counter.GarbledAnswers, tags);
+  const text = await meter.render();
+  assert.match(text, /figline_garbled_answers_total\{service="desk".*reason="backend_error"/);
+  await meter.close();
+});
+
 suite.run();
