Keep requests away from a server whose answers are garbled

What callers saw: with one of two servers answering nonsense to requests and well to probes, 59 look-ups in a row were answered by the other one, and the 60th failed with 502: each needed a retry, and the retry budget was used up. Two servers that answered probes with nonsense too failed the thirteenth look-up.

Cause: backend_error told membership nothing, so that the server looked idle and drew requests. Two probes answered with nonsense counted as the crash of a process, with the requests in flight as suspects.

Now the first garbled answer leads to a probe, and from the second one in 20 s on the server is used only when no other is left, until a probe after a pause of 1 s, doubled up to 8 s while the faults go on. A server whose probes are answered with nonsense is not used, and no request is suspected for it.

Evidence: two new tests of platform/endless-answer failed before (at look-ups 59 and 12, counted from 0) and pass now; four of membership and one of decision, of which the last fails without the mark that the server lives.

Ruled out: treating every backend_error so, since a status 5xx, an error event or an answer above 16 MiB may be the fault of the request; only bytes that break the protocol count.

--- a/src/decision/crash.ts
+++ b/src/decision/crash.ts
@@ -21,19 +21,20 @@
   const incarnation = crashedIncarnation(step, server);
   const crashId = health.crashIdOf(given.serverId, incarnation);
   const victims = attemptsAt(step, given.serverId, incarnation);
-  const fingerprints = [
-    ...new Set([
-      ...victims.map((victim) => victim.request.profile.fingerprint),
-      ...health.lostAt(step.state.quarantine, crashId, step.at),
-    ]),
+  const suspects = [
+    ...victims.map((victim) => victim.request.profile.fingerprint),
+    ...health.lostAt(step.state.quarantine, crashId, step.at),
   ];
+  const fingerprints = given.lives === true ? [] : [...new Set(suspects)];
   markDead(step, server, incarnation);
   recordCrash(step, crashId, fingerprints);
   if (fingerprints.length > 0) {
     const kind = effect.DecisionEffectKind.ReportCrash;
     step.emit({ kind, crashId, serverId: given.serverId, fingerprints });
   }
-  victims.forEach(({ request, attempt }) => loseAttempt(step, request, attempt));
+  const { BackendError, ConnectionLost } = verdict.FailureReason;
+  const reason = given.lives === true ? BackendError : ConnectionLost;
+  victims.forEach(({ request, attempt }) => loseAttempt(step, request, attempt, reason));
 }
 
 /** Takes over what a peer saw at a crash. */
@@ -104,6 +105,7 @@
   step: steps.Step,
   request: state.RequestState,
   attempt: state.AttemptState,
+  reason: verdict.FailureReason,
 ): void {
   const current = step.state.requests.get(request.profile.requestId);
   if (current === undefined || !current.attempts.includes(attempt)) {
@@ -115,9 +117,11 @@
     current,
     attempt,
     verdict.failure(
-      verdict.FailureReason.ConnectionLost,
+      reason,
       verdict.Verdict.MayHaveRun,
-      'The server crashed while it was running the request.',
+      reason === verdict.FailureReason.ConnectionLost
+        ? 'The server crashed while it was running the request.'
+        : 'The server sends bytes that are no answer.',
       { backendServerId: attempt.serverId },
     ),
   );
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -158,6 +158,8 @@
 export interface ServerCrashed extends EventBase {
   readonly kind: DecisionEventKind.ServerCrashed;
   readonly serverId: string;
+  /** Its process lives and only speaks nonsense, so that no request is to blame. */
+  readonly lives?: true;
 }
 
 /** A peer daemon saw these fingerprints in flight at one crash. */
--- a/src/membership/effect.ts
+++ b/src/membership/effect.ts
@@ -22,6 +22,8 @@
 export interface ServerCrashed {
   readonly kind: MembershipEffectKind.ServerCrashed;
   readonly serverId: string;
+  /** The process lives and only speaks nonsense, so that no request is to blame. */
+  readonly lives?: true;
 }
 
 export type MembershipEffect = Probe | ReportToPeers | ServerCrashed;
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -6,6 +6,7 @@
   RefusedAsLeaving = 'refused-as-leaving',
   Refused = 'refused',
   ConnectionFailed = 'connection-failed',
+  AnswerFaulty = 'answer-faulty',
   IncarnationSeen = 'incarnation-seen',
   ProbeSucceeded = 'probe-succeeded',
   ProbeFailed = 'probe-failed',
@@ -43,6 +44,11 @@
   readonly kind: MembershipEventKind.ConnectionFailed;
 }
 
+/** A server sent bytes that are no answer. */
+export interface AnswerFaulty extends ServerEvent {
+  readonly kind: MembershipEventKind.AnswerFaulty;
+}
+
 /** An answer or a report named the server's incarnation. */
 export interface IncarnationSeen extends ServerEvent {
   readonly kind: MembershipEventKind.IncarnationSeen;
@@ -64,6 +70,8 @@
 /** A probe on a new connection was not answered. */
 export interface ProbeFailed extends ServerEvent {
   readonly kind: MembershipEventKind.ProbeFailed;
+  /** The server sent something that is no answer, so that its process lives. */
+  readonly spoke?: true;
   readonly startedAt: number;
   readonly jitter: number;
 }
@@ -84,6 +92,7 @@
   | RefusedAsLeaving
   | Refused
   | ConnectionFailed
+  | AnswerFaulty
   | IncarnationSeen
   | ProbeSucceeded
   | ProbeFailed
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -51,6 +51,9 @@
   /** Last refusal that led to a probe. */
   readonly refusedAt?: number;
   readonly leaving?: LeavingMark;
+  /** Faulty answers that followed each other closely. */
+  readonly faults?: number;
+  readonly faultAt?: number;
   readonly failedProbes: number;
   readonly suspectedAt: number;
   /** Set while a probe is running. */
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -47,7 +47,7 @@
     nextProbeAt: probe.at + delay,
   };
   const isNews = isDead && server.condition !== Dead;
-  return { server: next, effects: isNews ? [serverChange.crashed(server)] : [] };
+  return { server: next, effects: isNews ? [serverChange.crashed(server, probe.spoke)] : [] };
 }
 
 function endProbe(
--- a/src/membership/server-change.ts
+++ b/src/membership/server-change.ts
@@ -88,8 +88,12 @@
 }
 
 /** The loss of everything that ran on a server. */
-export function crashed(server: membershipView.ServerState): effect.MembershipEffect {
-  return { kind: effect.MembershipEffectKind.ServerCrashed, serverId: server.machine.id };
+export function crashed(
+  server: membershipView.ServerState,
+  lives = false,
+): effect.MembershipEffect {
+  const kind = effect.MembershipEffectKind.ServerCrashed;
+  return { kind, serverId: server.machine.id, ...(lives ? { lives } : {}) };
 }
 
 /** The broadcast that makes peers probe a server too. */
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -47,6 +47,8 @@
       return probeRefusing(server, observed.at, Number.isFinite(routineMilliseconds));
     case MembershipEventKind.ConnectionFailed:
       return suspect(server, observed.at);
+    case MembershipEventKind.AnswerFaulty:
+      return distrust(server, observed.at);
     case MembershipEventKind.IncarnationSeen:
       return serverChange.seeIncarnation(server, observed.incarnation);
     case MembershipEventKind.ProbeSucceeded:
@@ -125,6 +127,32 @@
   return { ...probing, effects: [...probing.effects, serverChange.suspicionReport(server)] };
 }
 
+/**
+ * Load pattern: a server that answers nonsense at once looks idle and draws all requests, while its probes are
+ * answered well. From the second faulty answer on it is used only when no other server is left, until a probe
+ * after a pause; the pause grows while the faults go on.
+ */
+function distrust(server: membershipView.ServerState, at: number): serverChange.ServerChange {
+  const { Dead, Suspected } = membershipView.ServerCondition;
+  const { faults = 0, faultAt = Number.NEGATIVE_INFINITY } = server;
+  const isPaused = server.condition === Suspected && at < server.suspectedAt;
+  if (isPaused || server.condition === Dead) {
+    return serverChange.unchanged(server);
+  }
+  const isRepeated = at - faultAt <= FAULT_MEMORY_MILLISECONDS;
+  const counted = { ...server, faults: isRepeated ? faults + 1 : 1, faultAt: at };
+  if (!isRepeated) {
+    return suspect(counted, at);
+  }
+  const pause = Math.min(FIRST_PAUSE_MILLISECONDS * 2 ** (faults - 1), LONGEST_PAUSE_MILLISECONDS);
+  return serverChange.unchanged({
+    ...counted,
+    condition: Suspected,
+    suspectedAt: at + pause,
+    nextProbeAt: at + pause,
+  });
+}
+
 /**
  * Finds out why a server refuses. An overloaded one refuses often, so the probes are rationed. Where the list
  * tells about weights, it probably does so soon, and the engine is only left alone until then.
@@ -223,6 +251,14 @@
 // A daemon that starts among thousands of backend servers must not open all connections at once.
 const PROBE_SPACING_MILLISECONDS = 5;
 
+// About the time in which the platform replaces a faulty server; one fault in this time is an accident.
+const FAULT_MEMORY_MILLISECONDS = 20_000;
+
+// A request sent once more costs a tenth of the retry budget of a second.
+const FIRST_PAUSE_MILLISECONDS = 1_000;
+
+const LONGEST_PAUSE_MILLISECONDS = 8_000;
+
 // Without a probe, a server that loads weights looks idle and draws requests that it refuses.
 const REFUSAL_PROBE_MILLISECONDS = 200;
 
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -104,6 +104,8 @@
       this.apply({ kind, at, serverId });
     } else if (failure.reason === verdict.FailureReason.BackendRefused) {
       this.apply({ kind: membership.MembershipEventKind.Refused, at, serverId });
+    } else if (failure.garbled === true) {
+      this.apply({ kind: membership.MembershipEventKind.AnswerFaulty, at, serverId });
     } else if (CONNECTION_REASONS.has(failure.reason)) {
       this.apply({ kind: membership.MembershipEventKind.ConnectionFailed, at, serverId });
     }
@@ -170,11 +172,15 @@
         this.ports.plane.broadcast(control.PeerTopic.Membership, effect.report);
         break;
       default:
-        logger.warning('backend server crashed', { backendServer: effect.serverId });
+        logger.warning(
+          effect.lives === true ? 'probes are answered with nonsense' : 'backend server crashed',
+          { backendServer: effect.serverId },
+        );
         this.ports.task.feed({
           kind: decision.DecisionEventKind.ServerCrashed,
           at: this.ports.task.now(),
           serverId: effect.serverId,
+          lives: effect.lives,
         });
     }
   }
@@ -190,7 +196,8 @@
     const base = { at: this.now(), serverId, startedAt, jitter: this.ports.random.uniform() };
     const { ProbeFailed, ProbeSucceeded } = membership.MembershipEventKind;
     if (outcome.err) {
-      this.apply({ kind: ProbeFailed, ...base });
+      const spoke = outcome.val.garbled === true ? { spoke: true as const } : {};
+      this.apply({ kind: ProbeFailed, ...base, ...spoke });
       return;
     }
     this.apply({ kind: ProbeSucceeded, ...base, ...outcome.val });
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -6,7 +6,7 @@
 import * as builder from './builder';
 
 const suite = uvu.suite('decision');
-const { Dispatch, Fail } = decision.DecisionEffectKind;
+const { Dispatch, Fail, ReportCrash } = decision.DecisionEffectKind;
 
 suite('a non-idempotent request that may have run is failed and never sent again', () => {
   const desk = builder.desk(2).arrive('deposit', { idempotent: false });
@@ -25,6 +25,19 @@
   assert.is.not(second.serverId, first.serverId);
 });
 
+// Guards against an innocent request that is refused for minutes because of servers that speak nonsense.
+suite('servers that live and speak nonsense make no request a suspect', () => {
+  const desk = builder.desk(4).arrive('history');
+  for (let turn = 0; turn < 3; turn += 1) {
+    const [sent] = desk.take(Dispatch);
+    assert.ok(sent !== undefined, `attempt ${turn} was not sent`);
+    const kind = decision.DecisionEventKind.ServerCrashed;
+    desk.apply({ kind, at: desk.at, serverId: sent.serverId, lives: true });
+  }
+  assert.is(desk.take(Fail).length, 0);
+  assert.is(desk.take(ReportCrash).length, 0);
+});
+
 suite('suspects of two daemons are retried at different servers', () => {
   // Guards against a second crash in which a suspect of each daemon was in flight, which condemns both.
   for (let sample = 0; sample < 50; sample += 1) {
--- a/test/membership/builder.ts
+++ b/test/membership/builder.ts
@@ -44,9 +44,18 @@
     return this.apply({ kind, at, serverId, startedAt, ...report, jitter: 0.5 });
   }
 
-  unanswered(serverId: string, at: number): this {
+  unanswered(serverId: string, at: number, spoke = false): this {
     const kind = MembershipEventKind.ProbeFailed;
-    return this.apply({ kind, at, serverId, startedAt: at, jitter: 0.5 });
+    const said = spoke ? { spoke } : {};
+    return this.apply({ kind, at, serverId, startedAt: at, jitter: 0.5, ...said });
+  }
+
+  faulty(serverId: string, at: number): this {
+    return this.apply({ kind: MembershipEventKind.AnswerFaulty, at, serverId });
+  }
+
+  isSuspected(serverId: string): boolean {
+    return membership.eligibleServer(this.view, serverId)?.suspected === true;
   }
 
   refused(serverId: string, at: number): this {
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -127,6 +127,53 @@
   assert.is(view.view.servers.get('desk-1')?.incarnation, 'c');
 });
 
+function isProbed({ effects }: builder.ViewBuilder, serverId: string): boolean {
+  const { Probe } = MembershipEffectKind;
+  return effects.some((effect) => effect.kind === Probe && effect.serverId === serverId);
+}
+
+// Guards against a server that answers nonsense to requests, and well to probes, and so draws all requests.
+suite('a second faulty answer keeps a server back until a probe after a pause', () => {
+  const view = alive().faulty('desk-1', 200).probed('desk-1', 210, 'a');
+  assert.not(view.isSuspected('desk-1'));
+  view.faulty('desk-1', 300).probed('desk-1', 310, 'a');
+  assert.ok(view.isSuspected('desk-1'), 'a probe before the end of the pause cleared the server');
+  view.takeEffects();
+  view.tick(1_299);
+  assert.not(isProbed(view, 'desk-1'));
+  view.tick(1_300);
+  assert.ok(isProbed(view, 'desk-1'));
+  view.probed('desk-1', 1_310, 'a');
+  assert.not(view.isSuspected('desk-1'));
+  assert.equal(view.eligibleIds(), ['desk-1', 'desk-2']);
+});
+
+suite('faulty answers of requests that were sent together lead to one pause', () => {
+  const view = alive().faulty('desk-1', 200);
+  Array.from({ length: 50 }).forEach(() => view.faulty('desk-1', 201));
+  view.tick(1_201).probed('desk-1', 1_210, 'a');
+  assert.not(view.isSuspected('desk-1'));
+});
+
+suite('faulty answers that are far apart are accidents', () => {
+  const view = alive().faulty('desk-1', 200).probed('desk-1', 210, 'a');
+  view.faulty('desk-1', 60_000).probed('desk-1', 60_010, 'a');
+  assert.not(view.isSuspected('desk-1'));
+});
+
+// Guards against requests that are taken for the cause when a server only speaks nonsense.
+suite('probes that are answered with nonsense end the use of a server that lives', () => {
+  const view = alive().connectionFailed('desk-1', 200).unanswered('desk-1', 210, true);
+  view.tick(320).unanswered('desk-1', 330, true);
+  assert.equal(view.eligibleIds(), ['desk-2']);
+  const crash = view.effects.find(({ kind }) => kind === MembershipEffectKind.ServerCrashed);
+  assert.equal(crash, {
+    kind: MembershipEffectKind.ServerCrashed,
+    serverId: 'desk-1',
+    lives: true,
+  });
+});
+
 suite('a malformed report of a peer is not taken over', () => {
   assert.is(membership.parseReport({ kind: 'leaving' }), undefined);
   assert.is(membership.parseReport('leaving'), undefined);
--- a/test/platform/endless-answer.test.ts
+++ b/test/platform/endless-answer.test.ts
@@ -162,6 +162,36 @@
   });
 });
 
+// Guards against a server that answers nonsense at once, looks idle for it, and draws more and more requests.
+suite('a server that floods its answers soon gets requests only now and then', async () => {
+  const server = faulty(flood.HEAD_FLOODS['bytes that are not HTTP']);
+  const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.answer('own')]);
+  await new builder.GatewayBuilder([server, sound]).run(async (gateway) => {
+    for (let turn = 0; turn < 60; turn += 1) {
+      const answer = await gateway.send('POST', '/balance/7', {}, `body ${turn}`);
+      assert.is(answer.text, 'own', `look-up ${turn}`);
+    }
+    assert.ok(server.requests > 0 && server.requests <= 6, `${server.requests} requests`);
+  });
+});
+
+// Guards against an innocent request that is refused for minutes because servers around it speak nonsense.
+suite('a request at servers that answer probes with nonsense is no suspect', async () => {
+  const given = flood.HEAD_FLOODS['interim answers'];
+  const faultyServers = ['i-1', 'i-2'].map((id) => new floodServer.FloodServer(id, given));
+  const sound = new fakeRunner.FakeRunner('i-3', [fakeRunner.answer('own')]);
+  await new builder.GatewayBuilder([...faultyServers, sound]).run(async (gateway) => {
+    // One look-up may find both of the faulty servers, and has two attempts.
+    const firstSound = 10;
+    for (let turn = 0; turn < 2 * firstSound; turn += 1) {
+      const answer = await gateway.send('POST', '/balance/7', {}, 'one body');
+      assert.not.match(answer.text, 'quarantined', `look-up ${turn}`);
+      assert.ok(turn < firstSound || answer.text === 'own', `look-up ${turn}: ${answer.text}`);
+      await gateway.time.sleep(50);
+    }
+  });
+});
+
 const PART = 'sacks and sacks\n'.repeat(4_096);
 
 // Guards against a large answer that is lost or cut because its caller reads slowly.
