Describe bytes that are no answer to the authors of servers and to operators

The page of limits and its test name the silence of an engine as it is measured now, by whole comments and events.

--- a/src/backend/backend-limits.ts
+++ b/src/backend/backend-limits.ts
@@ -1,7 +1,7 @@
 /** Bounds on time and size that protect the router from a faulty backend server. */
 export interface BackendLimits {
   readonly connectMilliseconds: number;
-  /** Time without any byte after which an engine's connection counts as silent. */
+  /** Time without a whole comment or event after which an engine's connection counts as silent. */
   readonly silenceMilliseconds: number;
   /** Time for a whole management call: load, probe, order, cache events, cancel, list. */
   readonly managementMilliseconds: number;
--- a/test/documentation/backends.test.ts
+++ b/test/documentation/backends.test.ts
@@ -22,7 +22,8 @@
   const limits = backend.DEFAULT_LIMITS;
   const rows = [
     `| time to connect | ${limits.connectMilliseconds / 1_000} s |`,
-    `| silence of an engine (no byte) | ${limits.silenceMilliseconds / 1_000} s |`,
+    `| silence of an engine (no whole comment or event) | ${limits.silenceMilliseconds / 1_000} s |`,
+    `| bytes of an answer besides its body | ${limits.maximumFramingBytes / 1_024} KiB,`,
     `| headers of an answer | ${limits.maximumHeaderBytes / 1_024} KiB |`,
     `| one event of a stream | ${limits.maximumEventBytes / 1_024 ** 2} MiB |`,
     `| whole answer of a plain service | ${limits.maximumAnswerBytes / 1_024 ** 2} MiB |`,
