Measure a gateway and control daemons at the size of the grown deployments

A new part of measure-daemon starts the platform's processes as processes: one gateway, six control daemons, 69 scripted servers, the links and load messages of 86 gateways.

LoadExchange and PlacingLog become public in the gateway package, since the measurement speaks for other gateways. The test of process usage checks the new field as well.

--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -3,5 +3,7 @@
 export * from './control-service';
 export * from './dialect';
 export * from './gateway-daemon';
+export * from './load-exchange';
+export * from './placing-log';
 export * from './routing-source';
 export * from './stages';
--- a/src/load/measure/child.ts
+++ b/src/load/measure/child.ts
@@ -2,6 +2,13 @@
 import * as path from 'node:path';
 import * as readline from 'node:readline';
 
+/** How a module is started. */
+export interface ChildOptions {
+  /** Arguments of Node.js itself. */
+  readonly nodeArguments?: readonly string[];
+  readonly environment?: Readonly<Record<string, string>>;
+}
+
 /** A process started for a measurement, whose output is JSON lines. */
 export class Child {
   private readonly lines: string[] = [];
@@ -29,12 +36,20 @@
   /**
    * Starts a compiled module of this repository.
    *
-   * @param module path below the compiled sources, for example `bin/figlined.js`
+   * @param module path below the compiled sources, for example `bin/figlined.js`, or an absolute one
    */
-  static start(module: string, commandArguments: readonly string[]): Child {
-    const file = path.join(__dirname, '..', '..', module);
-    const options: childProcess.SpawnOptions = { stdio: ['ignore', 'pipe', 'inherit'] };
-    return new Child(childProcess.spawn(process.execPath, [file, ...commandArguments], options));
+  static start(
+    module: string,
+    commandArguments: readonly string[],
+    { nodeArguments = [], environment = {} }: ChildOptions = {},
+  ): Child {
+    const file = path.resolve(__dirname, '..', '..', module);
+    const options: childProcess.SpawnOptions = {
+      stdio: ['ignore', 'pipe', 'inherit'],
+      env: { ...process.env, ...environment },
+    };
+    const all = [...nodeArguments, file, ...commandArguments];
+    return new Child(childProcess.spawn(process.execPath, all, options));
   }
 
   get pid(): number {
@@ -54,6 +69,23 @@
     return JSON.parse(this.lines.shift()!);
   }
 
+  /** Prints what the process prints until it ends; rejects when it fails. */
+  async forwardOutput(): Promise<void> {
+    await this.ended;
+    process.stdout.write(this.lines.map((line) => `${line}\n`).join(''));
+    if (this.process.exitCode !== 0) {
+      throw new Error(`process ${this.pid} ended with code ${this.process.exitCode}`);
+    }
+  }
+
+  /** Asks the process to end and waits for it; its profile, if one was asked for, is written then. */
+  async terminate(): Promise<void> {
+    if (!this.isEnded) {
+      this.process.kill('SIGTERM');
+    }
+    await this.ended;
+  }
+
   /** Ends the process at once; graceful shutdown is not what is measured. */
   async stop(): Promise<void> {
     if (!this.isEnded) {
--- a/src/load/measure/process-usage.ts
+++ b/src/load/measure/process-usage.ts
@@ -4,6 +4,8 @@
 export interface ProcessUsage {
   readonly cpuMilliseconds: number;
   readonly residentBytes: number;
+  /** Times that the main thread went to sleep and was woken. */
+  readonly wakeUps: number;
 }
 
 /**
@@ -21,9 +23,11 @@
 export function parseUsage(threads: readonly string[], status: string): ProcessUsage {
   const nanoseconds = threads.reduce((sum, text) => sum + Number(text.split(' ')[0]), 0);
   const kibibytes = Number(/^VmRSS:\s+(\d+) kB$/m.exec(status)?.[1]);
+  const wakeUps = Number(/^voluntary_ctxt_switches:\s+(\d+)$/m.exec(status)?.[1]);
   return {
     cpuMilliseconds: nanoseconds / NANOSECONDS,
     residentBytes: kibibytes * BYTES_PER_KIBIBYTE,
+    wakeUps,
   };
 }
 
--- a/src/load/measure/run.ts
+++ b/src/load/measure/run.ts
@@ -1,8 +1,9 @@
 /**
- * `npm run measure-daemon -- --part latency|relay|state|control [--dimension NAME] [--rounds N] [--json]`: cost of one
- * daemon on this machine. All processes run on loopback and end with the measurement.
+ * `npm run measure-daemon -- --part latency|relay|state|control|gateway [--dimension NAME] [--rounds N] [--json]`: cost
+ * of one daemon on this machine. All processes run on loopback and end with the measurement.
  */
 import { cac } from 'cac';
+import * as child from './child';
 import * as controlMeasurement from './control-measurement';
 import * as controlReport from './control-report';
 import * as latencyMeasurement from './latency-measurement';
@@ -16,6 +17,8 @@
   readonly rounds: number;
   readonly windowSeconds: number;
   readonly json: boolean;
+  /** Folder for processor profiles of the platform's daemons. */
+  readonly profile?: string;
   readonly help?: boolean;
 }
 
@@ -25,7 +28,7 @@
 
 function readFlags(): Flags {
   const command = cac('measure-daemon');
-  command.option('--part <name>', 'latency, relay, state or control; all by default', {
+  command.option('--part <name>', 'latency, relay, state, control or gateway; all by default', {
     default: 'all',
   });
   command.option('--dimension <name>', `One of ${dimensions.join(', ')}`, { default: 'all' });
@@ -34,6 +37,7 @@
   });
   command.option('--rounds <n>', 'Repetitions of each measurement', { default: 3 });
   command.option('--window-seconds <n>', 'Length of one measurement', { default: 8 });
+  command.option('--profile <folder>', 'Writes profiles of --part gateway there');
   command.option('--json', 'Print JSON lines', { default: false });
   command.help();
   return command.parse().options as Flags;
@@ -68,6 +72,14 @@
   }
 }
 
+/** The platform's daemons are measured by a program beside them, since only that one knows their formats. */
+async function gateway({ rounds, windowSeconds, profile }: Flags): Promise<void> {
+  const flags = [`--rounds=${rounds}`, `--window-seconds=${windowSeconds}`];
+  const profiled = profile === undefined ? [] : [`--profile=${profile}`];
+  const measurement = child.Child.start('../platform/measure/run.js', [...flags, ...profiled]);
+  await measurement.forwardOutput();
+}
+
 async function main(): Promise<void> {
   const flags = readFlags();
   if (flags.help) {
@@ -92,6 +104,9 @@
   if (['all', 'control'].includes(flags.part)) {
     await control(flags);
   }
+  if (['all', 'gateway'].includes(flags.part)) {
+    await gateway(flags);
+  }
 }
 
 main().then(
--- a/test/load/measure.test.ts
+++ b/test/load/measure.test.ts
@@ -21,9 +21,11 @@
 
 // Guards against a wrong unit, and against counting the main thread only.
 test('the usage of a process is the sum over its threads', () => {
-  const status = 'VmPeak:\t  9000 kB\nVmRSS:\t  2000 kB\nThreads:\t2\n';
+  const status =
+    'VmPeak:\t  9000 kB\nVmRSS:\t  2000 kB\nThreads:\t2\n' +
+    'voluntary_ctxt_switches:\t150\nnonvoluntary_ctxt_switches:\t545\n';
   const usage = processUsage.parseUsage(['1500000 7 1\n', '500000 0 0\n'], status);
-  assert.equal(usage, { cpuMilliseconds: 2, residentBytes: 2_048_000 });
+  assert.equal(usage, { cpuMilliseconds: 2, residentBytes: 2_048_000, wakeUps: 150 });
 });
 
 // Guards against a relay that changes what it counts.
