Measure the decision core with the servers and messages of a grown deployment

Cause: under load, half of a gateway's processor time lies in the decision core, and its events differ by two orders of magnitude. The new part runs the core alone in virtual time.

--- a/src/load/measure/run.ts
+++ b/src/load/measure/run.ts
@@ -1,11 +1,12 @@
 /**
- * `npm run measure-daemon -- --part latency|relay|state|control|gateway [--dimension NAME] [--rounds N] [--json]`: cost
+ * `npm run measure-daemon -- --part latency|relay|state|control|decision|gateway [--dimension NAME] [--rounds N] [--json]`: cost
  * of one daemon on this machine. All processes run on loopback and end with the measurement.
  */
 import { cac } from 'cac';
 import * as child from './child';
 import * as controlMeasurement from './control-measurement';
 import * as controlReport from './control-report';
+import * as decisionCost from './decision-cost';
 import * as latencyMeasurement from './latency-measurement';
 import * as plans from './plans';
 import * as stateSize from './state-size';
@@ -28,9 +29,13 @@
 
 function readFlags(): Flags {
   const command = cac('measure-daemon');
-  command.option('--part <name>', 'latency, relay, state, control or gateway; all by default', {
-    default: 'all',
-  });
+  command.option(
+    '--part <name>',
+    'latency, relay, state, control, decision or gateway; all by default',
+    {
+      default: 'all',
+    },
+  );
   command.option('--dimension <name>', `One of ${dimensions.join(', ')}`, { default: 'all' });
   command.option('--values <list>', 'Values of the dimension, separated by commas', {
     default: '',
@@ -104,6 +109,10 @@
   if (['all', 'control'].includes(flags.part)) {
     await control(flags);
   }
+  if (['all', 'decision'].includes(flags.part)) {
+    const costs = decisionCost.measureDecisionCosts();
+    print(flags, decisionCost.formatDecisionCosts(costs), costs);
+  }
   if (['all', 'gateway'].includes(flags.part)) {
     await gateway(flags);
   }
