Look up placed prefixes once for a request, and drop old ones as a whole

Placings now lie in two parts, the older of which is dropped when the younger is as old as a placing is believed; what is read from either is still checked by its time. A request's prefixes are hashed once for each weights version and looked up once, which gives the depth at every server.

A property test compares what is believed with the last time of each placing, whenever the cache is pruned.

--- a/src/decision/cache-source.ts
+++ b/src/decision/cache-source.ts
@@ -17,12 +17,13 @@
   if (profile.chainTokens === undefined || profile.prefixChain.length < 2) {
     return undefined;
   }
+  const known = new knownCache.KnownCache(step, profile);
   const candidates = step
     .pool(profile.service)
     .filter((server) => mayGive(server, choice.server))
     .map((server) => ({
       server,
-      tokens: choosing.tokensOf(profile, knownCache.knownPieces(step, profile, server)),
+      tokens: choosing.tokensOf(profile, known.pieces(server)),
       isNear: server.record.region === choice.server.record.region,
     }))
     .sort(
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -112,6 +112,7 @@
   readonly meanRequests: number;
   /** The newest weights of a server that could take requests. */
   readonly newestWeights?: string;
+  readonly known: knownCache.KnownCache;
   readonly request: placement.PlacementRequest;
 }
 
@@ -226,6 +227,7 @@
     sharedPieces: Math.max(anchorDepth, profile.prefixChain.length - 1),
     meanRequests: total / Math.max(1, pool.length),
     newestWeights: newestWeights(pool),
+    known: new knownCache.KnownCache(step, profile),
     request: {
       promptTokens: profile.promptTokens,
       chain: profile.prefixChain,
@@ -275,7 +277,7 @@
   server: state.ServerState,
 ): Choice {
   const serverId = server.record.id;
-  const cachedPieces = knownCache.knownPieces(step, request.profile, server);
+  const cachedPieces = context.known.pieces(server);
   const cachedTokens = Math.min(
     request.profile.promptTokens,
     tokensOf(request.profile, cachedPieces),
--- a/src/decision/known-cache.ts
+++ b/src/decision/known-cache.ts
@@ -3,29 +3,51 @@
 import type * as state from './state';
 import type * as steps from './step';
 
-/** Pieces at the start of a prompt that a server has, from what this daemon and its peers have sent to it. */
-export function knownPieces(
-  step: steps.Step,
-  { prefixChain }: event.RequestProfile,
-  { record, incarnation }: state.ServerState,
-): number {
-  const { index, peerCache } = step.state;
-  const own = placement.cachedPieces(index, record.id, incarnation, prefixChain, step.at);
-  return peerCache.isEmpty() || own >= prefixChain.length - 1
-    ? own
-    : Math.max(own, placedByPeers(step, prefixChain, record));
+/**
+ * What the servers have of one prompt, from what this daemon and its peers have sent to them. Made for one
+ * request and one moment, so that the prompt's prefixes are looked up once and not for each server.
+ */
+export class KnownCache {
+  private readonly index: placement.PrefixIndex;
+
+  private readonly peerCache: placement.PeerCache;
+
+  private readonly at: number;
+
+  private readonly chain: readonly string[];
+
+  /** By weights version, since the names of prefixes differ with it. */
+  private readonly placed = new Map<string, ReadonlyMap<string, number>>();
+
+  constructor(step: steps.Step, { prefixChain }: event.RequestProfile) {
+    this.index = step.state.index;
+    this.peerCache = step.state.peerCache;
+    this.at = step.at;
+    this.chain = prefixChain;
+  }
+
+  /** Pieces at the start of the prompt that a server has. */
+  pieces({ record, incarnation }: state.ServerState): number {
+    const { index, chain, at } = this;
+    const own = placement.cachedPieces(index, record.id, incarnation, chain, at);
+    return placement.isPeerCacheEmpty(this.peerCache) || own >= chain.length - 1
+      ? own
+      : Math.max(own, this.placedBy(record.weightsVersion ?? '').get(record.id) ?? 0);
+  }
+
+  private placedBy(weightsVersion: string): ReadonlyMap<string, number> {
+    const known = this.placed.get(weightsVersion);
+    if (known !== undefined) {
+      return known;
+    }
+    const hashes = sharedHashes(weightsVersion, this.chain);
+    const found = placement.placedPieces(this.peerCache, hashes, this.at);
+    this.placed.set(weightsVersion, found);
+    return found;
+  }
 }
 
 /** The short names of the prefixes that other requests may share; the last part of a prompt is its own. */
 export function sharedHashes(weightsVersion: string, prefixChain: readonly string[]): number[] {
   return prefixChain.slice(0, -1).map((key) => placement.prefixHash(weightsVersion, key));
 }
-
-function placedByPeers(
-  step: steps.Step,
-  prefixChain: readonly string[],
-  { id, weightsVersion = '' }: state.ServerState['record'],
-): number {
-  const hashes = sharedHashes(weightsVersion, prefixChain);
-  return placement.placedPieces(step.state.peerCache, id, hashes, step.at);
-}
--- a/src/placement/peer-cache.ts
+++ b/src/placement/peer-cache.ts
@@ -8,10 +8,23 @@
   readonly hashes: readonly number[];
 }
 
-/** When each server was last sent a prefix by other daemons, by the hash of the prefix. */
-export type PeerCache = immutable.Map<number, immutable.Map<string, number>>;
+/** When each server was last sent a prefix, by the hash of the prefix. */
+type PlacedAt = immutable.Map<number, immutable.Map<string, number>>;
 
-export const EMPTY_PEER_CACHE: PeerCache = immutable.Map<number, immutable.Map<string, number>>();
+/**
+ * Where other daemons have sent prefixes. What was learned lies in two parts, the older of which is dropped as a
+ * whole: looking for old entries one by one would take longer than everything else that is done with them.
+ */
+export interface PeerCache {
+  readonly recent: PlacedAt;
+  readonly earlier: PlacedAt;
+  /** When `recent` was begun. */
+  readonly begunAt: number;
+}
+
+const NOTHING: PlacedAt = immutable.Map<number, immutable.Map<string, number>>();
+
+export const EMPTY_PEER_CACHE: PeerCache = { recent: NOTHING, earlier: NOTHING, begunAt: 0 };
 
 /**
  * A short name of a prefix for messages. Two prefixes may have the same one: what follows from it may only be
@@ -34,37 +47,53 @@
   placings: readonly Placing[],
   at: number,
 ): PeerCache {
-  return cache.withMutations((mutable) => {
+  const recent = cache.recent.withMutations((mutable) => {
     placings.forEach(({ serverId, hashes }) =>
-      hashes.forEach((hash) =>
-        mutable.update(hash, immutable.Map<string, number>(), (servers) =>
-          servers.set(serverId, at),
-        ),
-      ),
+      hashes.forEach((hash) => mutable.set(hash, mutable.get(hash, NOWHERE).set(serverId, at))),
     );
   });
+  return recent === cache.recent ? cache : { ...cache, recent };
+}
+
+/** Whether nothing is known. */
+export function isPeerCacheEmpty({ recent, earlier }: PeerCache): boolean {
+  return recent.isEmpty() && earlier.isEmpty();
 }
 
-/** The number of prefixes at the start of a chain that peers have sent to a server. */
+/**
+ * The number of prefixes at the start of a chain that peers have sent to each server, for servers that were
+ * sent any. For one chain and many servers, this looks up each prefix once.
+ *
+ * @example
+ * placedPieces(cache, hashes, at).get('runner-0') ?? 0; // 2
+ */
 export function placedPieces(
-  cache: PeerCache,
-  serverId: string,
+  { recent, earlier }: PeerCache,
   hashes: readonly number[],
   at: number,
-): number {
+): ReadonlyMap<string, number> {
   const oldest = at - LIFETIME_MILLISECONDS;
-  return (
-    1 + hashes.findLastIndex((hash) => (cache.get(hash)?.get(serverId) ?? -Infinity) >= oldest)
+  const pieces = new Map<string, number>();
+  hashes.forEach((hash, depth) =>
+    [recent, earlier].forEach((part) =>
+      part.get(hash)?.forEach((placedAt, serverId) => {
+        if (placedAt >= oldest) {
+          pieces.set(serverId, depth + 1);
+        }
+      }),
+    ),
   );
+  return pieces;
 }
 
-/** Removes entries too old to be believed. */
+/** Drops entries that are all too old to be believed. */
 export function prunePeerCache(cache: PeerCache, at: number): PeerCache {
-  const oldest = at - LIFETIME_MILLISECONDS;
-  return cache
-    .map((servers) => servers.filter((placedAt) => placedAt >= oldest))
-    .filter((servers) => !servers.isEmpty());
+  return at - cache.begunAt > LIFETIME_MILLISECONDS
+    ? { recent: NOTHING, earlier: cache.recent, begunAt: at }
+    : cache;
 }
 
+const NOWHERE = immutable.Map<string, number>();
+
 /** Prefixes that are not used leave a busy engine's memory in about this time. */
 const LIFETIME_MILLISECONDS = 10_000;
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -1,5 +1,6 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as fastCheck from 'fast-check';
 import * as placement from '../../src/placement';
 
 const suite = uvu.suite('placement');
@@ -101,4 +102,53 @@
   assert.is(placement.totalWork(placement.expireMeasurement(load, 6_000)).requests, 0);
 });
 
+const LIFETIME_MILLISECONDS = 10_000;
+
+/** What other daemons tell, and how much time passes before it. */
+const TOLD = fastCheck.array(
+  fastCheck.record({
+    pause: fastCheck.constantFrom(0, 200, 900, 5_000, 10_000, 10_001),
+    server: fastCheck.nat(3),
+    hash: fastCheck.nat(3),
+    isPruned: fastCheck.boolean(),
+  }),
+  { maxLength: 60, size: 'max' },
+);
+
+// Guards against entries that are believed for too long, or dropped with older ones.
+suite('a placing is believed for its lifetime and no longer, whenever the cache is pruned', () =>
+  fastCheck.assert(
+    fastCheck.property(TOLD, (told) => {
+      const lastPlaced = new Map<string, number>();
+      let cache = placement.EMPTY_PEER_CACHE;
+      let at = 50_000;
+      told.forEach(({ pause, server, hash, isPruned }) => {
+        at += pause;
+        cache = placement.learnPlacings(cache, [{ serverId: `i-${server}`, hashes: [hash] }], at);
+        cache = isPruned ? placement.prunePeerCache(cache, at) : cache;
+        lastPlaced.set(`i-${server}/${hash}`, at);
+        const pieces = placement.placedPieces(cache, [0, 1, 2, 3], at);
+        [0, 1, 2, 3].forEach((place) => {
+          const believed = [0, 1, 2, 3].findLastIndex(
+            (known) =>
+              at - (lastPlaced.get(`i-${place}/${known}`) ?? -Infinity) <= LIFETIME_MILLISECONDS,
+          );
+          assert.is(pieces.get(`i-${place}`) ?? 0, believed + 1);
+        });
+      });
+    }),
+    { seed: 20_261_204, numRuns: 1_000 },
+  ),
+);
+
+// Guards against a daemon whose memory grows with every prefix that was ever placed.
+suite('placings that are too old are dropped', () => {
+  const placings = [{ serverId: 'i-1', hashes: [1] }];
+  let cache = placement.learnPlacings(placement.EMPTY_PEER_CACHE, placings, 0);
+  for (let at = 1_000; at <= 25_000; at += 1_000) {
+    cache = placement.prunePeerCache(cache, at);
+  }
+  assert.ok(placement.isPeerCacheEmpty(cache));
+});
+
 suite.run();
