Hash the ids of servers once, and describe a pairing once for all filters

Cause: rendezvous hashing hashed the id of each of 63 servers again for each of eight rankings of an arrival, and each filter of a server got a description of its own.

--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -138,21 +138,20 @@
   const reserved = reservedServers(step, request, suspect);
   const minimumWeights = weightsFilter.minimumWeightsOf(service);
   const weightsExpected = weightsFilter.expectsWeights(step, request);
-  return servers.filter((server) =>
-    filters.every((filter) =>
-      filter.admits({
-        request,
-        server,
-        slots,
-        prefillTokensPerSecond,
-        cacheTokens,
-        suspect,
-        reserved,
-        weightsExpected,
-        minimumWeights,
-      }),
-    ),
-  );
+  return servers.filter((server) => {
+    const pairing = {
+      request,
+      server,
+      slots,
+      prefillTokensPerSecond,
+      cacheTokens,
+      suspect,
+      reserved,
+      weightsExpected,
+      minimumWeights,
+    };
+    return filters.every((filter) => filter.admits(pairing));
+  });
 }
 
 /** A suspect keeps to the servers of its own daemon until it would wait too long for one of them. */
--- a/src/placement/rendezvous.ts
+++ b/src/placement/rendezvous.ts
@@ -52,7 +52,23 @@
 
 function weigh(keyHash: number, serverId: string): number {
   // eslint-disable-next-line no-bitwise
-  return mix(keyHash ^ hashText(serverId));
+  return mix(keyHash ^ hashOfServer(serverId));
+}
+
+/** Ids of servers are hashed for each request, and there are few of them. */
+const serverHashes = new Map<string, number>();
+
+function hashOfServer(serverId: string): number {
+  const known = serverHashes.get(serverId);
+  if (known !== undefined) {
+    return known;
+  }
+  if (serverHashes.size >= MAXIMUM_SERVER_HASHES) {
+    serverHashes.clear();
+  }
+  const hash = hashText(serverId);
+  serverHashes.set(serverId, hash);
+  return hash;
 }
 
 /** The finalizer of MurmurHash3, which spreads each input bit over the whole result. */
@@ -66,3 +82,5 @@
 
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
+/** Above the servers of the largest deployment; servers that are replaced get new ids. */
+const MAXIMUM_SERVER_HASHES = 10_000;
