Tick often only while requests wait for a server

Cause: the core ticked each 20 ms while any request was active, also when all of them ran. Deadlines of requests that run are watched by their attempts; only those of requests that wait need the core to look this often. Stragglers, late first tokens and streams of loading servers are looked for each 100 ms.

A daemon whose requests all run ticks each 50 ms, and an event that lets a request wait brings the next tick forward, so that a deadline of a queued request is still noticed within 20 ms.

Ticks a second: 50 before, 20 after, while requests run and none waits (counted by a test on a manual clock). The test of a fault in the core tells that requests wait, and expects the same as before.

--- a/src/daemon/start-daemon.ts
+++ b/src/daemon/start-daemon.ts
@@ -31,7 +31,11 @@
     plane,
     list: machineList(settings.machineList, time),
     backends: new httpBackendFactory.HttpBackendFactory(time),
-    core: { startState: startState(settings, random), update: decision.update },
+    core: {
+      startState: startState(settings, random),
+      update: decision.update,
+      isWaiting: decision.isWaiting,
+    },
     hasher,
     history: new publishedHistory.PublishedHistory(plane),
     meter: meterOf(settings),
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -186,7 +186,7 @@
   readonly fingerprints: readonly string[];
 }
 
-/** Time has passed; sent every 20 ms while requests are queued or running, else each second. */
+/** Time has passed; sent every 20 ms while requests wait, 50 ms while some run, else each second. */
 export interface Tick extends EventBase {
   readonly kind: DecisionEventKind.Tick;
 }
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -144,3 +144,14 @@
     prunedAt: 0,
   };
 }
+
+/**
+ * Whether requests wait for a server. Their deadlines have to be watched closely; those of requests that run
+ * are watched by their attempts.
+ *
+ * @example
+ * isWaiting(initialState(options)); // false
+ */
+export function isWaiting({ queues, parked }: DecisionState): boolean {
+  return !parked.isEmpty() || queues.some((queue) => !queue.lanes.isEmpty());
+}
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -241,7 +241,8 @@
   const seed = random.integer(1, MAXIMUM_SEED);
   const options = { seed, zone, region, retryBudget, hedgeBudget: NO_HEDGES };
   const startState = decision.initialState(options);
-  return { startState, update: decision.update } as routing.DecisionCore<unknown>;
+  const { update, isWaiting } = decision;
+  return { startState, update, isWaiting } as routing.DecisionCore<unknown>;
 }
 
 const logger = new logging.Logger('gateway');
--- a/src/routing/decision-core.ts
+++ b/src/routing/decision-core.ts
@@ -8,4 +8,6 @@
     state: State,
     event: decision.DecisionEvent,
   ) => transaction.Transaction<State, decision.DecisionEffect>;
+  /** Whether requests wait for a server, so that their deadlines have to be watched closely. */
+  readonly isWaiting: (state: State) => boolean;
 }
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -25,7 +25,8 @@
 
   private tickTimer: clock.Timer | undefined;
 
-  private isTickingFast = false;
+  /** Interval of the ticks at present. */
+  private interval = Number.POSITIVE_INFINITY;
 
   constructor(
     private readonly core: decisionCore.DecisionCore<State>,
@@ -70,9 +71,6 @@
   /** Hands a new request to the core. */
   submit(execution: requestExecution.RequestExecution): void {
     this.executions.set(execution.profile.requestId, execution);
-    if (!this.isTickingFast) {
-      this.planTick();
-    }
     const { profile } = execution;
     this.feed({ kind: decision.DecisionEventKind.RequestArrived, at: this.now(), profile });
   }
@@ -108,6 +106,9 @@
     } finally {
       this.isDraining = false;
     }
+    if (this.wantedInterval() < this.interval) {
+      this.planTick();
+    }
   }
 
   /** A fault in the handling of one event ends the request concerned, not the daemon with all others. */
@@ -156,19 +157,25 @@
     }
   }
 
-  /** Sends ticks often while requests wait for deadlines and hedges, and rarely otherwise. */
+  /** Sends ticks often while requests wait for deadlines, less often while some run, and rarely otherwise. */
   private planTick(): void {
     this.tickTimer?.cancel();
     if (this.isClosed) {
       return;
     }
-    this.isTickingFast = this.executions.size > 0;
-    const delay = this.isTickingFast ? BUSY_TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS;
-    this.tickTimer = this.time.setTimer(delay, () => {
+    this.interval = this.wantedInterval();
+    this.tickTimer = this.time.setTimer(this.interval, () => {
       this.feed({ kind: decision.DecisionEventKind.Tick, at: this.now() });
       this.planTick();
     });
   }
+
+  private wantedInterval(): number {
+    if (this.core.isWaiting(this.state)) {
+      return WAITING_TICK_MILLISECONDS;
+    }
+    return this.executions.size > 0 ? RUNNING_TICK_MILLISECONDS : IDLE_TICK_MILLISECONDS;
+  }
 }
 
 function requestIdOf(event: decision.DecisionEvent): string | undefined {
@@ -187,6 +194,9 @@
 const logger = new logging.Logger('routing');
 
 // A request that cannot meet its deadline must be refused within 50 ms.
-const BUSY_TICK_MILLISECONDS = 20;
+const WAITING_TICK_MILLISECONDS = 20;
+
+// Stragglers and late first tokens are looked for each 100 ms.
+const RUNNING_TICK_MILLISECONDS = 50;
 
 const IDLE_TICK_MILLISECONDS = 1_000;
--- a/test/orders/roll-out-builder.ts
+++ b/test/orders/roll-out-builder.ts
@@ -140,7 +140,7 @@
         open: ({ id, host, port }) =>
           new backend.HttpModelEngine({ serverId: id, host, port }, this.time),
       },
-      core: { startState, update: decision.update },
+      core: { startState, update: decision.update, isWaiting: decision.isWaiting },
       hasher: { chain: () => [] },
       history: { recent: () => [] },
       meter: new metrics.SilentMetrics(),
--- a/test/routing/decision-task.test.ts
+++ b/test/routing/decision-task.test.ts
@@ -19,6 +19,7 @@
       seen.push(event.kind);
       return { startState: state, state, effects: [] };
     },
+    isWaiting: () => true,
   };
   const time = new clock.ManualClock();
   const task = new routing.DecisionTask(core, time, () => {});
@@ -37,6 +38,72 @@
   assert.equal(seen, ['request-cancelled', 'tick']);
 });
 
+/** Ticks within one second of a task whose core tells whether requests wait. */
+function ticksOf(isWaiting: boolean, requests: number): number {
+  let ticks = 0;
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      ticks += event.kind === decision.DecisionEventKind.Tick ? 1 : 0;
+      return { startState: state, state, effects: [] };
+    },
+    isWaiting: () => isWaiting,
+  };
+  const time = new clock.ManualClock();
+  const task = new routing.DecisionTask(core, time, () => {});
+  for (let index = 0; index < requests; index += 1) {
+    task.submit(executionOf(`request-${index}`));
+  }
+  time.advance(1_000);
+  task.close();
+  return ticks;
+}
+
+// Guards against refusals that come late, and against a daemon that wakes up often for nothing.
+suite('ticks are frequent only while requests wait', () => {
+  assert.is(ticksOf(true, 2), 50);
+  assert.is(ticksOf(false, 2), 20);
+  assert.is(ticksOf(false, 0), 1);
+});
+
+// Guards against a deadline that is noticed only at the next tick of a daemon that had no request waiting.
+suite('a request that begins to wait brings the next tick forward', () => {
+  const ticks: number[] = [];
+  let isWaiting = false;
+  const time = new clock.ManualClock();
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      if (event.kind === decision.DecisionEventKind.Tick) {
+        ticks.push(time.monotonic());
+      }
+      isWaiting ||= event.kind === decision.DecisionEventKind.AttemptFailed;
+      return { startState: state, state, effects: [] };
+    },
+    isWaiting: () => isWaiting,
+  };
+  const task = new routing.DecisionTask(core, time, () => {});
+  task.submit(executionOf('request-1'));
+  time.advance(10);
+  const { AttemptFailed } = decision.DecisionEventKind;
+  const failure = verdict.failure(verdict.FailureReason.Timeout, verdict.Verdict.NotRun, '');
+  const names = { requestId: 'request-1', attemptId: 'request-1/0' };
+  task.feed({ kind: AttemptFailed, at: 10, ...names, failure });
+  time.advance(40);
+  task.close();
+  assert.equal(ticks, [30, 50]);
+});
+
+function executionOf(requestId: string): Parameters<routing.DecisionTask['submit']>[0] {
+  return {
+    profile: profileOf(requestId),
+    isRunning: false,
+    dispatch: () => {},
+    cancelAttempt: () => {},
+    fail: () => {},
+  };
+}
+
 function profileOf(requestId: string): decision.RequestProfile {
   return {
     requestId,
--- a/test/routing/poll-task.test.ts
+++ b/test/routing/poll-task.test.ts
@@ -31,6 +31,7 @@
   const evicted: string[] = [];
   const core: routing.DecisionCore<undefined> = {
     startState: undefined,
+    isWaiting: () => false,
     update: (state, event) => {
       if (event.kind === decision.DecisionEventKind.CacheEvicted) {
         evicted.push(event.chainHash);
--- a/test/support/daemon-builder.ts
+++ b/test/support/daemon-builder.ts
@@ -118,7 +118,7 @@
       plane: this.plane,
       list: { read: async () => new results.Ok([this.engine.machine, ledger]) },
       backends: this.backends(),
-      core: { startState, update: decision.update },
+      core: { startState, update: decision.update, isWaiting: decision.isWaiting },
       hasher: { chain: () => [] },
       history: { recent: () => [] },
       meter: new metrics.SilentMetrics(),
