Take a list of VMs over only when it is another one

Cause: every 200 ms a gateway merged its copy of the list with what it had observed, opened and retired clients, and compared all servers as JSON before and after, although the copy is the same object until the leader sends a new one. A control daemon did so every 100 ms.

What was ruled out: that merging the same list again has an effect that is needed. Marks of leaving servers are set when the list first shows them and are repeated by ticks; an incarnation that a probe has seen is newer than that of the same list, and was taken back by it before when a second one followed.

--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -42,6 +42,9 @@
 
   private listWasRead: (() => void) | undefined;
 
+  /** The list that was taken over last. */
+  private list: readonly backend.MachineRecord[] | undefined;
+
   constructor(
     private readonly ports: MembershipPorts,
     private readonly listIntervalMilliseconds: number,
@@ -128,6 +131,11 @@
       logger.warning('list of VMs could not be read', { reason: read.val.reason });
       return;
     }
+    // A source that has read nothing new gives the same list again.
+    if (read.val === this.list) {
+      return;
+    }
+    this.list = read.val;
     const machines = read.val.filter(({ kind }) => kind !== backend.BackendKind.KeptCache);
     this.ports.pool.update(machines);
     this.apply({ kind: membership.MembershipEventKind.ListRead, at: this.now(), machines });
