Tell a gateway's load to the leader alone, and let only the leader pass placings on

Cause: each gateway broadcast its load and placings to all control daemons. Those that do not lead noted the placings and, since they had no load of their own, broadcast them to all 92 of their links, five times a second. Each gateway heard a placing from the leader and from up to five others, took the others' copies for its own, and told them to all control daemons again.

tellLeader() sends to the leader's link only; a load message is ignored by a daemon that does not lead. A new leader knows nothing: it is told again what was told to the one before, and sums up for the first time after 400 ms, within which everyone has told it. Until then the gateways keep the sums that they have; before, the first sums of a new leader came 400 ms earlier.

Tests: followers send nothing; the sums after a change of the leader are complete from the first on; what is told to the leader reaches it alone.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -177,11 +177,16 @@
   }
 
   override broadcast(topic: controlPlane.PeerTopic, payload: unknown): void {
-    this.network.broadcast({
-      kind: peerMessage.PeerMessageKind.Broadcast,
-      topic,
-      payload,
-    } as wire.WireMessage);
+    this.network.broadcast(broadcastOf(topic, payload));
+  }
+
+  override tellLeader(topic: controlPlane.PeerTopic, payload: unknown): boolean {
+    const leader = this.knownLeader();
+    return (
+      leader !== undefined &&
+      leader.address !== this.network.address &&
+      this.network.send(leader.address, broadcastOf(topic, payload))
+    );
   }
 
   override onBroadcast(topic: controlPlane.PeerTopic, listener: BroadcastListener): () => void {
@@ -534,6 +539,10 @@
   [replica.Role.Stopped]: controlPlane.ReplicaRole.None,
 };
 
+function broadcastOf(topic: controlPlane.PeerTopic, payload: unknown): wire.WireMessage {
+  return { kind: peerMessage.PeerMessageKind.Broadcast, topic, payload } as wire.WireMessage;
+}
+
 function toResult(
   result: command.CommandResult | undefined,
   failure: controlPlane.ProposalFailure | undefined,
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -92,6 +92,12 @@
   /** Sends `payload` to every connected peer daemon, without waiting and without a guarantee. */
   abstract broadcast(topic: PeerTopic, payload: unknown): void;
 
+  /**
+   * Sends `payload` to the leader alone, as `broadcast` does to all; its listeners hear it as a broadcast.
+   * Returns false when this daemon leads or has no link to a leader.
+   */
+  abstract tellLeader(topic: PeerTopic, payload: unknown): boolean;
+
   /** Calls `listener` for each broadcast of a peer; the payload is unchecked data. */
   abstract onBroadcast(
     topic: PeerTopic,
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -22,7 +22,10 @@
 
 /** What the exchange works with. */
 export interface LoadExchangePorts {
-  readonly plane: Pick<control.ControlPlane, 'leadership' | 'broadcast' | 'onBroadcast'>;
+  readonly plane: Pick<
+    control.ControlPlane,
+    'leadership' | 'broadcast' | 'tellLeader' | 'onBroadcast'
+  >;
   readonly time: clock.Clock;
   /** Where this daemon has sent prefixes, or, at the leader, where others have. */
   readonly placings: placingLog.PlacingLog;
@@ -40,7 +43,15 @@
   /** Work of each daemon, and when it was told. */
   private readonly told = new Map<string, { at: number; loads: readonly ServerWork[] }>();
 
-  private lastText = '';
+  private lastText = NO_LOADS;
+
+  /** Term of the leader that was told the last text. */
+  private toldTerm: number | undefined;
+
+  /** Term in which this daemon leads, and since when. */
+  private ledTerm: number | undefined;
+
+  private ledSince = Number.NEGATIVE_INFINITY;
 
   private timer: clock.Timer | undefined;
 
@@ -63,20 +74,53 @@
   }
 
   private tick(): void {
-    const isLeader = this.ports.plane.leadership().role === control.ReplicaRole.Leader;
-    const kind = isLeader ? MessageKind.Sums : MessageKind.Own;
-    const loads = isLeader ? this.sums() : this.ownLoads();
+    const { role, term } = this.ports.plane.leadership();
+    if (role === control.ReplicaRole.Leader) {
+      this.tellSums(term);
+    } else {
+      this.tellOwn(term);
+    }
+    this.timer = this.ports.time.setTimer(INTERVAL_MILLISECONDS, () => this.tick());
+  }
+
+  /** A leader that is new sums up once the others have had the time to tell it their work. */
+  private tellSums(term: number): void {
+    const now = this.ports.time.monotonic();
+    if (this.ledTerm !== term) {
+      this.ledTerm = term;
+      this.ledSince = now;
+      this.lastText = '';
+    }
+    if (now - this.ledSince < FIRST_SUMS_MILLISECONDS) {
+      return;
+    }
+    const loads = this.sums();
     const text = JSON.stringify(loads);
     const placings = this.ports.placings.drain();
     if (text !== this.lastText || placings.length > 0) {
       this.lastText = text;
-      this.ports.plane.broadcast(control.PeerTopic.Load, {
-        kind,
-        loads: loads.map(encode),
-        ...(placings.length === 0 ? {} : { placings: placings.map(encodePlacing) }),
-      });
+      const payload = encodeMessage(MessageKind.Sums, loads, placings);
+      this.ports.plane.broadcast(control.PeerTopic.Load, payload);
+    }
+  }
+
+  /** A new leader knows nothing, so that what was told to the one before is told again. */
+  private tellOwn(term: number): void {
+    this.told.clear();
+    this.ledTerm = undefined;
+    if (this.toldTerm !== term) {
+      this.toldTerm = term;
+      this.lastText = NO_LOADS;
+    }
+    const loads = this.ownLoads();
+    const text = JSON.stringify(loads);
+    const placings = this.ports.placings.drain();
+    if (text !== this.lastText || placings.length > 0) {
+      const payload = encodeMessage(MessageKind.Own, loads, placings);
+      if (this.ports.plane.tellLeader(control.PeerTopic.Load, payload)) {
+        this.lastText = text;
+      }
     }
-    this.timer = this.ports.time.setTimer(INTERVAL_MILLISECONDS, () => this.tick());
   }
 
   private sums(): readonly ServerWork[] {
@@ -102,7 +146,7 @@
     const placings = (parsed.data.placings ?? []).map(decodePlacing);
     if (parsed.data.kind === MessageKind.Sums) {
       this.onSums(loads, placings);
-    } else {
+    } else if (this.ports.plane.leadership().role === control.ReplicaRole.Leader) {
       placings.forEach((placing) => this.ports.placings.note(placing));
       this.told.set(from, { at: this.ports.time.monotonic(), loads });
     }
@@ -119,6 +163,18 @@
   placings: zod.array(zod.tuple([zod.string(), zod.array(zod.int())])).optional(),
 });
 
+function encodeMessage(
+  kind: MessageKind,
+  loads: readonly ServerWork[],
+  placings: readonly placement.Placing[],
+): object {
+  return {
+    kind,
+    loads: loads.map(encode),
+    ...(placings.length === 0 ? {} : { placings: placings.map(encodePlacing) }),
+  };
+}
+
 type EncodedPlacing = [string, number[]];
 
 function encodePlacing({ serverId, hashes }: placement.Placing): EncodedPlacing {
@@ -155,3 +211,8 @@
 
 /** A daemon with work sends changes several times a second; one that is silent has stopped. */
 const FORGET_MILLISECONDS = 5_000;
+
+/** The other daemons hear of a new leader at once and tell it their work within one interval. */
+const FIRST_SUMS_MILLISECONDS = 2 * INTERVAL_MILLISECONDS;
+
+const NO_LOADS = '[]';
--- a/test/control/control-node.test.ts
+++ b/test/control/control-node.test.ts
@@ -121,6 +121,26 @@
   await group.close();
 });
 
+/** Guards against messages meant for the leader that each replica gets, or that no one gets. */
+suite('what is told to the leader reaches the leader alone', async () => {
+  const group = await builder.TestGroup.start(3, 1);
+  const heard: string[] = [];
+  group.nodes.forEach((node) =>
+    node.onBroadcast(control.PeerTopic.Load, (payload) =>
+      heard.push(`${node.status().role} ${payload}`),
+    ),
+  );
+  const isLeading = (node: control.ControlNode) =>
+    node.leadership().role === control.ReplicaRole.Leader;
+  await builder.until(() => group.nodes[3].tellLeader(control.PeerTopic.Load, 'work'));
+  await builder.until(() => heard.length > 0);
+  assert.equal(heard, [`${control.ReplicaRole.Leader} work`]);
+  const leader = group.nodes.find(isLeading)!;
+  assert.is(leader.tellLeader(control.PeerTopic.Load, 'own'), false);
+  assert.is(leader.leadership().term, leader.status().term);
+  await group.close();
+});
+
 /** Guards against a proposal that waits for ever, or is said to have failed when it may be committed. */
 suite('without a replica in reach a proposal ends at its time limit', async () => {
   const group = await builder.TestGroup.start(0, 1);
--- a/test/gateway/peers.ts
+++ b/test/gateway/peers.ts
@@ -6,30 +6,61 @@
 export class Peers {
   private readonly listeners: { id: string; topic: control.PeerTopic; listener: Listener }[] = [];
 
+  private readonly leadership = new Map<string, control.Leadership>();
+
+  /** Messages that were sent, by their sender. */
+  readonly sent = new Map<string, number>();
+
   isCut = false;
 
   plane(daemonId: string, role: control.ReplicaRole) {
-    const status: control.ControlStatus = {
+    this.lead(daemonId, role);
+    const status = (): control.ControlStatus => ({
+      ...this.leadership.get(daemonId)!,
       daemonId,
       zone: 'z',
-      role,
-      term: 1,
       commitIndex: 0,
       voters: [],
       revision: 0,
       peers: [],
-    };
+    });
     return {
-      status: () => status,
-      leadership: () => status,
+      status,
+      leadership: status,
       broadcast: (topic: control.PeerTopic, payload: unknown) =>
-        this.listeners
-          .filter((entry) => !this.isCut && entry.id !== daemonId && entry.topic === topic)
-          .forEach(({ listener }) => listener(payload, daemonId)),
+        this.send(daemonId, topic, payload, () => true),
+      tellLeader: (topic: control.PeerTopic, payload: unknown) =>
+        this.send(daemonId, topic, payload, (id) => this.isLeader(id)),
       onBroadcast: (topic: control.PeerTopic, listener: Listener) => {
         this.listeners.push({ id: daemonId, topic, listener });
         return () => {};
       },
     };
   }
+
+  /** Changes the role of a daemon; a new leader leads a new term, which all hear of at once. */
+  lead(daemonId: string, role: control.ReplicaRole): void {
+    const terms = [...this.leadership.values()].map(({ term }) => term);
+    const term = Math.max(0, ...terms) + (role === control.ReplicaRole.Leader ? 1 : 0);
+    this.leadership.forEach((known, id) => this.leadership.set(id, { ...known, term }));
+    this.leadership.set(daemonId, { role, term });
+  }
+
+  private isLeader(daemonId: string): boolean {
+    return this.leadership.get(daemonId)?.role === control.ReplicaRole.Leader;
+  }
+
+  private send(
+    from: string,
+    topic: control.PeerTopic,
+    payload: unknown,
+    isMeant: (daemonId: string) => boolean,
+  ): boolean {
+    const receivers = this.listeners.filter(
+      ({ id, topic: wanted }) => !this.isCut && id !== from && wanted === topic && isMeant(id),
+    );
+    receivers.forEach(({ listener }) => listener(payload, from));
+    this.sent.set(from, (this.sent.get(from) ?? 0) + receivers.length);
+    return receivers.length > 0;
+  }
 }
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -11,7 +11,7 @@
 import * as peersModule from './peers';
 
 const suite = uvu.suite('sharing between daemons');
-const { Leader, None } = control.ReplicaRole;
+const { Leader, Follower, None } = control.ReplicaRole;
 
 /** The leader and another daemon, with the list that both could read. */
 function readers(annotate?: (record: backend.MachineRecord) => backend.MachineRecord) {
@@ -132,6 +132,63 @@
   assert.equal(heard, Array(2).fill({ serverId: 'i-1', hashes: [7, 8] }));
 });
 
+// Guards against control daemons that repeat each placing to every gateway, which take it for their own.
+suite('a control daemon that does not lead tells nothing that it heard', () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const exchanges = [Leader, Follower, None, None].map((role, place) => {
+    const placings = new placingLog.PlacingLog(time);
+    const plane = peers.plane(String(place), role);
+    if (role === None) {
+      placings.note({ serverId: 'i-1', hashes: [place] });
+    }
+    return new loadExchange.LoadExchange(
+      { plane, time, placings },
+      () => [],
+      () => {},
+    );
+  });
+  time.advance(4_000);
+  exchanges.forEach((exchange) => exchange.close());
+  // One message of each gateway to the leader, and one of the leader to the three others.
+  assert.equal(
+    [...peers.sent],
+    [
+      ['2', 1],
+      ['3', 1],
+      ['0', 3],
+    ],
+  );
+});
+
+// Guards against engines that look idle to all daemons because a new leader has heard of nobody's work.
+suite('after a change of the leader, the sums are complete from the first on', () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const work = { serverId: 'i-1', requests: 2, prefillTokens: 100, memoryTokens: 5_000 };
+  const heard: number[] = [];
+  const exchanges = [Leader, Follower, None, None].map((role, place) => {
+    const ports = {
+      plane: peers.plane(String(place), role),
+      time,
+      placings: new placingLog.PlacingLog(time),
+    };
+    return new loadExchange.LoadExchange(
+      ports,
+      () => (role === None ? [work] : []),
+      (loads) => heard.push(loads.reduce((sum, { requests }) => sum + requests, 0)),
+    );
+  });
+  time.advance(1_000);
+  assert.ok(heard.length > 0);
+  heard.length = 0;
+  peers.lead('0', Follower);
+  peers.lead('1', Leader);
+  time.advance(700);
+  exchanges.forEach((exchange) => exchange.close());
+  assert.equal([...new Set(heard)], [4]);
+});
+
 // Guards against messages that grow with the load.
 suite('a message holds a bounded number of placings', () => {
   const log = new placingLog.PlacingLog(new clock.ManualClock(), 2);
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -63,6 +63,10 @@
       .forEach((plane) => plane.hear(topic, payload, this.daemonId));
   }
 
+  override tellLeader(): boolean {
+    return false;
+  }
+
   override onBroadcast(topic: control.PeerTopic, listener: Listener): () => void {
     const listeners = this.listeners.get(topic) ?? new Set();
     this.listeners.set(topic, listeners.add(listener));
