Leave the time for which a gateway stood still out of the silence of its servers

Cause: a gateway that gets no processor time reads nothing and runs no timers. The first check after that found every server with work silent for longer than 700 ms, before the answers that had arrived were read, and had all of them probed, by itself and by every control daemon that heard of its suspicion. A gateway over its capacity thereby adds to its own load, and to that of the others.

A check that comes late gives every server as much more time.

--- a/src/gateway/silence-watch.ts
+++ b/src/gateway/silence-watch.ts
@@ -12,18 +12,19 @@
 /**
  * Load pattern: a server falls silent without a reset, and every request that is sent over an open connection
  * waits until its deadline. A server from which nothing arrives while it has work is reported, so that a
- * probe on a new connection decides; its requests go on waiting until then.
+ * probe on a new connection decides; its requests go on waiting until then. Time for which this process itself
+ * stood still does not count: what arrived meanwhile has not been read yet.
  */
 export class SilenceWatch {
   private readonly servers = new Map<string, ServerRecord>();
 
-  private timer: clock.Timer;
+  private timer!: clock.Timer;
 
   constructor(
     private readonly time: clock.Clock,
     private readonly observer: Pick<routing.ServerObserver, 'attemptFailed'>,
   ) {
-    this.timer = time.setTimer(CHECK_MILLISECONDS, () => this.check());
+    this.planCheck();
   }
 
   /** An attempt was sent. */
@@ -59,16 +60,25 @@
     this.timer.cancel();
   }
 
-  private check(): void {
+  private planCheck(): void {
+    const dueAt = this.time.monotonic() + CHECK_MILLISECONDS;
+    this.timer = this.time.setTimer(CHECK_MILLISECONDS, () => {
+      this.check(Math.max(0, this.time.monotonic() - dueAt));
+      this.planCheck();
+    });
+  }
+
+  /** @param late time for which this process did not get to its timers, nor to what had arrived */
+  private check(late: number): void {
     const now = this.time.monotonic();
     this.servers.forEach((known, serverId) => {
       const record = known;
+      record.heardAt += late;
       if (now - record.heardAt >= SILENCE_MILLISECONDS) {
         record.heardAt = now;
         this.observer.attemptFailed(serverId, SILENT);
       }
     });
-    this.timer = this.time.setTimer(CHECK_MILLISECONDS, () => this.check());
   }
 }
 
