--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -9,7 +9,10 @@
 
 /** What the list works with. */
 export interface SharedListPorts {
-  readonly plane: Pick<control.ControlPlane, 'status' | 'send' | 'broadcast' | 'onBroadcast'>;
+  readonly plane: Pick<
+    control.ControlPlane,
+    'leadership' | 'status' | 'send' | 'broadcast' | 'onBroadcast'
+  >;
   /** The platform's list itself. */
   readonly source: backend.MachineList;
   readonly time: clock.Clock;
@@ -57,7 +60,7 @@
   }
 
   override async read(): Promise<ListResult> {
-    const isLeader = this.ports.plane.status().role === control.ReplicaRole.Leader;
+    const isLeader = this.ports.plane.leadership().role === control.ReplicaRole.Leader;
     const now = this.ports.time.monotonic();
     if (isLeader) {
       return this.readAndTell(now);
@@ -80,8 +83,7 @@
     }
     const { annotate = (record) => record } = this.ports;
     const annotated = result.val.map(annotate);
-    this.tell(annotated, now);
-    return new results.Ok(annotated);
+    return new results.Ok(this.tell(annotated, now));
   }
 
   /** Reads the platform's list, but not more often than each `interval`. */
@@ -99,7 +101,11 @@
     return result.ok && this.machines !== undefined ? new results.Ok(this.machines) : result;
   }
 
-  private tell(machines: readonly backend.MachineRecord[], now: number): void {
+  /** Tells the peers what has changed; returns the list that they have, the same object until it changes. */
+  private tell(
+    machines: readonly backend.MachineRecord[],
+    now: number,
+  ): readonly backend.MachineRecord[] {
     const before = this.told;
     const changes = machineChanges.changesBetween(before ?? [], machines);
     const isChanged = changes.changed.length > 0 || changes.removed.length > 0;
@@ -107,7 +113,7 @@
       if (now - this.toldAt >= REPEAT_MILLISECONDS) {
         this.broadcast({ edition: this.toldEdition }, now);
       }
-      return;
+      return before;
     }
     const base = this.toldEdition;
     this.editions += 1;
@@ -115,6 +121,7 @@
     this.told = machines;
     this.toldEdition = edition;
     this.broadcast(before === undefined ? { edition, machines } : { edition, base, changes }, now);
+    return machines;
   }
 
   private broadcast(payload: object, now: number): void {
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -69,18 +69,25 @@
       .forEach((plane) => plane.hear(topic, payload, this.daemonId));
   }
 
+  override tellLeader(): boolean {
+    return false;
+  }
+
   override onBroadcast(topic: control.PeerTopic, listener: Listener): () => void {
     const listeners = this.listeners.get(topic) ?? new Set();
     this.listeners.set(topic, listeners.add(listener));
     return () => listeners.delete(listener);
   }
 
+  override leadership(): control.Leadership {
+    return { role: control.ReplicaRole.None, term: 1 };
+  }
+
   override status(): control.ControlStatus {
     return {
+      ...this.leadership(),
       daemonId: this.daemonId,
       zone: 'pl-caudan',
-      role: control.ReplicaRole.None,
-      term: 1,
       commitIndex: 0,
       voters: [],
       revision: this.shared.snapshot.revision,
