Do not let a new configuration replace a renewal that is newer

Found by reading: a new register is turned into a configuration, a route index is built, and only then the configuration is fed. Before that event the decision task asks for a renewal. When a grace has ended in between, the renewal with the newer oldest version was applied first and the older configuration second; nothing was due any more, so the older bound stayed until the register or another grace changed it. Callers would see: requests sent to weights whose grace is over, for up to the time to the next change. Change: a new configuration is applied without a renewal before it; the next event renews.

--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -114,10 +114,14 @@
     }
   }
 
-  /** A fault in the handling of one event ends the request concerned, not the daemon with all others. */
+  /**
+   * A fault in the handling of one event ends the request concerned, not the daemon with all others. A new
+   * configuration was made before the renewal could be, and must not replace it.
+   */
   private apply(event: decision.DecisionEvent): void {
     try {
-      const renewed = this.renewal(event.at);
+      const isOlder = event.kind === decision.DecisionEventKind.ConfigurationChanged;
+      const renewed = isOlder ? undefined : this.renewal(event.at);
       if (renewed !== undefined) {
         this.advance(renewed);
       }
--- a/test/routing/decision-task.test.ts
+++ b/test/routing/decision-task.test.ts
@@ -37,6 +37,37 @@
   assert.equal(seen, ['request-cancelled', 'tick']);
 });
 
+// Guards against a configuration that was made just before the end of a grace and replaces the one made just after it.
+suite('a configuration that changed with time while it was handed over is not undone', () => {
+  const revisions: number[] = [];
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      if (event.kind === decision.DecisionEventKind.ConfigurationChanged) {
+        revisions.push(event.snapshot.revision);
+      }
+      return { startState: state, state, effects: [] };
+    },
+  };
+  const changed = (revision: number, at: number): decision.ConfigurationChanged => ({
+    kind: decision.DecisionEventKind.ConfigurationChanged,
+    at,
+    snapshot: { revision, documents: new Map() },
+  });
+  const time = new clock.ManualClock();
+  const renewals = [2];
+  const task = new routing.DecisionTask(
+    core,
+    time,
+    () => {},
+    (at) => renewals.splice(0).map((revision) => changed(revision, at))[0],
+  );
+  task.feed(changed(1, 0));
+  time.advance(1_000);
+  task.close();
+  assert.is(revisions.at(-1), 2);
+});
+
 function profileOf(requestId: string): decision.RequestProfile {
   return {
     requestId,
