Take back streams also at an engine that tells no version any more

Found by reading beside: the dispatch treats an engine without a known version as too old, the take-back treated it as new enough. A stream that waits at an engine whose entry loses its version was left there and could begin at any time. Evidence: "a stream at an engine that tells no version any more is taken back too" saw no cancellation. Change: both use the same comparison. A server that the core no longer knows is left alone as before. After: the test passes. Whether a list does this in use was not seen.

--- a/src/decision/late-start.ts
+++ b/src/decision/late-start.ts
@@ -4,6 +4,7 @@
 import * as failing from './failing';
 import type * as state from './state';
 import type * as steps from './step';
+import * as weightsFilter from './weights-filter';
 
 /**
  * Load pattern: a request that was sent before its engine's weights were too old waits there, for memory or
@@ -25,8 +26,10 @@
   request.attempts
     .filter((attempt) => attempt.lastPieceAt === undefined)
     .filter(({ serverId }) => {
-      const known = step.state.servers.get(serverId)?.record.weightsVersion;
-      return known !== undefined && Number(known) < minimum;
+      const server = step.state.servers.get(serverId);
+      return (
+        server !== undefined && weightsFilter.isObsolete(server.record.weightsVersion, minimum)
+      );
     })
     .forEach((attempt) => {
       const current = step.state.requests.get(request.profile.requestId);
--- a/src/decision/weights-filter.ts
+++ b/src/decision/weights-filter.ts
@@ -21,7 +21,7 @@
 }
 
 /** An engine that does not tell its version may have any. Versions that are not numbers are not compared. */
-function isObsolete(known: string | undefined, minimum: number | undefined): boolean {
+export function isObsolete(known: string | undefined, minimum: number | undefined): boolean {
   if (minimum === undefined || Number.isNaN(minimum)) {
     return false;
   }
--- a/test/decision/weights.test.ts
+++ b/test/decision/weights.test.ts
@@ -83,6 +83,15 @@
   );
 });
 
+// Guards against an engine whose entry in the list loses its version while a stream waits there.
+suite('a stream at an engine that tells no version any more is taken back too', () => {
+  const desk = give(configure(builder.desk(1), {}), '1');
+  desk.arrive('a', { isStreamed: true });
+  give(desk, undefined, '2');
+  configure(desk, { minimumWeightsVersion: '2', minimumStartWeightsVersion: '2' });
+  assert.is(desk.take(CancelAttempt).length, 1);
+});
+
 // Guards against answers that are broken off although they began in time.
 suite('a stream that has begun and a whole answer stay where they are', () => {
   const begun = lateStart({}, (desk, sent) => desk.piece(sent, 1));
