Keep namings apart that the log dates alike

Found by reading beside: a log never dates an entry before an earlier one, so that after a leader with a clock ahead all namings have one date until the true time has caught up. Namings with dates less than 0.5 s apart were merged into the newest of them, however far apart they were, and the time for which peers had known the others was lost with them. Callers would see: with versions named 4 s apart, a daemon that starts then sends requests to weights that were superseded 8 s ago. Evidence: "namings that a log dates alike leave the version known whose grace is over" found no oldest version in place of 3. After: the test passes, and the property test of the bound does.

--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -31,8 +31,8 @@
 export interface NamedWeights extends WeightsNaming {
   /**
    * Versions before it, oldest first; absent for none. A daemon that starts learns their times here: the newest
-   * one that was named `NAMING_MEMORY_MILLISECONDS` ago, and those after it. Of versions that were named in quick
-   * succession the newest is kept, with the time of the first.
+   * one that was named `NAMING_MEMORY_MILLISECONDS` ago, and those after it. When these are too many, of versions
+   * that were named in quick succession the newest is kept, with the time of the first.
    */
   readonly earlier?: readonly WeightsNaming[];
 }
@@ -43,6 +43,9 @@
 /** Bounds the namings that are kept, whatever an operator's tools do; small beside such times. */
 export const NAMING_SPACING_MILLISECONDS = 500;
 
+// A log whose last entry has a date in the future dates all namings alike, however far apart they are.
+const NAMINGS_WITHOUT_SPACING = NAMING_MEMORY_MILLISECONDS / NAMING_SPACING_MILLISECONDS;
+
 export const EMPTY_REGISTER: Register = { sequence: 0, weights: immutable.Map() };
 
 /**
@@ -88,7 +91,8 @@
   const settled = namings.filter(
     (naming) => timestamp - naming.namedAt >= NAMING_MEMORY_MILLISECONDS,
   );
-  return namings.slice(Math.max(0, settled.length - 1)).reduce(withSpacing, []);
+  const kept = namings.slice(Math.max(0, settled.length - 1));
+  return kept.length <= NAMINGS_WITHOUT_SPACING ? kept : kept.reduce(withSpacing, []);
 }
 
 /** The time of the first of two versions ends the use of older ones early rather than late. */
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert';
 import * as clock from '../../src/clock';
 import * as control from '../../src/control';
+import * as registerStore from '../../src/control/register-store';
 import * as weightsAge from '../../src/gateway/weights-age';
 
 const suite = uvu.suite('age of weights');
@@ -135,6 +136,23 @@
   assert.equal(superseded(), [7_000, 4_000, undefined]);
 });
 
+// Guards against a leader whose clock was ahead: its log dates all namings alike until the true time has caught up.
+suite('namings that a log dates alike leave the version known whose grace is over', () => {
+  const time = new clock.ManualClock();
+  const replica = new registerStore.RegisterStore(time);
+  const ahead = time.now() + 3_600_000;
+  [2, 3, 4, 5].reduce((register, version) => {
+    time.advance(4_000);
+    const named = control.nameWeights(register, 'desk', version, ahead);
+    replica.offer(named);
+    return named;
+  }, control.EMPTY_REGISTER);
+  const late = new registerStore.RegisterStore(time);
+  late.offer(control.decodeRegister(replica.encode()));
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  assert.is(age.minimum('desk', late.current.weights.get('desk')), '3');
+});
+
 function namingsAfter(gaps: readonly number[]): readonly control.WeightsNaming[] {
   let namedAt = 0;
   return gaps.map((gap, index) => {
