Show by a failing test that a clock ahead takes older weights out of use at once

Callers of a gateway whose clock is ahead of the leader's by the grace or more (or of all gateways, when the leader's clock is behind) see that no engine without the version named last gets work from the moment of the naming: until the first engine has loaded it, requests wait for their whole deadline. With clocks that differ by less, the grace is shorter by the difference. The comment on WeightsAge.age says that each of its measures may be too small; the date of the naming and a clock that is set forward may make it too large. Not fixed here: a bound from above needs the time at which a daemon last heard the register before the naming from its leader, and a suspension must not count as lead of the clock.

--- a/test/control/register.test.ts
+++ b/test/control/register.test.ts
@@ -81,6 +81,25 @@
   assert.ok(Date.now() - namedAt >= age, `named at ${namedAt}`);
 });
 
+/** Guards against a daemon whose clock is ahead and that puts older weights out of use as soon as newer ones are named. */
+suite(
+  'a daemon that hears of a naming at once does not take the lead of its clock for age',
+  async () => {
+    const clocks = [0, 1, 2, 3].map(() => new suspendableClock.SuspendableClock());
+    clocks[3].suspend(3_600_000);
+    const group = await builder.TestGroup.start(3, 1, [], clocks);
+    const other = group.nodes[3];
+    await group.nodes[0].propose({ kind: NameWeights, model: 'desk', version: 1 }, 10_000);
+    await builder.until(() => other.register().sequence === 1);
+    await group.nodes[0].propose({ kind: NameWeights, model: 'desk', version: 2 }, 10_000);
+    await builder.until(() => other.register().sequence === 2);
+    const { namedAt = 0 } = other.register().weights.get('desk') ?? {};
+    const age = clocks[3].now() - namedAt;
+    await group.close();
+    assert.ok(age < 1_800_000, `named ${age} ms ago`);
+  },
+);
+
 /** Guards against a disk that was full for a moment and leaves its replica silent for ever. */
 suite('a replica whose disk failed votes again once the disk works', async () => {
   const disk = new failingFileSystem.FailingFileSystem();
