Keep the age that a version had when a daemon learned of it

Found by reading for clock steps of either sign: a daemon that starts between a naming and the end of its grace learns the age from its wall clock. Callers would see: requests to older weights for up to the time by which the daemon learned late. Needs a clock step within the grace, on a daemon that has just started. Evidence: "a clock that is set back makes no version younger that was learned late" found no oldest version in place of 2. Change: the age at learning is kept, and the larger of the times since then on the two clocks is added. That is never less than before.

--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -73,7 +73,7 @@
     return (
       known && {
         ageMilliseconds: Math.round(this.age(known)),
-        ageWhenLearnedMilliseconds: Math.round(Math.max(0, known.learnedOn - known.namedAt)),
+        ageWhenLearnedMilliseconds: Math.round(ageWhenLearned(known)),
       }
     );
   }
@@ -101,12 +101,19 @@
   }
 
   /**
-   * The largest of three measures, each of which may be too small: a clock that is set back hides time since
-   * the daemon learned of the version, a suspension is missing on the monotonic clock, and the date of the
-   * naming is from the clock of another VM.
+   * The age when the daemon learned of the version, and the time since then. Of two clocks for the latter the one
+   * that shows more counts: one that is set back hides time, and a suspension is missing on the monotonic clock.
    */
-  private age({ learnedAt, learnedOn, namedAt }: LearnedVersion): number {
-    const now = this.time.now();
-    return Math.max(this.time.monotonic() - learnedAt, now - learnedOn, now - namedAt);
+  private age(version: LearnedVersion): number {
+    const elapsed = Math.max(
+      this.time.monotonic() - version.learnedAt,
+      this.time.now() - version.learnedOn,
+    );
+    return ageWhenLearned(version) + elapsed;
   }
 }
+
+/** The date of a naming is from the clock of another VM and may lie ahead. */
+function ageWhenLearned({ learnedOn, namedAt }: LearnedVersion): number {
+  return Math.max(0, learnedOn - namedAt);
+}
--- a/test/gateway/weights-age.test.ts
+++ b/test/gateway/weights-age.test.ts
@@ -123,6 +123,17 @@
   assert.is(age.minimum('desk', named), '2');
 });
 
+// Guards against a daemon that learns of a version late and counts anew when its clock is set back after that.
+suite('a clock that is set back makes no version younger that was learned late', () => {
+  const time = new clock.ManualClock(10_000);
+  const age = new weightsAge.WeightsAge(time, 6_000);
+  const named = { version: 2, namedAt: time.now() - 5_000 };
+  assert.is(age.minimum('desk', named), undefined);
+  time.suspend(-5_000);
+  time.advance(1_000);
+  assert.is(age.minimum('desk', named), '2');
+});
+
 suite('a version is superseded since the first newer one was named', () => {
   const time = new clock.ManualClock();
   const age = new weightsAge.WeightsAge(time, 6_000);
