Apply a piece before what has changed with time

Found by reading with: the renewal that takes back streams which have not begun preceded every event, also the one that tells of a stream's first piece. That stream was cancelled although its event had arrived; one that may run once was answered 502. Callers would see it on at most a few streams for each naming: those whose first piece is the first event after the limit. Evidence: "a piece counts before what has changed with time" saw the configuration before the piece. A piece leads to no dispatch, so that nothing is sent on an older bound; and the most frequent event pays nothing for the look-up. After: the test passes, with decision/*, gateway/routing-source and platform/gateway.

--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -114,14 +114,10 @@
     }
   }
 
-  /**
-   * A fault in the handling of one event ends the request concerned, not the daemon with all others. A new
-   * configuration was made before the renewal could be, and must not replace it.
-   */
+  /** A fault in the handling of one event ends the request concerned, not the daemon with all others. */
   private apply(event: decision.DecisionEvent): void {
     try {
-      const isOlder = event.kind === decision.DecisionEventKind.ConfigurationChanged;
-      const renewed = isOlder ? undefined : this.renewal(event.at);
+      const renewed = APPLIED_FIRST.has(event.kind) ? undefined : this.renewal(event.at);
       if (renewed !== undefined) {
         this.advance(renewed);
       }
@@ -194,6 +190,15 @@
   return 'requestId' in event ? event.requestId : undefined;
 }
 
+/**
+ * Events that no renewal precedes; the next event brings it. A new configuration was made before the renewal would be
+ * and must not replace it. A piece leads to no dispatch, and shows that its stream has begun.
+ */
+const APPLIED_FIRST: ReadonlySet<decision.DecisionEventKind> = new Set([
+  decision.DecisionEventKind.ConfigurationChanged,
+  decision.DecisionEventKind.PieceReceived,
+]);
+
 const INTERNAL_FAULT = verdict.failure(
   verdict.FailureReason.Internal,
   verdict.Verdict.MayHaveRun,
--- a/test/routing/decision-task.test.ts
+++ b/test/routing/decision-task.test.ts
@@ -68,6 +68,34 @@
   assert.is(revisions.at(-1), 2);
 });
 
+// Guards against a stream that is taken back in the moment in which its first piece shows that it has begun.
+suite('a piece counts before what has changed with time', () => {
+  const seen: string[] = [];
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      seen.push(event.kind);
+      return { startState: state, state, effects: [] };
+    },
+  };
+  const time = new clock.ManualClock();
+  const snapshot = { revision: 2, documents: new Map() };
+  const kind = decision.DecisionEventKind.ConfigurationChanged;
+  const renewals: decision.ConfigurationChanged[] = [{ kind, at: 0, snapshot }];
+  const task = new routing.DecisionTask(
+    core,
+    time,
+    () => {},
+    () => renewals.shift(),
+  );
+  const attempt = { requestId: 'request-1', attemptId: 'request-1/0' };
+  const piece = decision.DecisionEventKind.PieceReceived;
+  task.feed({ kind: piece, at: 0, ...attempt, nextPiece: 1 });
+  time.advance(1_000);
+  task.close();
+  assert.equal(seen, ['piece-received', 'configuration-changed', 'tick']);
+});
+
 function profileOf(requestId: string): decision.RequestProfile {
   return {
     requestId,
