Count held answers until their callers have read them, and leave room for events

Cause: the shared bound let go of a small answer when it was whole, while its body waited for a slow caller; 1,000 callers that do not read could hold 256 KiB each in a VM of 178 MB. And answers could use up the whole bound, so that streams with an unfinished event were given up for them.

Now an answer counts until its reply is closed, and answers use at most half of the bound; above it they are passed on early with backpressure.

Evidence: two tests of gateway/answer-receiver; 'many held answers leave room for events' is new, and 'all requests together hold no more than the shared bound' now counts exactly and checks the release.

--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -2,7 +2,7 @@
 import * as logging from '../logging';
 import * as verdict from '../verdict';
 import * as eventSplitter from './event-splitter';
-import type * as heldBytes from './held-bytes';
+import * as heldBytes from './held-bytes';
 import type * as relayReply from './relay-reply';
 
 /** How far the answer of one request was delivered, over all of its attempts. */
@@ -101,6 +101,7 @@
     } else if (this.head !== undefined) {
       const { head } = this;
       const body = this.collected.take();
+      this.keepUntilRead();
       delivered.complete = (fields) => reply.send(head, body, fields);
     }
     this.end();
@@ -186,9 +187,17 @@
     }
   }
 
+  /** The body of a small answer stays in memory until the caller has read it. */
+  private keepUntilRead(): void {
+    const bytes = this.heldBytes;
+    this.heldBytes = 0;
+    this.ports.reply.onClosed(() => this.ports.held.change(heldBytes.HeldKind.Answer, bytes, 0));
+  }
+
   /** Changes what this attempt holds; false when all requests together would hold too much. */
   private hold(bytes: number): boolean {
-    const mayHold = this.ports.held.change(this.heldBytes, bytes);
+    const kind = this.splitter === undefined ? heldBytes.HeldKind.Answer : heldBytes.HeldKind.Event;
+    const mayHold = this.ports.held.change(kind, this.heldBytes, bytes);
     this.heldBytes = mayHold ? bytes : this.heldBytes;
     return mayHold;
   }
--- a/src/gateway/held-bytes.ts
+++ b/src/gateway/held-bytes.ts
@@ -1,10 +1,20 @@
+/** What a daemon holds of answers. */
+export enum HeldKind {
+  /** Small answers, until their callers have read them. */
+  Answer = 'answer',
+  /** Parts of events, and comments that wait for the first event. */
+  Event = 'event',
+}
+
 /**
- * Bounds what all requests together hold of answers that they cannot pass on yet: parts of events, and whole
- * answers that may still be asked for again. One daemon has one of these.
+ * Bounds what all requests together hold of answers. One daemon has one of these. Answers use a part of it only:
+ * they can be passed on early, while a stream whose event is not finished would have to be given up.
  */
 export class HeldBytes {
   private held = 0;
 
+  private answers = 0;
+
   constructor(private readonly maximumBytes: number = MAXIMUM_HELD_BYTES) {}
 
   get size(): number {
@@ -15,17 +25,23 @@
    * Replaces what one request holds; false, and nothing changes, when all would hold too much.
    *
    * @example
-   * new HeldBytes(1_024).change(0, 2_048); // false
+   * new HeldBytes(1_024).change(HeldKind.Event, 0, 2_048); // false
    */
-  change(before: number, after: number): boolean {
-    const held = this.held - before + after;
-    if (held > this.maximumBytes && after > before) {
+  change(kind: HeldKind, before: number, after: number): boolean {
+    const held = this.held + after - before;
+    const answers = this.answers + (kind === HeldKind.Answer ? after - before : 0);
+    const isTooMuch =
+      held > this.maximumBytes || answers > this.maximumBytes * MAXIMUM_ANSWER_SHARE;
+    if (isTooMuch && after > before) {
       return false;
     }
     this.held = held;
+    this.answers = answers;
     return true;
   }
 }
 
+const MAXIMUM_ANSWER_SHARE = 0.5;
+
 /** A fifth of the memory of the smallest entry VM, which has 178 MB. */
 const MAXIMUM_HELD_BYTES = 34 * 1_024 * 1_024;
--- a/src/gateway/relay-reply.ts
+++ b/src/gateway/relay-reply.ts
@@ -49,6 +49,15 @@
     });
   }
 
+  /** Calls `listener` once nothing of the answer waits for the caller any more. */
+  onClosed(listener: () => void): void {
+    if (this.response.closed) {
+      listener();
+    } else {
+      this.response.once('close', listener);
+    }
+  }
+
   head({ status, headers }: backend.HttpHead): void {
     if (!this.hasHead && !this.isClosed) {
       this.response.writeHead(status, { ...answerHeaders(headers), ...this.connectionHeader() });
