Let only bytes end the floods of the tests, and keep these floods small

Seen: in a full run of npm test at a load of 26 on 8 cores, 'a stream keeps its pieces and breaks after blank lines without end' (backend/endless-stream) failed once of 536: the stream ended by its time, not by its bytes.

Cause: the test gave the stream 4 s, and its flood of 1 MiB in parts of one byte took 1.9 to 2.2 s (1.4 to 1.9 s of processor time) alone at a load of 22; parts of 64 KiB take 0.12 to 0.16 s.

The bounds of the tests stay what they check, bytes and verdicts; limits of time are 20 s where nothing but bytes may end a call, also for the routes of the gateway tests, whose 2 s could have ended a flood in their place. The limit of an event in that file is 64 KiB.

--- a/test/backend/endless-answer.test.ts
+++ b/test/backend/endless-answer.test.ts
@@ -15,7 +15,7 @@
 const MAXIMUM_TAKEN_BYTES = 40 * 1_024 * 1_024;
 
 /** A call reaches this time only when nothing else ends it. */
-const CALL_MILLISECONDS = 4_000;
+const CALL_MILLISECONDS = 20_000;
 
 const LIMITS: backend.BackendLimits = {
   ...build.PATIENT_LIMITS,
--- a/test/backend/endless-stream.test.ts
+++ b/test/backend/endless-stream.test.ts
@@ -16,12 +16,14 @@
 const MAXIMUM_TAKEN_BYTES = 40 * 1_024 * 1_024;
 
 /** A call reaches this time only when nothing else ends it. */
-const CALL_MILLISECONDS = 4_000;
+const CALL_MILLISECONDS = 20_000;
 
 const LIMITS: backend.BackendLimits = {
   ...build.PATIENT_LIMITS,
   silenceMilliseconds: CALL_MILLISECONDS,
   managementMilliseconds: CALL_MILLISECONDS,
+  // Most floods come in parts of a few bytes, of which a busy machine takes some 100,000 in a second.
+  maximumEventBytes: 64 * 1_024,
 };
 
 async function faulty(
--- a/test/platform/endless-answer.test.ts
+++ b/test/platform/endless-answer.test.ts
@@ -17,6 +17,15 @@
   return new floodServer.FloodServer('i-1', given, floodServer.reports);
 }
 
+/** Times that end no request of a test, so that only the bytes can. */
+const PATIENT = { 'x-figline-deadline-ms': '20000' };
+
+function patientGateway(runners: readonly builder.Runner[]): builder.GatewayBuilder {
+  const content = builder.document() as { routes: object[] };
+  const routes = content.routes.map((route) => ({ ...route, timeout_ms: 20_000 }));
+  return new builder.GatewayBuilder(runners, { ...content, routes });
+}
+
 /** Waits for the close of every flood; the limit only ends a test that would fail anyway. */
 async function closed(gateway: builder.GatewayBuilder, server: floodServer.FloodServer) {
   for (let turn = 0; turn < 200 && server.closedFloods < server.requests; turn += 1) {
@@ -33,7 +42,7 @@
 ): Promise<readonly builder.Answer[]> {
   const answers: builder.Answer[] = [];
   for (let turn = 0; turn < MAXIMUM_REQUESTS && server.requests === 0; turn += 1) {
-    answers.push(await gateway.send('POST', path, {}, `body ${turn}`));
+    answers.push(await gateway.send('POST', path, PATIENT, `body ${turn}`));
   }
   assert.ok(server.requests > 0, 'the faulty server got no request');
   return answers;
@@ -43,8 +52,8 @@
 Object.entries({ ...flood.HEAD_FLOODS, ...flood.TRAILER_FLOODS }).forEach(([name, given]) => {
   suite(`a charge is answered as may-have-run at once after ${name} without end`, async () => {
     const server = faulty(given);
-    await new builder.GatewayBuilder([server]).run(async (gateway) => {
-      const answer = await gateway.send('POST', '/charge/7');
+    await patientGateway([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/charge/7', PATIENT);
       assert.is(answer.status, 502, answer.text);
       assert.is(JSON.parse(answer.text).error.code, 'backend_error');
       await closed(gateway, server);
@@ -56,7 +65,7 @@
   suite(`a look-up is answered by another server after ${name} without end`, async () => {
     const server = faulty(given);
     const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.answer('own')]);
-    await new builder.GatewayBuilder([server, sound]).run(async (gateway) => {
+    await patientGateway([server, sound]).run(async (gateway) => {
       const answers = await sendUntilFlooded(gateway, server, '/balance/7');
       answers.forEach((answer) => assert.is(answer.text, 'own'));
       await closed(gateway, server);
@@ -77,8 +86,8 @@
 Object.entries(flood.BODY_FLOODS).forEach(([name, given]) => {
   suite(`${name} without end is cut and never looks whole`, async () => {
     const server = faulty(given);
-    await new builder.GatewayBuilder([server]).run(async (gateway) => {
-      const answer = await gateway.send('POST', '/charge/7');
+    await patientGateway([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/charge/7', PATIENT);
       assert.ok(!answer.isComplete || answer.status === 502, String(answer.status));
       await closed(gateway, server);
       assert.ok(server.mostBytes < MAXIMUM_TAKEN_BYTES, `${server.mostBytes} bytes`);
@@ -99,8 +108,8 @@
 Object.entries(flood.EVENT_FLOODS).forEach(([name, given]) => {
   suite(`a stream that must not be repeated is cut after ${name} without end`, async () => {
     const server = faulty(given);
-    await new builder.GatewayBuilder([server]).run(async (gateway) => {
-      const answer = await gateway.send('POST', '/report/7');
+    await patientGateway([server]).run(async (gateway) => {
+      const answer = await gateway.send('POST', '/report/7', PATIENT);
       assert.ok(!answer.isComplete || answer.status === 502, 'the stream looks whole');
       const delivered = [...answer.text.matchAll(/^id: 1$/gm)].length;
       assert.is(delivered, given.start.includes('piece 1') ? 1 : 0);
@@ -112,7 +121,7 @@
   suite(`a resumable stream goes on elsewhere after ${name} without end`, async () => {
     const server = faulty(given);
     const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.stream(3)]);
-    await new builder.GatewayBuilder([server, sound]).run(async (gateway) => {
+    await patientGateway([server, sound]).run(async (gateway) => {
       const answers = await sendUntilFlooded(gateway, server, '/reply/7');
       answers.forEach((answer) => {
         assert.ok(answer.isComplete, answer.text.slice(-100));
--- a/test/platform/endless-management.test.ts
+++ b/test/platform/endless-management.test.ts
@@ -61,7 +61,7 @@
 /** Limits of time that a call reaches only when nothing else ends it. */
 const PATIENT_LIMITS: backend.BackendLimits = {
   ...backend.DEFAULT_LIMITS,
-  managementMilliseconds: 4_000,
+  managementMilliseconds: 20_000,
 };
 
 function listOf(port: number, limits: backend.BackendLimits = PATIENT_LIMITS) {
