Weigh the servers of an arrival twice instead of three times

Cause: the deadline check and the queue entry of an arrival each weighed all servers of the service for the server that the request would wait for, and the dispatch weighs them again.

The check and the entry now share what was found. The entry's server is therefore the one before the request itself is counted as demand for its prefix; it is only used to estimate the waits of later requests.

--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -20,20 +20,27 @@
   }
   earnBudgets(step);
   const request = newRequest(step, profile);
-  const refusal = arrivalCheck.firstRefusal(standardChecks.STANDARD_CHECKS, step, request);
+  const target = choosing.findTarget(step, request);
+  const refusal = arrivalCheck.firstRefusal(standardChecks.STANDARD_CHECKS, step, request, target);
   if (refusal !== undefined) {
     ending.fail(step, request, refusal);
     return;
   }
   recordHeat(step, request);
-  enqueue(step, request);
+  enqueue(step, request, target);
 }
 
 /**
  * Puts a request into the queue of its service. A request that was dispatched before goes to the front.
  * One whose fingerprint may not run at present is parked until it may.
+ *
+ * @param target the server that the request probably waits for, if it was found a moment ago
  */
-export function enqueue(step: steps.Step, request: state.RequestState): void {
+export function enqueue(
+  step: steps.Step,
+  request: state.RequestState,
+  target = choosing.findTarget(step, request),
+): void {
   const { profile } = request;
   const standing = health.standing(step.state.quarantine, profile.fingerprint, step.at);
   if (standing === health.Standing.Refused) {
@@ -48,7 +55,7 @@
     park(step, request);
     return;
   }
-  const entry = entryOf(step, request);
+  const entry = entryOf(step, request, target);
   const add = request.attemptCount > 0 ? admission.pushFront : admission.push;
   step.setRequest({ ...request, entry, parked: false });
   step.setQueue(profile.service, add(step.queue(profile.service), entry));
@@ -89,7 +96,11 @@
   };
 }
 
-function entryOf(step: steps.Step, request: state.RequestState): admission.QueueEntry {
+function entryOf(
+  step: steps.Step,
+  request: state.RequestState,
+  target: choosing.Target | undefined,
+): admission.QueueEntry {
   const { profile, lane } = request;
   return {
     requestId: profile.requestId,
@@ -98,7 +109,7 @@
     priority: profile.priority,
     costMilliseconds: costOf(step.state.services.get(profile.service), profile),
     share: step.state.shares.get(profile.team, 1),
-    target: choosing.findTarget(step, request)?.server.record.id,
+    target: target?.server.record.id,
   };
 }
 
--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -54,11 +54,15 @@
     : best;
 }
 
-/** The server that would be the best if it were free, and whether it or enough others are. */
-export function findTarget(
-  step: steps.Step,
-  request: state.RequestState,
-): { readonly server: state.ServerState; readonly ready: boolean } | undefined {
+/** The server that would be the best for a request if it were free. */
+export interface Target {
+  readonly server: state.ServerState;
+  /** Whether it or enough others are free. */
+  readonly ready: boolean;
+}
+
+/** Weighs all servers that a request may run at, free or not; undefined when there are none. */
+export function findTarget(step: steps.Step, request: state.RequestState): Target | undefined {
   const permitted = filterServers(
     standardFilters.PERMISSION_FILTERS,
     step,
--- a/src/decision/deadline-check.ts
+++ b/src/decision/deadline-check.ts
@@ -2,7 +2,7 @@
 import * as placement from '../placement';
 import * as verdict from '../verdict';
 import * as arrivalCheck from './arrival-check';
-import * as choosing from './choosing';
+import type * as choosing from './choosing';
 import * as serviceTiming from './service-timing';
 import type * as state from './state';
 import type * as steps from './step';
@@ -15,8 +15,9 @@
   override refusal(
     step: steps.Step,
     request: state.RequestState,
+    target: choosing.Target | undefined,
   ): verdict.RequestFailure | undefined {
-    const wait = expectedWait(step, request);
+    const wait = expectedWait(step, request, target);
     const available = request.profile.firstTokenDeadline - step.at;
     const timing = serviceTiming.of(step, request.profile.service);
     const needed = wait * timing.waitSafety + timing.firstPieceMilliseconds;
@@ -48,8 +49,11 @@
 }
 
 /** The expected time in the queue; 0 when the request can be dispatched at once. */
-function expectedWait(step: steps.Step, request: state.RequestState): number {
-  const target = choosing.findTarget(step, request);
+function expectedWait(
+  step: steps.Step,
+  request: state.RequestState,
+  target: choosing.Target | undefined,
+): number {
   if (target === undefined || target.ready) {
     return 0;
   }
