--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import * as cbor from 'cbor-x';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as deployFile from '../../platform/local/deploy-file';
@@ -79,6 +80,14 @@
   assert.is(control.log.find(isCompiledAtStart)?.codeCache, 'missing');
 });
 
+/** Guards against a bundle in which the native decoder of `cbor-x` is not found, which is silently replaced by a slower one. */
+suite('the built program uses the native decoder where the sources do', async () => {
+  const command = deployFile.commandOf(deployFile.Role.Control, checkout.root);
+  const control = start(command, surroundings.controlDaemon('core-1'));
+  await control.logged('started');
+  assert.is(control.hasMapped('cbor-extract'), cbor.isNativeAccelerationEnabled);
+});
+
 suite.run();
 
 function start(
