--- /dev/null
+++ b/test/orders/roll-out-time.test.ts
@@ -0,0 +1,104 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as orderParameters from '../../platform/order-parameters';
+import * as settingsModule from '../../platform/settings';
+import * as rollOutWorld from './roll-out-world';
+
+const suite = uvu.suite('time of a roll-out');
+
+const FIRST_SEED = 20_261_204;
+
+/**
+ * The platform counts from the acknowledgement, which a leader sends after it has committed the naming. The margin is
+ * for loads that take longer than an order allows for, since more run at once than the weight store bears.
+ */
+const MARGIN_MILLISECONDS = 500;
+
+const NAMING_MILLISECONDS = 4_400;
+
+interface Site {
+  readonly name: string;
+  readonly seeds: number;
+  readonly engineCount: number;
+  readonly versionMilliseconds: number;
+  readonly versionAllMilliseconds: number;
+}
+
+const SMALL: Site = {
+  name: '8 engines',
+  seeds: 25,
+  engineCount: 8,
+  versionMilliseconds: 8_000,
+  versionAllMilliseconds: 11_000,
+};
+
+const GROWN: Site = {
+  name: '63 engines',
+  seeds: 3,
+  engineCount: 63,
+  versionMilliseconds: 10_000,
+  versionAllMilliseconds: 14_000,
+};
+
+function settingsOf({ versionMilliseconds, versionAllMilliseconds }: Site) {
+  return settingsModule
+    .decodeSettings(
+      JSON.stringify({
+        node: 'control-1',
+        ip: '10.0.0.1',
+        zone: 'pl-caudan',
+        region: 'port-louis',
+        zones: {},
+        listen: {},
+        internal_ports: [9_000, 9_001],
+        bounds: { version_ms: versionMilliseconds, version_all_ms: versionAllMilliseconds },
+        cloud_api: { addr: '10.0.0.2:80' },
+      }),
+    )
+    .unwrap();
+}
+
+/** Runs the roll-outs of each seed, half of them with a change of the leader between two namings. */
+function rollOuts(site: Site, losesOrders: boolean): readonly rollOutWorld.RollOutWorld[] {
+  return Array.from({ length: 2 * site.seeds }, (_, index) => {
+    const world = new rollOutWorld.RollOutWorld({
+      seed: FIRST_SEED + index,
+      engineCount: site.engineCount,
+      parameters: orderParameters.orderParameters(settingsOf(site).bounds),
+      namingMilliseconds: NAMING_MILLISECONDS,
+      namings: 12,
+      graceMilliseconds: site.versionMilliseconds * 0.75,
+      boundMilliseconds: site.versionAllMilliseconds - MARGIN_MILLISECONDS,
+      leaderChanges: index % 2 === 1,
+      losesOrders,
+    });
+    world.run();
+    return world;
+  });
+}
+
+/** Versions that too many engines lacked when their time was over, with the seed. */
+function failures(site: Site, losesOrders: boolean, allowed: number): readonly string[] {
+  return rollOuts(site, losesOrders).flatMap(({ late, violations }, index) => {
+    const tooLate = late.filter(({ engines }) => engines.length > allowed);
+    const told = tooLate.map(({ version, engines }) => `version ${version}: ${engines.join(' ')}`);
+    return [...violations, ...told].map((fault) => `seed ${FIRST_SEED + index}: ${fault}`);
+  });
+}
+
+[SMALL, GROWN].forEach((site) => {
+  /**
+   * Guards against versions that come faster than engines are brought to them, while orders take as long as they may
+   * and the answer of one in four is lost.
+   */
+  suite(`${site.name}: each engine has each version in time although answers are lost`, () =>
+    assert.equal(failures(site, false, 0), []),
+  );
+
+  /** Guards against more than one engine and a tenth of them that are late since orders to them were lost. */
+  suite(`${site.name}: few engines are late although orders are lost`, () =>
+    assert.equal(failures(site, true, Math.max(1, Math.floor(site.engineCount / 10))), []),
+  );
+});
+
+suite.run();
--- /dev/null
+++ b/test/orders/roll-out-world.ts
@@ -0,0 +1,278 @@
+import * as clock from '../../src/clock';
+import * as orders from '../../src/orders';
+import * as verdict from '../../src/verdict';
+import * as issuerModule from './issuer';
+import * as platformEngine from './platform-engine';
+
+const { OrderEventKind } = orders;
+
+export interface RollOutOptions {
+  readonly seed: number;
+  readonly engineCount: number;
+  readonly parameters: orders.OrderParameters;
+  /** Time between two namings. */
+  readonly namingMilliseconds: number;
+  readonly namings: number;
+  /** Time after which engines without a named version get no work. */
+  readonly graceMilliseconds: number;
+  /** Time after the naming at which the engines are counted that still have an older version. */
+  readonly boundMilliseconds: number;
+  readonly leaderChanges: boolean;
+  /** Whether some orders never arrive; otherwise only their answers are lost. */
+  readonly losesOrders: boolean;
+}
+
+/** Engines that were older than a version when its time was over. */
+export interface LateEngines {
+  readonly version: number;
+  readonly engines: readonly string[];
+}
+
+interface Delivery {
+  readonly due: number;
+  readonly run: () => void;
+}
+
+/** The roll-outs of versions that follow each other, by leaders that follow each other, in virtual time. */
+export class RollOutWorld {
+  now = 0;
+
+  readonly late: LateEngines[] = [];
+
+  readonly violations: string[] = [];
+
+  /** Time of engines that gateways use, summed over all engines. */
+  servingMilliseconds = 0;
+
+  ordersSent = 0;
+
+  /** Time after its naming at which the last engine had each version or a newer one. */
+  readonly doneAfterMilliseconds = new Map<number, number>();
+
+  private readonly engines: readonly platformEngine.PlatformEngine[];
+
+  private readonly issuers: readonly issuerModule.Issuer[];
+
+  private readonly random: clock.RandomSource;
+
+  private readonly inFlight = new Map<string, number>();
+
+  private deliveries: Delivery[] = [];
+
+  private leader = 0;
+
+  constructor(private readonly options: RollOutOptions) {
+    this.random = new clock.SeededRandomSource(options.seed);
+    this.engines = Array.from(
+      { length: options.engineCount },
+      (_, index) => new platformEngine.PlatformEngine(`engine-${index}`, REPORT_LAG_MILLISECONDS),
+    );
+    const network: issuerModule.IssuerNetwork = {
+      sendOrder: (issuer, order) => this.sendOrder(issuer, order),
+      readBack: (issuer, serverId) => this.readBack(issuer, serverId),
+    };
+    this.issuers = [0, 1].map(() => new issuerModule.Issuer(options.parameters, network));
+  }
+
+  /** Runs until the time of the last version is over. */
+  run(): void {
+    const { namings, namingMilliseconds, boundMilliseconds, leaderChanges } = this.options;
+    this.elect(0);
+    const from = FIRST_NAMING_MILLISECONDS;
+    const end = from + namings * namingMilliseconds + boundMilliseconds;
+    // Between two namings, when the orders for the one before have not ended.
+    const changeAt = from + Math.floor(namings / 2) * namingMilliseconds + CHANGE_MILLISECONDS;
+    while (this.now < end) {
+      this.now += STEP_MILLISECONDS;
+      if (leaderChanges && this.now === changeAt) {
+        this.issuers[0].apply({ kind: OrderEventKind.LostLeadership, at: this.now });
+        this.later(ELECTION_MILLISECONDS, () => this.elect(1));
+      }
+      this.step();
+    }
+  }
+
+  /** The version that was named last. */
+  private named(): number {
+    const { namingMilliseconds, namings } = this.options;
+    const count = Math.floor((this.now - FIRST_NAMING_MILLISECONDS) / namingMilliseconds) + 1;
+    return 1 + Math.max(0, Math.min(namings, count));
+  }
+
+  private namedAt(version: number): number {
+    return FIRST_NAMING_MILLISECONDS + (version - 2) * this.options.namingMilliseconds;
+  }
+
+  private elect(index: number): void {
+    this.leader = index;
+    this.issuers[index].apply({
+      kind: OrderEventKind.BecameLeader,
+      at: this.now,
+      term: index + 1,
+    });
+  }
+
+  private step(): void {
+    this.engines.forEach((engine) => engine.advance(this.now));
+    const due = this.deliveries.filter((delivery) => delivery.due <= this.now);
+    this.deliveries = this.deliveries.filter((delivery) => delivery.due > this.now);
+    due.forEach((delivery) => delivery.run());
+    if (this.now % TICK_MILLISECONDS === 0) {
+      this.tick(this.issuers[this.leader]);
+      this.countLate();
+      this.countServing();
+    }
+  }
+
+  private tick(issuer: issuerModule.Issuer): void {
+    const at = this.now;
+    const services = [{ name: SERVICE, weightsVersion: this.named().toString() }];
+    issuer.apply({ kind: OrderEventKind.DesiredChanged, at, services });
+    if (at % LIST_MILLISECONDS === 0) {
+      const engines = this.engines.map((engine) => ({
+        id: engine.id,
+        service: SERVICE,
+        suspected: false,
+        weightsVersion: engine.report(at).weightsVersion,
+      }));
+      issuer.apply({ kind: OrderEventKind.ServersChanged, at, engines });
+    }
+    Object.assign(issuer, { leaseEndsAt: at + LEASE_MILLISECONDS });
+    issuer.tick(at);
+  }
+
+  private countLate(): void {
+    for (let version = 2; version <= this.named(); version += 1) {
+      const age = this.now - this.namedAt(version);
+      const older = this.engines.filter((engine) => Number(engine.weightsVersion) < version);
+      if (older.length === 0 && !this.doneAfterMilliseconds.has(version)) {
+        this.doneAfterMilliseconds.set(version, age);
+      }
+      if (age === this.options.boundMilliseconds && older.length > 0) {
+        this.late.push({ version, engines: older.map(({ id }) => id) });
+      }
+    }
+  }
+
+  private countServing(): void {
+    const { graceMilliseconds } = this.options;
+    const serving = this.engines.filter((engine) => {
+      const missed = Number(engine.weightsVersion) + 1;
+      const isOld = missed <= this.named() && this.now - this.namedAt(missed) >= graceMilliseconds;
+      const known = this.issuers[this.leader].state.engines.get(engine.id);
+      return !isOld && engine.executing === undefined && known?.order === undefined;
+    });
+    this.servingMilliseconds += serving.length * TICK_MILLISECONDS;
+  }
+
+  private sendOrder(issuer: issuerModule.Issuer, order: orders.SendOrder): void {
+    const { serverId, orderId, fencingNumber, weightsVersion } = order;
+    const engine = this.engines.find(({ id }) => id === serverId)!;
+    this.ordersSent += 1;
+    const key = `${serverId} of term ${fencingNumber}`;
+    if ((this.inFlight.get(key) ?? 0) > 0) {
+      this.violations.push(`${key}: two orders in flight at ${this.now}`);
+    }
+    const surelyEndsAt = this.now + this.options.parameters.longestOrderMilliseconds;
+    const { accepted: expected } = engine.report(this.now);
+    const arrival = this.arrivalOf();
+    this.inFlight.set(key, (this.inFlight.get(key) ?? 0) + 1);
+    const ended = () => this.inFlight.set(key, this.inFlight.get(key)! - 1);
+    const base = { serverId, orderId };
+    const fail = (delay: number, outcome: verdict.Verdict) =>
+      this.later(delay, () =>
+        issuer.deliver(
+          (at) => ({ kind: OrderEventKind.OrderFailed, at, ...base, verdict: outcome }),
+          () => this.now,
+        ),
+      );
+    if (!arrival.isAnswered) {
+      fail(CALL_MILLISECONDS, verdict.Verdict.MayHaveRun);
+    }
+    if (arrival.afterMilliseconds === undefined) {
+      // Nobody can know that it never arrives.
+      this.later(surelyEndsAt - this.now, ended);
+      return;
+    }
+    this.later(arrival.afterMilliseconds, () => {
+      const takes = this.between(SHORTEST_ORDER_MILLISECONDS, surelyEndsAt - this.now);
+      const endsAt = Math.min(this.now + takes, surelyEndsAt) - STEP_MILLISECONDS;
+      const isAccepted = engine.receive(
+        { fencingNumber, expected, weightsVersion, endsAt },
+        this.now,
+      );
+      this.later(isAccepted ? endsAt - this.now : 0, ended);
+      if (arrival.isAnswered && isAccepted) {
+        this.later(TRANSIT_MILLISECONDS, () =>
+          issuer.deliver(
+            (at) => ({ kind: OrderEventKind.OrderAccepted, at, ...base }),
+            () => this.now,
+          ),
+        );
+      } else if (arrival.isAnswered) {
+        fail(TRANSIT_MILLISECONDS, verdict.Verdict.NotRun);
+      }
+    });
+  }
+
+  /** One order in four has no answer: it is carried out at once or later, or is lost. */
+  private arrivalOf(): { readonly isAnswered: boolean; readonly afterMilliseconds?: number } {
+    const afterMilliseconds = this.between(STEP_MILLISECONDS, TRANSIT_MILLISECONDS);
+    const isAnswered = this.random.uniform() >= 0.25;
+    const fate = this.random.uniform();
+    if (isAnswered || fate < 0.5) {
+      return { isAnswered, afterMilliseconds };
+    }
+    return this.options.losesOrders && fate < 0.75
+      ? { isAnswered }
+      : { isAnswered, afterMilliseconds: this.between(1_000, 2_000) };
+  }
+
+  private readBack(issuer: issuerModule.Issuer, serverId: string): void {
+    const startedAt = this.now;
+    const engine = this.engines.find(({ id }) => id === serverId)!;
+    this.later(this.between(STEP_MILLISECONDS, TRANSIT_MILLISECONDS), () => {
+      const { weightsVersion, loading } = engine.report(this.now);
+      const seen = { serverId, startedAt, incarnation: 'i', weightsVersion, loading };
+      issuer.deliver(
+        (at) => ({ kind: OrderEventKind.Observed, at, ...seen }),
+        () => this.now,
+      );
+    });
+  }
+
+  private later(delay: number, run: () => void): void {
+    this.deliveries.push({ due: this.now + delay, run });
+  }
+
+  private between(least: number, most: number): number {
+    return least + this.random.uniform() * (most - least);
+  }
+}
+
+const SERVICE = 'desk';
+
+const STEP_MILLISECONDS = 10;
+
+const TICK_MILLISECONDS = 50;
+
+const LIST_MILLISECONDS = 250;
+
+const LEASE_MILLISECONDS = 400;
+
+const ELECTION_MILLISECONDS = 300;
+
+/** The first leader has settled by then. */
+const FIRST_NAMING_MILLISECONDS = 5_000;
+
+const CHANGE_MILLISECONDS = 1_000;
+
+/** Reports tell what held some hundred milliseconds ago. */
+const REPORT_LAG_MILLISECONDS = 200;
+
+const TRANSIT_MILLISECONDS = 50;
+
+/** A call without an answer is given up after this time. */
+const CALL_MILLISECONDS = 800;
+
+const SHORTEST_ORDER_MILLISECONDS = 600;
