--- a/test/support/routing-builder.ts
+++ b/test/support/routing-builder.ts
@@ -179,7 +179,11 @@
 
 function realCore(): routing.DecisionCore<unknown> {
   const startState = decision.initialState({ seed: 1, zone: 'pl-caudan', region: 'port-louis' });
-  return { startState, update: decision.update } as routing.DecisionCore<unknown>;
+  return {
+    startState,
+    update: decision.update,
+    isWaiting: decision.isWaiting,
+  } as routing.DecisionCore<unknown>;
 }
 
 function machineOf(id: string, service: string, kind: backend.BackendKind): backend.MachineRecord {
