--- a/test/orders/order-log.test.ts
+++ b/test/orders/order-log.test.ts
@@ -41,7 +41,7 @@
   };
   const task = new orders.OrderTask(
     {
-      plane: { status: () => status, configuration: () => ({ revision: 1, documents }) },
+      plane: { leadership: () => status, configuration: () => ({ revision: 1, documents }) },
       time,
       engine: () => ({ client, release: () => {} }),
       servers: () => [ENGINE],
