--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -212,8 +212,7 @@
     return {
       role: state === undefined ? controlPlane.ReplicaRole.None : ROLES[state.role],
       term: Math.max(state?.term ?? 0, this.knownLeader()?.term ?? 0),
-      leaseRemainingMilliseconds:
-        state === undefined ? 0 : replica.leaseRemaining(state, this.options.clock.monotonic()),
+      leaseRemainingMilliseconds: state === undefined ? 0 : this.leaseRemaining(state),
     };
   }
 
