--- a/src/load/measure/run.ts
+++ b/src/load/measure/run.ts
@@ -81,10 +81,7 @@
 async function gateway({ rounds, windowSeconds, profile }: Flags): Promise<void> {
   const flags = [`--rounds=${rounds}`, `--window-seconds=${windowSeconds}`];
   const profiled = profile === undefined ? [] : [`--profile=${profile}`];
-  const measurement = child.Child.start('../platform/measure/gateway-run.js', [
-    ...flags,
-    ...profiled,
-  ]);
+  const measurement = child.Child.start('../tools/measure/gateway-run.js', [...flags, ...profiled]);
   await measurement.forwardOutput();
 }
 
--- a/test/platform/built-checkout.ts
+++ b/test/platform/built-checkout.ts
@@ -46,6 +46,7 @@
   'package.json',
   'platform',
   'src',
+  'tools',
   'tsconfig.build.json',
   'tsconfig.json',
 ];
--- a/platform/build/bundle.ts
+++ b/tools/build/bundle.ts
@@ -1,7 +1,7 @@
 import * as fs from 'node:fs';
 import * as path from 'node:path';
 import * as esbuild from 'esbuild';
-import * as programLoader from '../program-loader';
+import * as programLoader from '../../platform/program-loader';
 import * as deferred from './deferred';
 
 /**
--- a/platform/build/deferred.ts
+++ b/tools/build/deferred.ts
@@ -39,5 +39,5 @@
 /** Options that put another class in the place of a global one. */
 export const DEFERRED_GLOBALS: Pick<esbuild.BuildOptions, 'define' | 'inject'> = {
   define: { 'Intl.DateTimeFormat': 'DeferredDateTimeFormat' },
-  inject: [path.join('platform', 'build', 'deferred-date-time-format.ts')],
+  inject: [path.join('tools', 'build', 'deferred-date-time-format.ts')],
 };
--- a/platform/build/record.ts
+++ b/tools/build/record.ts
@@ -4,8 +4,8 @@
  */
 import * as fs from 'node:fs';
 import * as path from 'node:path';
-import * as codeCache from '../code-cache';
-import * as programLoader from '../program-loader';
+import * as codeCache from '../../platform/code-cache';
+import * as programLoader from '../../platform/program-loader';
 
 const STANDARD_OUTPUT = 1;
 
--- a/platform/build/run.ts
+++ b/tools/build/run.ts
@@ -12,7 +12,7 @@
   bundler.describeModules(MODULES);
   await bundler.bundleProgram(path.join(MODULES, 'platform', 'program.js'), PROGRAM);
   await bundler.bundle(path.join(MODULES, 'platform', 'main.js'), path.join(FOLDER, 'main.js'));
-  await bundler.bundle(path.join('platform', 'build', 'record.ts'), RECORDER);
+  await bundler.bundle(path.join('tools', 'build', 'record.ts'), RECORDER);
   try {
     await recording.recordCompiledCode({ recorder: RECORDER, program: PROGRAM, folder: FOLDER });
   } catch (error) {
--- a/platform/measure/caller.ts
+++ b/tools/measure/caller.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import * as clock from '../../src/clock';
-import * as headerName from '../header-name';
+import * as headerName from '../../platform/header-name';
 import * as plan from './plan';
 
 interface RequestKind {
--- a/platform/measure/deployment.ts
+++ b/tools/measure/deployment.ts
@@ -6,7 +6,7 @@
 import * as clock from '../../src/clock';
 import * as child from '../../src/load/measure/child';
 import * as processUsage from '../../src/load/measure/process-usage';
-import * as start from '../start';
+import * as start from '../../platform/start';
 import * as plan from './plan';
 import * as surroundings from './surroundings-process';
 import * as message from './surroundings-message';
--- a/platform/measure/gateway-run.ts
+++ b/tools/measure/gateway-run.ts
@@ -52,9 +52,13 @@
   command.option('--phases <list>', 'Phases to be measured, separated by commas', {
     default: PHASES.map(({ name }) => name).join(','),
   });
-  command.option('--programs <list>', 'Compiled modules to be measured in turn', {
-    default: '../platform/main.js',
-  });
+  command.option(
+    '--programs <list>',
+    'Programs to be measured in turn, from dist/src; build-platform makes the first one',
+    {
+      default: '../../target/platform/main.js',
+    },
+  );
   command.option('--node-arguments <list>', 'Arguments of Node.js, separated by commas');
   command.option('--profile <folder>', 'Writes processor profiles of all daemons there');
   command.help();
--- a/platform/measure/scripted-server.ts
+++ b/tools/measure/scripted-server.ts
@@ -1,6 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import * as headerName from '../header-name';
+import * as headerName from '../../platform/header-name';
 import * as plan from './plan';
 
 /** A backend server of the platform with answers of fixed size and pace. */
