--- a/src/decision/choosing.ts
+++ b/src/decision/choosing.ts
@@ -54,11 +54,15 @@
     : best;
 }
 
-/** The server that would be the best if it were free, and whether it or enough others are. */
-export function findTarget(
-  step: steps.Step,
-  request: state.RequestState,
-): { readonly server: state.ServerState; readonly ready: boolean } | undefined {
+/** The server that would be the best for a request if it were free. */
+export interface Target {
+  readonly server: state.ServerState;
+  /** Whether it or enough others are free. */
+  readonly ready: boolean;
+}
+
+/** Weighs all servers that a request may run at, free or not; undefined when there are none. */
+export function findTarget(step: steps.Step, request: state.RequestState): Target | undefined {
   const permitted = filterServers(
     standardFilters.PERMISSION_FILTERS,
     step,
@@ -112,6 +116,7 @@
   readonly meanRequests: number;
   /** The newest weights of a server that could take requests. */
   readonly newestWeights?: string;
+  readonly known: knownCache.KnownCache;
   readonly request: placement.PlacementRequest;
 }
 
@@ -137,21 +142,20 @@
   const reserved = reservedServers(step, request, suspect);
   const minimumWeights = weightsFilter.minimumWeightsOf(service);
   const weightsExpected = weightsFilter.expectsWeights(step, request);
-  return servers.filter((server) =>
-    filters.every((filter) =>
-      filter.admits({
-        request,
-        server,
-        slots,
-        prefillTokensPerSecond,
-        cacheTokens,
-        suspect,
-        reserved,
-        weightsExpected,
-        minimumWeights,
-      }),
-    ),
-  );
+  return servers.filter((server) => {
+    const pairing = {
+      request,
+      server,
+      slots,
+      prefillTokensPerSecond,
+      cacheTokens,
+      suspect,
+      reserved,
+      weightsExpected,
+      minimumWeights,
+    };
+    return filters.every((filter) => filter.admits(pairing));
+  });
 }
 
 /** A suspect keeps to the servers of its own daemon until it would wait too long for one of them. */
@@ -226,6 +230,7 @@
     sharedPieces: Math.max(anchorDepth, profile.prefixChain.length - 1),
     meanRequests: total / Math.max(1, pool.length),
     newestWeights: newestWeights(pool),
+    known: new knownCache.KnownCache(step, profile),
     request: {
       promptTokens: profile.promptTokens,
       chain: profile.prefixChain,
@@ -275,7 +280,7 @@
   server: state.ServerState,
 ): Choice {
   const serverId = server.record.id;
-  const cachedPieces = knownCache.knownPieces(step, request.profile, server);
+  const cachedPieces = context.known.pieces(server);
   const cachedTokens = Math.min(
     request.profile.promptTokens,
     tokensOf(request.profile, cachedPieces),
--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -9,7 +9,10 @@
 
 /** What the list works with. */
 export interface SharedListPorts {
-  readonly plane: Pick<control.ControlPlane, 'status' | 'send' | 'broadcast' | 'onBroadcast'>;
+  readonly plane: Pick<
+    control.ControlPlane,
+    'leadership' | 'status' | 'send' | 'broadcast' | 'onBroadcast'
+  >;
   /** The platform's list itself. */
   readonly source: backend.MachineList;
   readonly time: clock.Clock;
@@ -40,6 +43,9 @@
 
   private heardAt = Number.NEGATIVE_INFINITY;
 
+  /** Term of the leader that was heard last. */
+  private heardTerm = 0;
+
   private readAt = Number.NEGATIVE_INFINITY;
 
   private toldAt = Number.NEGATIVE_INFINITY;
@@ -57,14 +63,13 @@
   }
 
   override async read(): Promise<ListResult> {
-    const isLeader = this.ports.plane.status().role === control.ReplicaRole.Leader;
+    const isLeader = this.ports.plane.leadership().role === control.ReplicaRole.Leader;
     const now = this.ports.time.monotonic();
     if (isLeader) {
       return this.readAndTell(now);
     }
     this.told = undefined;
-    const isFresh = now - this.heardAt < SILENCE_MILLISECONDS;
-    return isFresh && this.machines !== undefined
+    return this.isFresh(now) && this.machines !== undefined
       ? new results.Ok(this.machines)
       : this.readSource(now, ALONE_MILLISECONDS);
   }
@@ -73,6 +78,10 @@
     this.unsubscribe();
   }
 
+  private isFresh(now: number): boolean {
+    return now - this.heardAt < SILENCE_MILLISECONDS;
+  }
+
   private async readAndTell(now: number): Promise<ListResult> {
     const result = await this.readSource(now, LEADER_MILLISECONDS);
     if (result.err) {
@@ -80,8 +89,7 @@
     }
     const { annotate = (record) => record } = this.ports;
     const annotated = result.val.map(annotate);
-    this.tell(annotated, now);
-    return new results.Ok(annotated);
+    return new results.Ok(this.tell(annotated, now));
   }
 
   /** Reads the platform's list, but not more often than each `interval`. */
@@ -99,7 +107,11 @@
     return result.ok && this.machines !== undefined ? new results.Ok(this.machines) : result;
   }
 
-  private tell(machines: readonly backend.MachineRecord[], now: number): void {
+  /** Tells the peers what has changed; returns the list that they have, the same object until it changes. */
+  private tell(
+    machines: readonly backend.MachineRecord[],
+    now: number,
+  ): readonly backend.MachineRecord[] {
     const before = this.told;
     const changes = machineChanges.changesBetween(before ?? [], machines);
     const isChanged = changes.changed.length > 0 || changes.removed.length > 0;
@@ -107,7 +119,7 @@
       if (now - this.toldAt >= REPEAT_MILLISECONDS) {
         this.broadcast({ edition: this.toldEdition }, now);
       }
-      return;
+      return before;
     }
     const base = this.toldEdition;
     this.editions += 1;
@@ -115,11 +127,13 @@
     this.told = machines;
     this.toldEdition = edition;
     this.broadcast(before === undefined ? { edition, machines } : { edition, base, changes }, now);
+    return machines;
   }
 
   private broadcast(payload: object, now: number): void {
+    const { term } = this.ports.plane.status();
     this.toldAt = now;
-    this.ports.plane.broadcast(control.PeerTopic.Machines, payload);
+    this.ports.plane.broadcast(control.PeerTopic.Machines, { ...payload, term });
   }
 
   private hear(payload: unknown, from: string): void {
@@ -128,10 +142,18 @@
       logger.warning('peer sent a malformed list of VMs');
       return;
     }
-    const { edition, machines, base, changes, wanted } = parsed.data;
+    const { edition, machines, base, changes, wanted, term = this.heardTerm } = parsed.data;
     if (wanted === true) {
       this.sendWhole(from);
-    } else if (machines !== undefined) {
+      return;
+    }
+    // A leader that was suspended goes on telling its old list until it hears of its successor.
+    const isReplaced = term < this.heardTerm && this.isFresh(this.ports.time.monotonic());
+    if (isReplaced) {
+      return;
+    }
+    this.heardTerm = term;
+    if (machines !== undefined) {
       this.take(machines, edition);
     } else if (changes !== undefined && base === this.edition && this.machines !== undefined) {
       this.take(machineChanges.applyChanges(this.machines, changes), edition);
@@ -150,7 +172,8 @@
 
   private sendWhole(to: string): void {
     if (this.told !== undefined) {
-      const payload = { edition: this.toldEdition, machines: this.told };
+      const { term } = this.ports.plane.status();
+      const payload = { edition: this.toldEdition, machines: this.told, term };
       this.ports.plane.send(to, control.PeerTopic.Machines, payload);
     }
   }
@@ -191,6 +214,8 @@
     .optional(),
   /** Asks the leader for the whole list. */
   wanted: zod.boolean().optional(),
+  /** Term of the sender, which leads; absent from daemons of earlier releases. */
+  term: zod.number().optional(),
 });
 
 const NOT_READ = verdict.failure(
--- a/src/gateway/weights-age.ts
+++ b/src/gateway/weights-age.ts
@@ -16,6 +16,12 @@
   readonly ageWhenLearnedMilliseconds: number;
 }
 
+/** How long a version has been known; it was named at least as long ago. */
+export interface NamingAge {
+  readonly weightsVersion: string;
+  readonly ageMilliseconds: number;
+}
+
 /** What is known of one model. */
 interface ModelVersions {
   /** The oldest version that gets work; absent while any does. */
@@ -73,11 +79,22 @@
     return (
       known && {
         ageMilliseconds: Math.round(this.age(known)),
-        ageWhenLearnedMilliseconds: Math.round(Math.max(0, known.learnedOn - known.namedAt)),
+        ageWhenLearnedMilliseconds: Math.round(ageWhenLearned(known)),
       }
     );
   }
 
+  /**
+   * The versions of a model from the oldest one that gets work on, oldest first. Engines are ordered by these ages, and
+   * an age that is too large, as after a step of the clock, would take all of a service out of work at once.
+   */
+  namings(model: string): readonly NamingAge[] {
+    return this.versions(model).map((known) => ({
+      weightsVersion: known.version.toString(),
+      ageMilliseconds: this.time.monotonic() - known.learnedAt,
+    }));
+  }
+
   private versions(model: string): readonly LearnedVersion[] {
     const { minimum, waiting = [] } = this.models.get(model) ?? {};
     return minimum === undefined ? waiting : [minimum, ...waiting];
@@ -101,12 +118,19 @@
   }
 
   /**
-   * The largest of three measures, each of which may be too small: a clock that is set back hides time since
-   * the daemon learned of the version, a suspension is missing on the monotonic clock, and the date of the
-   * naming is from the clock of another VM.
+   * The age when the daemon learned of the version, and the time since then. Of two clocks for the latter the one
+   * that shows more counts: one that is set back hides time, and a suspension is missing on the monotonic clock.
    */
-  private age({ learnedAt, learnedOn, namedAt }: LearnedVersion): number {
-    const now = this.time.now();
-    return Math.max(this.time.monotonic() - learnedAt, now - learnedOn, now - namedAt);
+  private age(version: LearnedVersion): number {
+    const elapsed = Math.max(
+      this.time.monotonic() - version.learnedAt,
+      this.time.now() - version.learnedOn,
+    );
+    return ageWhenLearned(version) + elapsed;
   }
 }
+
+/** The date of a naming is from the clock of another VM and may lie ahead. */
+function ageWhenLearned({ learnedOn, namedAt }: LearnedVersion): number {
+  return Math.max(0, learnedOn - namedAt);
+}
--- a/src/load/measure/run.ts
+++ b/src/load/measure/run.ts
@@ -1,10 +1,12 @@
 /**
- * `npm run measure-daemon -- --part latency|relay|state|control [--dimension NAME] [--rounds N] [--json]`: cost of one
- * daemon on this machine. All processes run on loopback and end with the measurement.
+ * `npm run measure-daemon -- --part latency|relay|state|control|decision|gateway [--dimension NAME] [--rounds N] [--json]`: cost
+ * of one daemon on this machine. All processes run on loopback and end with the measurement.
  */
 import { cac } from 'cac';
+import * as child from './child';
 import * as controlMeasurement from './control-measurement';
 import * as controlReport from './control-report';
+import * as decisionCost from './decision-cost';
 import * as latencyMeasurement from './latency-measurement';
 import * as plans from './plans';
 import * as stateSize from './state-size';
@@ -16,6 +18,8 @@
   readonly rounds: number;
   readonly windowSeconds: number;
   readonly json: boolean;
+  /** Folder for processor profiles of the platform's daemons. */
+  readonly profile?: string;
   readonly help?: boolean;
 }
 
@@ -25,15 +29,20 @@
 
 function readFlags(): Flags {
   const command = cac('measure-daemon');
-  command.option('--part <name>', 'latency, relay, state or control; all by default', {
-    default: 'all',
-  });
+  command.option(
+    '--part <name>',
+    'latency, relay, state, control, decision or gateway; all by default',
+    {
+      default: 'all',
+    },
+  );
   command.option('--dimension <name>', `One of ${dimensions.join(', ')}`, { default: 'all' });
   command.option('--values <list>', 'Values of the dimension, separated by commas', {
     default: '',
   });
   command.option('--rounds <n>', 'Repetitions of each measurement', { default: 3 });
   command.option('--window-seconds <n>', 'Length of one measurement', { default: 8 });
+  command.option('--profile <folder>', 'Writes profiles of --part gateway there');
   command.option('--json', 'Print JSON lines', { default: false });
   command.help();
   return command.parse().options as Flags;
@@ -68,6 +77,17 @@
   }
 }
 
+/** The platform's daemons are measured by a program beside them, since only that one knows their formats. */
+async function gateway({ rounds, windowSeconds, profile }: Flags): Promise<void> {
+  const flags = [`--rounds=${rounds}`, `--window-seconds=${windowSeconds}`];
+  const profiled = profile === undefined ? [] : [`--profile=${profile}`];
+  const measurement = child.Child.start('../platform/measure/gateway-run.js', [
+    ...flags,
+    ...profiled,
+  ]);
+  await measurement.forwardOutput();
+}
+
 async function main(): Promise<void> {
   const flags = readFlags();
   if (flags.help) {
@@ -92,6 +112,13 @@
   if (['all', 'control'].includes(flags.part)) {
     await control(flags);
   }
+  if (['all', 'decision'].includes(flags.part)) {
+    const costs = decisionCost.measureDecisionCosts();
+    print(flags, decisionCost.formatDecisionCosts(costs), costs);
+  }
+  if (['all', 'gateway'].includes(flags.part)) {
+    await gateway(flags);
+  }
 }
 
 main().then(
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -42,6 +42,9 @@
 
   private listWasRead: (() => void) | undefined;
 
+  /** The list that was taken over last. */
+  private list: readonly backend.MachineRecord[] | undefined;
+
   constructor(
     private readonly ports: MembershipPorts,
     private readonly listIntervalMilliseconds: number,
@@ -104,6 +107,8 @@
       this.apply({ kind, at, serverId });
     } else if (failure.reason === verdict.FailureReason.BackendRefused) {
       this.apply({ kind: membership.MembershipEventKind.Refused, at, serverId });
+    } else if (failure.garbled === true) {
+      this.apply({ kind: membership.MembershipEventKind.AnswerFaulty, at, serverId });
     } else if (CONNECTION_REASONS.has(failure.reason)) {
       this.apply({ kind: membership.MembershipEventKind.ConnectionFailed, at, serverId });
     }
@@ -128,6 +133,11 @@
       logger.warning('list of VMs could not be read', { reason: read.val.reason });
       return;
     }
+    // A source that has read nothing new gives the same list again.
+    if (read.val === this.list) {
+      return;
+    }
+    this.list = read.val;
     const machines = read.val.filter(({ kind }) => kind !== backend.BackendKind.KeptCache);
     this.ports.pool.update(machines);
     this.apply({ kind: membership.MembershipEventKind.ListRead, at: this.now(), machines });
@@ -170,11 +180,15 @@
         this.ports.plane.broadcast(control.PeerTopic.Membership, effect.report);
         break;
       default:
-        logger.warning('backend server crashed', { backendServer: effect.serverId });
+        logger.warning(
+          effect.lives === true ? 'probes are answered with nonsense' : 'backend server crashed',
+          { backendServer: effect.serverId },
+        );
         this.ports.task.feed({
           kind: decision.DecisionEventKind.ServerCrashed,
           at: this.ports.task.now(),
           serverId: effect.serverId,
+          lives: effect.lives,
         });
     }
   }
@@ -190,7 +204,8 @@
     const base = { at: this.now(), serverId, startedAt, jitter: this.ports.random.uniform() };
     const { ProbeFailed, ProbeSucceeded } = membership.MembershipEventKind;
     if (outcome.err) {
-      this.apply({ kind: ProbeFailed, ...base });
+      const spoke = outcome.val.garbled === true ? { spoke: true as const } : {};
+      this.apply({ kind: ProbeFailed, ...base, ...spoke });
       return;
     }
     this.apply({ kind: ProbeSucceeded, ...base, ...outcome.val });
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -13,7 +13,7 @@
 import * as peersModule from './peers';
 
 const suite = uvu.suite('sharing between daemons');
-const { Leader, None } = control.ReplicaRole;
+const { Leader, Follower, None } = control.ReplicaRole;
 
 /** The leader and another daemon, with the list that both could read. */
 function readers(annotate?: (record: backend.MachineRecord) => backend.MachineRecord) {
@@ -106,26 +106,59 @@
   const peers = new peersModule.Peers();
   const time = new clock.ManualClock();
   const source = new countedList.CountedList();
-  const first = peers.plane('a', Leader);
-  const second = peers.plane('b', None);
-  const [former, latter] = [first, second].map(
+  const [former, latter] = [peers.plane('a', Leader), peers.plane('b', None)].map(
     (plane) => new sharedMachineList.SharedMachineList({ plane, source, time }),
   );
   await former.read();
-  Object.assign(first.status(), { role: None });
-  Object.assign(second.status(), { role: Leader });
+  peers.lead('a', None);
+  peers.lead('b', Leader);
   source.records = machines(3);
   time.advance(500);
   await latter.read();
   assert.equal((await former.read()).unwrap(), source.records);
-  Object.assign(first.status(), { role: Leader });
-  Object.assign(second.status(), { role: None });
+  peers.lead('b', None);
+  peers.lead('a', Leader);
   source.records = machines(2);
   time.advance(500);
   await former.read();
   assert.equal((await latter.read()).unwrap(), source.records);
 });
 
+// Guards against a leader whose VM was suspended and that tells its old list before it hears of its successor.
+suite('a leader that was replaced does not take the list of the others back', async () => {
+  const peers = new peersModule.Peers();
+  const [own, time] = [new clock.ManualClock(), new clock.ManualClock()];
+  const source = new countedList.CountedList();
+  const [first, second, third] = ['a', 'b', 'c'].map((id) => peers.plane(id, None));
+  let isSuspended = false;
+  let isOrdered = false;
+  const former = new sharedMachineList.SharedMachineList({
+    plane: {
+      ...first,
+      onBroadcast: (topic, listener) =>
+        first.onBroadcast(topic, (...message) => isSuspended || listener(...message)),
+    },
+    source,
+    time: own,
+    annotate: (record) => (isOrdered ? { ...record, loading: true as const } : record),
+  });
+  const [latter, other] = [second, third].map(
+    (plane) => new sharedMachineList.SharedMachineList({ plane, source, time }),
+  );
+  Object.assign(first.status(), { role: Leader });
+  await former.read();
+  isSuspended = true;
+  Object.assign(second.status(), { role: Leader, term: 2 });
+  source.records = machines(3);
+  time.advance(5_000);
+  await latter.read();
+  isSuspended = false;
+  own.advance(100);
+  isOrdered = true;
+  await former.read();
+  assert.equal((await other.read()).unwrap(), source.records);
+});
+
 // Guards against a copy that differs from the list after a row of changes.
 suite('applied changes lead to the next list', () => {
   const id = fastCheck.integer({ min: 0, max: 9 }).map((index) => `i-${index}`);
@@ -144,6 +177,21 @@
   );
 });
 
+// Guards against servers that are gone through several times a second although nothing has changed.
+suite('the list stays the same object until it changes', async () => {
+  const { time, source, leader, other } = readers();
+  const read = async () => [(await leader.read()).unwrap(), (await other.read()).unwrap()];
+  const first = await read();
+  time.advance(500);
+  const second = await read();
+  assert.is(source.reads, 2);
+  second.forEach((list, place) => assert.is(list, first[place]));
+  source.records = [{ ...countedList.RECORD, weightsVersion: '2' }];
+  time.advance(500);
+  const third = await read();
+  third.forEach((list) => assert.equal(list, source.records));
+});
+
 // Guards against daemons that all fill the engine that looks idle to each of them.
 suite('sums of all daemons reach each of them, and work of a stopped one is forgotten', () => {
   const peers = new peersModule.Peers();
@@ -198,6 +246,63 @@
   assert.equal(heard, Array(2).fill({ serverId: 'i-1', hashes: [7, 8] }));
 });
 
+// Guards against control daemons that repeat each placing to every gateway, which take it for their own.
+suite('a control daemon that does not lead tells nothing that it heard', () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const exchanges = [Leader, Follower, None, None].map((role, place) => {
+    const placings = new placingLog.PlacingLog(time);
+    const plane = peers.plane(String(place), role);
+    if (role === None) {
+      placings.note({ serverId: 'i-1', hashes: [place] });
+    }
+    return new loadExchange.LoadExchange(
+      { plane, time, placings },
+      () => [],
+      () => {},
+    );
+  });
+  time.advance(4_000);
+  exchanges.forEach((exchange) => exchange.close());
+  // One message of each gateway to the leader, and one of the leader to the three others.
+  assert.equal(
+    [...peers.sent],
+    [
+      ['2', 1],
+      ['3', 1],
+      ['0', 3],
+    ],
+  );
+});
+
+// Guards against engines that look idle to all daemons because a new leader has heard of nobody's work.
+suite('after a change of the leader, the sums are complete from the first on', () => {
+  const peers = new peersModule.Peers();
+  const time = new clock.ManualClock();
+  const work = { serverId: 'i-1', requests: 2, prefillTokens: 100, memoryTokens: 5_000 };
+  const heard: number[] = [];
+  const exchanges = [Leader, Follower, None, None].map((role, place) => {
+    const ports = {
+      plane: peers.plane(String(place), role),
+      time,
+      placings: new placingLog.PlacingLog(time),
+    };
+    return new loadExchange.LoadExchange(
+      ports,
+      () => (role === None ? [work] : []),
+      (loads) => heard.push(loads.reduce((sum, { requests }) => sum + requests, 0)),
+    );
+  });
+  time.advance(1_000);
+  assert.ok(heard.length > 0);
+  heard.length = 0;
+  peers.lead('0', Follower);
+  peers.lead('1', Leader);
+  time.advance(700);
+  exchanges.forEach((exchange) => exchange.close());
+  assert.equal([...new Set(heard)], [4]);
+});
+
 // Guards against messages that grow with the load.
 suite('a message holds a bounded number of placings', () => {
   const log = new placingLog.PlacingLog(new clock.ManualClock(), 2);
--- a/test/platform/process.test.ts
+++ b/test/platform/process.test.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import * as cbor from 'cbor-x';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as deployFile from '../../platform/local/deploy-file';
@@ -12,10 +13,18 @@
 
 const checkout = new builtCheckout.BuiltCheckout();
 const started: platformProcess.PlatformProcess[] = [];
+const runner = new fakeRunner.FakeRunner('i-1', [fakeRunner.answer('7 sacks')]);
 let surroundings: surroundingsModule.Surroundings;
 
-suite.before(() => checkout.build());
-suite.after(() => checkout.remove());
+suite.before(async () => {
+  checkout.build();
+  await runner.listen();
+});
+
+suite.after(async () => {
+  await runner.close();
+  checkout.remove();
+});
 
 suite.before.each(async () => {
   surroundings = new surroundingsModule.Surroundings();
@@ -29,8 +38,6 @@
 
 /** Guards against a build without a part that only a running process loads, and against a start without its compiled code. */
 suite('built from a checkout, a control daemon and a gateway serve and stop', async () => {
-  const runner = new fakeRunner.FakeRunner('i-1', [fakeRunner.answer('7 sacks')]);
-  await runner.listen();
   surroundings.servers = [serverOf(runner)];
   const core = surroundings.controlDaemon('core-1');
   const control = start(deployFile.commandOf(deployFile.Role.Control, checkout.root), core);
@@ -50,7 +57,6 @@
     assert.is(process.log.find(isCompiledAtStart), undefined);
     assert.is(process.errors, '');
   }
-  await runner.close();
 });
 
 /** Guards against a process that does not start, or does not say why it is slow, beside compiled code of other flags. */
@@ -74,6 +80,14 @@
   assert.is(control.log.find(isCompiledAtStart)?.codeCache, 'missing');
 });
 
+/** Guards against a bundle in which the native decoder of `cbor-x` is not found, which is silently replaced by a slower one. */
+suite('the built program uses the native decoder where the sources do', async () => {
+  const command = deployFile.commandOf(deployFile.Role.Control, checkout.root);
+  const control = start(command, surroundings.controlDaemon('core-1'));
+  await control.logged('started');
+  assert.is(control.hasMapped('cbor-extract'), cbor.isNativeAccelerationEnabled);
+});
+
 suite.run();
 
 function start(
