--- a/test/routing/decision-task.test.ts
+++ b/test/routing/decision-task.test.ts
@@ -104,6 +104,67 @@
   };
 }
 
+// Guards against a configuration that was made just before the end of a grace and replaces the one made just after it.
+suite('a configuration that changed with time while it was handed over is not undone', () => {
+  const revisions: number[] = [];
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      if (event.kind === decision.DecisionEventKind.ConfigurationChanged) {
+        revisions.push(event.snapshot.revision);
+      }
+      return { startState: state, state, effects: [] };
+    },
+    isWaiting: () => false,
+  };
+  const changed = (revision: number, at: number): decision.ConfigurationChanged => ({
+    kind: decision.DecisionEventKind.ConfigurationChanged,
+    at,
+    snapshot: { revision, documents: new Map() },
+  });
+  const time = new clock.ManualClock();
+  const renewals = [2];
+  const task = new routing.DecisionTask(
+    core,
+    time,
+    () => {},
+    (at) => renewals.splice(0).map((revision) => changed(revision, at))[0],
+  );
+  task.feed(changed(1, 0));
+  time.advance(1_000);
+  task.close();
+  assert.is(revisions.at(-1), 2);
+});
+
+// Guards against a stream that is taken back in the moment in which its first piece shows that it has begun.
+suite('a piece counts before what has changed with time', () => {
+  const seen: string[] = [];
+  const core: routing.DecisionCore<unknown> = {
+    startState: undefined,
+    update: (state, event) => {
+      seen.push(event.kind);
+      return { startState: state, state, effects: [] };
+    },
+    isWaiting: () => false,
+  };
+  const time = new clock.ManualClock();
+  const snapshot = { revision: 2, documents: new Map() };
+  const kind = decision.DecisionEventKind.ConfigurationChanged;
+  const renewals: decision.ConfigurationChanged[] = [{ kind, at: 0, snapshot }];
+  const task = new routing.DecisionTask(
+    core,
+    time,
+    () => {},
+    () => renewals.shift(),
+  );
+  const attempt = { requestId: 'request-1', attemptId: 'request-1/0' };
+  const piece = decision.DecisionEventKind.PieceReceived;
+  task.feed({ kind: piece, at: 0, ...attempt, nextPiece: 1 });
+  time.advance(1_000);
+  task.close();
+  assert.equal(seen, ['piece-received', 'configuration-changed', 'tick']);
+});
+
 function profileOf(requestId: string): decision.RequestProfile {
   return {
     requestId,
