--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -178,7 +178,7 @@
 export interface ServerCrashed extends EventBase {
   readonly kind: DecisionEventKind.ServerCrashed;
   readonly serverId: string;
-  /** Its process lives and only speaks nonsense, so that no request is to blame. */
+  /** Its process lives and sends malformed answers, so that no request is to blame. */
   readonly lives?: true;
 }
 
--- a/src/membership/effect.ts
+++ b/src/membership/effect.ts
@@ -22,7 +22,7 @@
 export interface ServerCrashed {
   readonly kind: MembershipEffectKind.ServerCrashed;
   readonly serverId: string;
-  /** The process lives and only speaks nonsense, so that no request is to blame. */
+  /** The process lives and sends malformed answers, so that no request is to blame. */
   readonly lives?: true;
 }
 
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -128,7 +128,7 @@
 }
 
 /**
- * Load pattern: a server that answers nonsense at once looks idle and draws all requests, while its probes are
+ * Load pattern: a server that sends malformed answers at once looks idle and draws all requests, while its probes are
  * answered well. From the second faulty answer on it is used only when no other server is left, until a probe
  * after a pause; the pause grows while the faults go on.
  */
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -181,7 +181,7 @@
         break;
       default:
         logger.warning(
-          effect.lives === true ? 'probes are answered with nonsense' : 'backend server crashed',
+          effect.lives === true ? 'answers to probes are malformed' : 'backend server crashed',
           { backendServer: effect.serverId },
         );
         this.ports.task.feed({
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -132,7 +132,7 @@
   return effects.some((effect) => effect.kind === Probe && effect.serverId === serverId);
 }
 
-// Guards against a server that answers nonsense to requests, and well to probes, and so draws all requests.
+// Guards against a server that sends malformed answers to requests, and sound ones to probes, and so draws all requests.
 suite('a second faulty answer keeps a server back until a probe after a pause', () => {
   const view = alive().faulty('desk-1', 200).probed('desk-1', 210, 'a');
   assert.not(view.isSuspected('desk-1'));
@@ -161,7 +161,7 @@
   assert.not(view.isSuspected('desk-1'));
 });
 
-// Guards against requests that are taken for the cause when a server only speaks nonsense.
+// Guards against requests that are taken for the cause when a server sends malformed answers.
 suite('probes that are answered with nonsense end the use of a server that lives', () => {
   const view = alive().connectionFailed('desk-1', 200).unanswered('desk-1', 210, true);
   view.tick(320).unanswered('desk-1', 330, true);
--- a/test/platform/endless-answer.test.ts
+++ b/test/platform/endless-answer.test.ts
@@ -48,7 +48,7 @@
   return answers;
 }
 
-// Guards against a request that may have run and waits for its deadline while nonsense arrives.
+// Guards against a request that may have run and waits for its deadline while malformed bytes arrive.
 Object.entries({ ...flood.HEAD_FLOODS, ...flood.TRAILER_FLOODS }).forEach(([name, given]) => {
   suite(`a charge is answered as may-have-run at once after ${name} without end`, async () => {
     const server = faulty(given);
@@ -171,7 +171,7 @@
   });
 });
 
-// Guards against a server that answers nonsense at once, looks idle for it, and draws more and more requests.
+// Guards against a server that sends malformed answers at once, looks idle for it, and draws more and more requests.
 suite('a server that floods its answers soon gets requests only now and then', async () => {
   const server = faulty(flood.HEAD_FLOODS['bytes that are not HTTP']);
   const sound = new fakeRunner.FakeRunner('i-2', [fakeRunner.answer('own')]);
@@ -184,8 +184,8 @@
   });
 });
 
-// Guards against an innocent request that is refused for minutes because servers around it speak nonsense.
-suite('a request at servers that answer probes with nonsense is no suspect', async () => {
+// Guards against an innocent request that is refused for minutes because servers around it send malformed answers.
+suite('a request at servers that answer probes with malformed bytes is no suspect', async () => {
   const given = flood.HEAD_FLOODS['interim answers'];
   const faultyServers = ['i-1', 'i-2'].map((id) => new floodServer.FloodServer(id, given));
   const sound = new fakeRunner.FakeRunner('i-3', [fakeRunner.answer('own')]);
