Control: compare the times of peers only after translating them to this clock

Cause: `namedAt` is a time of the leader's clock, and a daemon subtracted it from its own clock.

Change: heartbeats carry the sender's wall clock. The times of a register are translated once, when it is received; a version that is known keeps its time whichever leader sends it next.

Ruled out: to take the age from the message alone. A message that waits in a socket during a suspension would make the version look younger than it is.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -6,6 +6,7 @@
 import * as replica from '../replica';
 import * as storage from '../storage';
 import * as wire from '../wire';
+import * as clockOffsets from './clock-offsets';
 import type * as command from './command';
 import * as configurationStore from './configuration-store';
 import * as controlPlane from './control-plane';
@@ -62,6 +63,8 @@
 
   private readonly forwarder: proposalForwarder.ProposalForwarder;
 
+  private readonly clockOffsets = new clockOffsets.ClockOffsets();
+
   private readonly broadcastListeners = new Map<controlPlane.PeerTopic, Set<BroadcastListener>>();
 
   private replicaTask: replicaTask.ReplicaTask | undefined;
@@ -283,7 +286,7 @@
         send: (message) => this.sendReplicaMessage(message),
         onDelta: (delta) => this.announceIfNew(this.store.applyDelta(delta)),
         onSnapshot: (snapshot) => this.announceIfNew(this.store.applySnapshot(snapshot)),
-        onRegister: (register) => this.announceIfNew(this.registerStore.applyIfNewer(register)),
+        onRegister: (register) => this.applyRegister(register, this.knownLeader()?.address),
         onLeaderChange: () => this.updateLeader(),
       },
     );
@@ -365,6 +368,7 @@
       revision: this.store.current.revision,
       register: this.registerStore.current.sequence,
       leader: this.knownLeader(),
+      sentAt: this.options.clock.now(),
       ...(voters.length === 0 ? {} : { voters }),
     };
   }
@@ -403,7 +407,7 @@
         this.sendRegister(peer, message.sequence);
         break;
       case peerMessage.PeerMessageKind.RegisterCopy:
-        this.announceIfNew(this.registerStore.applyIfNewer(registers.decodeRegister(message)));
+        this.applyRegister(registers.decodeRegister(message), peer.address);
         break;
       default:
         this.broadcastListeners
@@ -414,8 +418,11 @@
 
   private receiveHeartbeat(
     peer: wire.PeerIdentity,
-    { revision, leader, register = 0, voters = [] }: peerMessage.Heartbeat,
+    { revision, leader, register = 0, voters = [], sentAt }: peerMessage.Heartbeat,
   ): void {
+    if (sentAt !== undefined) {
+      this.clockOffsets.record(peer.address, sentAt, this.options.clock.now());
+    }
     this.directory.recordHeartbeat(peer, revision, register);
     // Connects to replicas that joined after the settings were written.
     this.network.connect(voters);
@@ -514,6 +521,12 @@
     } as unknown as wire.WireMessage);
   }
 
+  /** Applies a register whose times are from the clock of the daemon at this address. */
+  private applyRegister(register: registers.Register, clockAddress: string | undefined): void {
+    const offset = this.clockOffsets.offsetTo(clockAddress);
+    this.announceIfNew(this.registerStore.applyIfNewer(register, offset));
+  }
+
   /** Announces a new revision or register to the peers at once. */
   private announceIfNew(isNew: boolean): void {
     if (isNew) {
@@ -535,6 +548,7 @@
 
   private peerLost(peer: wire.PeerIdentity): void {
     this.directory.recordDisconnected(peer);
+    this.clockOffsets.forget(peer.address);
     this.forwarder.peerLost(peer.address);
   }
 
--- a/src/control/desired-version-times.ts
+++ b/src/control/desired-version-times.ts
@@ -7,6 +7,7 @@
 interface ReceivedVersion {
   /** Monotonic time in milliseconds at which this daemon, or one that sent it the version, first received it. */
   readonly firstReceivedAt: number;
+  /** Wall-clock time of this daemon in milliseconds. */
   readonly namedAt: number;
 }
 
@@ -20,13 +21,16 @@
 
   constructor(private readonly time: clock.Clock) {}
 
-  /** Records the versions. A `namedAt` later than the time of the first receipt is replaced by that time. */
-  merge(weights: Weights): Weights {
+  /**
+   * Records the versions, and translates the times of new ones to this daemon's clock, which is `clockOffset`
+   * milliseconds ahead of the sender's. A time later than the first receipt is replaced by that of the receipt.
+   */
+  merge(weights: Weights, clockOffset = 0): Weights {
     const before = this.receivedVersions;
     this.receivedVersions = new Map();
     return mapVersions(weights, (model, desired) => {
       const key = keyOf(model, desired.version);
-      const corrected = this.correctTime(desired, before.get(key));
+      const corrected = this.correctTime(desired, before.get(key), clockOffset);
       this.receivedVersions.set(key, corrected);
       return { version: desired.version, namedAt: corrected.namedAt };
     });
@@ -45,13 +49,14 @@
   private correctTime(
     { namedAt, knownMilliseconds = 0 }: registers.DesiredVersion,
     before: ReceivedVersion | undefined,
+    clockOffset: number,
   ): ReceivedVersion {
     const now = this.time.monotonic();
     const firstReceivedAt = Math.min(before?.firstReceivedAt ?? Infinity, now - knownMilliseconds);
     const firstReceivedWallClock = this.time.now() - (now - firstReceivedAt);
     return {
       firstReceivedAt,
-      namedAt: Math.min(before?.namedAt ?? Infinity, namedAt, firstReceivedWallClock),
+      namedAt: Math.min(before?.namedAt ?? namedAt + clockOffset, firstReceivedWallClock),
     };
   }
 }
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -195,6 +195,8 @@
     register: counter.optional(),
     /** Addresses of the daemons that host voters. */
     voters: zod.array(zod.string()).max(MAXIMUM_VOTERS).optional(),
+    /** Wall-clock time of the sender in milliseconds; absent from daemons of earlier releases. */
+    sentAt: zod.number().optional(),
   }),
   zod.object({ kind: zod.literal(PeerMessageKind.Replica), message: replicaMessage }),
   zod.object({
--- a/src/control/register-store.ts
+++ b/src/control/register-store.ts
@@ -27,12 +27,16 @@
     return () => this.listeners.delete(listener);
   }
 
-  /** Applies a newer register; returns whether it was applied. */
-  applyIfNewer(register: registers.Register): boolean {
+  /**
+   * Applies a newer register; returns whether it was applied.
+   *
+   * @param clockOffset milliseconds by which this daemon's wall clock is ahead of the one that the times are from
+   */
+  applyIfNewer(register: registers.Register, clockOffset = 0): boolean {
     if (register.sequence <= this.register.sequence) {
       return false;
     }
-    this.register = { ...register, weights: this.times.merge(register.weights) };
+    this.register = { ...register, weights: this.times.merge(register.weights, clockOffset) };
     this.listeners.forEach((listener) => notify(listener, this.register));
     return true;
   }
