Orders: repeat an order without an answer once a read-back excludes the first

Answers on old weights earn less, and in the end nothing.

Cause: an order without an answer may be carried out late, so that its engine got no other one for the longest order time of 3.5 s.

Change: an order names the number of orders that its engine has accepted, from the read-back on which it is based; before, the client of the platform took the number of whichever probe came last. The engine compares the number when it begins with an order, so that two orders with the same number exclude each other. Once a read-back that began after the failed call shows no load and a number that is not lower, the next order may go out.

Engines that report no number keep to one order in flight; the property test is unchanged.

--- a/src/backend/model-engine.ts
+++ b/src/backend/model-engine.ts
@@ -59,6 +59,8 @@
   readonly fencingNumber: number;
   /** Weights version, adapter name or role. */
   readonly value: string;
+  /** Number of orders that the engine must have accepted before; an engine that counts refuses the order otherwise. */
+  readonly expectedOrders?: number;
 }
 
 export enum OrderOutcome {
--- a/src/backend/probe-report.ts
+++ b/src/backend/probe-report.ts
@@ -6,4 +6,6 @@
   readonly leaving: boolean;
   /** Whether the engine is loading weights; absent if it does not report this. */
   readonly loading?: boolean;
+  /** Number of orders that the engine has accepted since its start; absent if it does not report it. */
+  readonly acceptedOrders?: number;
 }
--- a/src/orders/answer.ts
+++ b/src/orders/answer.ts
@@ -37,15 +37,43 @@
   engine: states.EngineState,
   event: events.Observed,
 ): Step {
-  const { startedAt, incarnation, weightsVersion, loading } = event;
-  const observation = { startedAt, incarnation, weightsVersion, loading };
+  const { startedAt, incarnation, weightsVersion, loading, acceptedOrders } = event;
+  const observation = { startedAt, incarnation, weightsVersion, loading, acceptedOrders };
   const next = { ...engine, observation, probing: false };
   const { order } = engine;
-  return order !== undefined && isCarriedOut(order, observation)
-    ? replaceEngine(state, { ...next, order: undefined }, [
-        notices.report(effects.OrderNotice.Switched, engine, order),
-      ])
-    : replaceEngine(state, next);
+  const notice = order && noticeOf(order, observation);
+  return order === undefined || notice === undefined
+    ? replaceEngine(state, next)
+    : replaceEngine(state, { ...next, order: undefined }, [notices.report(notice, engine, order)]);
+}
+
+/** Why a read-back ends the wait for an order; `undefined` while the order may still be carried out. */
+function noticeOf(
+  order: states.PendingOrder,
+  observation: states.Observation,
+): effects.OrderNotice | undefined {
+  if (isCarriedOut(order, observation)) {
+    return effects.OrderNotice.Switched;
+  }
+  return isExcludedByNext(order, observation) ? effects.OrderNotice.Repeatable : undefined;
+}
+
+/**
+ * Whether the engine can no longer carry out the order once it has accepted one that is based on this read-back: it
+ * compares the number of accepted orders when it begins with an order, however late that is.
+ */
+function isExcludedByNext(
+  { unansweredAt, expectedOrders }: states.PendingOrder,
+  { startedAt, loading, acceptedOrders }: states.Observation,
+): boolean {
+  return (
+    unansweredAt !== undefined &&
+    startedAt >= unansweredAt &&
+    loading === false &&
+    expectedOrders !== undefined &&
+    acceptedOrders !== undefined &&
+    acceptedOrders >= expectedOrders
+  );
 }
 
 /**
--- a/src/orders/effect.ts
+++ b/src/orders/effect.ts
@@ -17,6 +17,11 @@
   readonly orderId: number;
   readonly fencingNumber: number;
   readonly weightsVersion: string;
+  /**
+   * The engine refuses the order unless it has accepted this many orders, so that of two orders with the same number at
+   * most one is carried out. Absent if the engine does not report its number.
+   */
+  readonly expectedOrders?: number;
   /** End of the leader lease, as a monotonic time in milliseconds. A later order is dropped as "not run". */
   readonly sendBefore: number;
   readonly reason: OrderReason;
@@ -36,6 +41,7 @@
   RefusedAsStale = 'engine refused an order because it has seen a higher fencing number',
   NotRun = 'order was not sent; it is tried again later',
   OutcomeUnknown = 'outcome of an order is unknown; the engine is read back',
+  Repeatable = 'engine has not carried out an order without an answer; the next one excludes it',
   NotCarriedOut = 'engine does not serve the ordered weights after the longest order time',
 }
 
--- a/src/orders/event.ts
+++ b/src/orders/event.ts
@@ -60,6 +60,8 @@
   readonly weightsVersion: string;
   /** Absent if the engine does not report whether it is loading weights. */
   readonly loading?: boolean;
+  /** Number of orders that the engine has accepted; absent if it does not report it. */
+  readonly acceptedOrders?: number;
 }
 
 /** A read-back was not answered. */
--- a/src/orders/order-task.ts
+++ b/src/orders/order-task.ts
@@ -186,7 +186,7 @@
       this.apply({ ...base, verdict: verdict.Verdict.NotRun });
       return;
     }
-    const { fencingNumber, weightsVersion } = order;
+    const { fencingNumber, weightsVersion, expectedOrders } = order;
     const { reason, missedVersionAgeMilliseconds } = order;
     logger.information('order sent', {
       backendServer: serverId,
@@ -196,7 +196,12 @@
       namingAgeMilliseconds: missedVersionAgeMilliseconds,
     });
     const kind = backend.OrderKind.LoadWeights;
-    const answer = await lease.client.order({ kind, fencingNumber, value: weightsVersion });
+    const answer = await lease.client.order({
+      kind,
+      fencingNumber,
+      value: weightsVersion,
+      expectedOrders,
+    });
     lease.release();
     const base = { at: this.now(), serverId, orderId };
     if (answer.err) {
--- a/src/orders/planning.ts
+++ b/src/orders/planning.ts
@@ -88,6 +88,7 @@
     orderId: state.nextOrderId,
     fencingNumber: issuer.term,
     weightsVersion: state.desired.get(engine.service)!.weightsVersion,
+    expectedOrders: engine.observation?.acceptedOrders,
     endsBy: at + state.parameters.longestOrderMilliseconds,
   };
 }
@@ -97,10 +98,10 @@
   order: states.PendingOrder,
   sendBefore: number,
 ): Omit<effects.SendOrder, 'reason'> {
-  const { orderId, fencingNumber, weightsVersion } = order;
+  const { orderId, fencingNumber, weightsVersion, expectedOrders } = order;
   const { serverId } = engine;
   const kind = effects.OrderEffectKind.SendOrder;
-  return { kind, serverId, orderId, fencingNumber, weightsVersion, sendBefore };
+  return { kind, serverId, orderId, fencingNumber, weightsVersion, expectedOrders, sendBefore };
 }
 
 /** Reads back engines that may be loading and engines that may get the next orders. */
--- a/src/orders/state.ts
+++ b/src/orders/state.ts
@@ -15,6 +15,8 @@
   readonly orderId: number;
   readonly fencingNumber: number;
   readonly weightsVersion: string;
+  /** Number of accepted orders that the engine must have reported; absent if the engine reports none. */
+  readonly expectedOrders?: number;
   /** Monotonic time in milliseconds at which the execution has ended, whatever the answer was. */
   readonly endsBy: number;
   /** Monotonic time in milliseconds at which the engine's acceptance arrived, if it did. */
@@ -31,6 +33,8 @@
   readonly weightsVersion: string;
   /** Absent if the engine does not report whether it is loading weights. */
   readonly loading?: boolean;
+  /** Number of orders that the engine had accepted; absent if it does not report it. */
+  readonly acceptedOrders?: number;
 }
 
 /** State of one engine in the order core. */
