Orders: a new leader reads which engines its predecessors have ordered

Cause: a new leader knew nothing of earlier orders and waited as if each engine had just been ordered, although the platform counts the change of the sender for each engine separately.

Change: the leader records orders in the replicated log before it sends them (one entry for all orders of a tick). A new leader commits an empty entry, after which it has applied all records, and may order at once every engine that no record names. An engine that was ordered recently keeps the order of the earlier leader as one without an answer: it counts as loading, is read back, and gets no order of the new leader before the time of a lease has passed.

Ruled out: to learn of earlier orders from the engine. Its count of accepted orders does not show orders that wait inside it.

The simulation now also checks that two senders leave 3 s between their orders to one engine.

--- a/src/control/command.ts
+++ b/src/control/command.ts
@@ -9,6 +9,7 @@
   PutRouting = 'put-routing',
   SetDesiredWeights = 'name-weights',
   ReadRegister = 'read-register',
+  RecordOrders = 'record-orders',
   NoOperation = 'no-operation',
 }
 
@@ -82,6 +83,21 @@
   readonly kind: CommandKind.ReadRegister;
 }
 
+/** An order to an engine that its leader is about to send. */
+export interface AnnouncedOrder {
+  readonly serverId: string;
+  readonly fencingNumber: number;
+  readonly weightsVersion: string;
+  /** Number of accepted orders that the engine must have reported; absent if the engine reports none. */
+  readonly expectedOrders?: number;
+}
+
+/** Announces orders, so that the next leader knows which engines may be executing one. */
+export interface RecordOrdersCommand {
+  readonly kind: CommandKind.RecordOrders;
+  readonly orders: readonly AnnouncedOrder[];
+}
+
 /** Commits the entries of earlier terms; used by a new leader. */
 export interface NoOperationCommand {
   readonly kind: CommandKind.NoOperation;
@@ -95,6 +111,7 @@
   | PutRoutingCommand
   | SetDesiredWeightsCommand
   | ReadRegisterCommand
+  | RecordOrdersCommand
   | NoOperationCommand;
 
 export enum CommandResultKind {
--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -10,6 +10,7 @@
 import type * as command from './command';
 import * as configurationStore from './configuration-store';
 import * as controlPlane from './control-plane';
+import * as orderHistory from './order-history';
 import * as peerDirectory from './peer-directory';
 import * as peerMessage from './peer-message';
 import * as proposalForwarder from './proposal-forwarder';
@@ -63,6 +64,8 @@
 
   private readonly forwarder: proposalForwarder.ProposalForwarder;
 
+  private readonly orderRecorder: orderHistory.OrderRecorder;
+
   private readonly clockOffsets = new clockOffsets.ClockOffsets();
 
   private readonly broadcastListeners = new Map<controlPlane.PeerTopic, Set<BroadcastListener>>();
@@ -92,6 +95,7 @@
     const { clock: time } = options;
     this.startedAt = time.monotonic();
     this.registerStore = new registerStore.RegisterStore(time);
+    this.orderRecorder = new orderHistory.OrderRecorder(time);
     this.suspensions = new clock.SuspensionDetector(time);
     this.directory = new peerDirectory.PeerDirectory(time);
     this.network = new wire.PeerNetwork(
@@ -190,6 +194,10 @@
     return this.registerStore.subscribe(listener);
   }
 
+  override orderHistory(): orderHistory.OrderHistory {
+    return this.orderRecorder.history;
+  }
+
   override broadcast(topic: controlPlane.PeerTopic, payload: unknown): void {
     this.network.broadcast(topicMessage(topic, payload));
   }
@@ -287,6 +295,8 @@
         onDelta: (delta) => this.announceIfNew(this.store.applyDelta(delta)),
         onSnapshot: (snapshot) => this.announceIfNew(this.store.applySnapshot(snapshot)),
         onRegister: (register) => this.applyRegister(register, this.knownLeader()?.address),
+        onOrders: (announced) => this.orderRecorder.record(announced),
+        onEntriesSkipped: () => this.orderRecorder.restart(),
         onLeaderChange: () => this.updateLeader(),
       },
     );
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -1,6 +1,7 @@
 import type * as results from 'ts-results';
 import * as configuration from '../configuration';
 import * as command from './command';
+import type * as orderHistory from './order-history';
 import type * as registers from './register';
 
 /** Why a proposal has no result. A proposal that failed may still be committed later. */
@@ -92,6 +93,9 @@
   /** Calls `listener` on each newer register; returns a function that ends the subscription. */
   abstract onRegister(listener: (register: registers.Register) => void): () => void;
 
+  /** The recent orders to engines in the part of the log that this daemon has applied. */
+  abstract orderHistory(): orderHistory.OrderHistory;
+
   /** Sends `payload` to every connected peer daemon, without waiting and without a guarantee of delivery. */
   abstract broadcast(topic: PeerTopic, payload: unknown): void;
 
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -3,3 +3,4 @@
 export * from './control-plane';
 export * from './control-node';
 export * from './register';
+export type { OrderHistory, RecordedOrder } from './order-history';
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -177,6 +177,17 @@
     version: zod.int(),
   }),
   zod.object({ kind: zod.literal(command.CommandKind.ReadRegister) }),
+  zod.object({
+    kind: zod.literal(command.CommandKind.RecordOrders),
+    orders: zod.array(
+      zod.object({
+        serverId: zod.string(),
+        fencingNumber: counter,
+        weightsVersion: zod.string(),
+        expectedOrders: counter.optional(),
+      }),
+    ),
+  }),
   zod.object({ kind: zod.literal(command.CommandKind.NoOperation) }),
 ]);
 
--- a/src/control/replica-task.ts
+++ b/src/control/replica-task.ts
@@ -30,6 +30,9 @@
   readonly onDelta: (delta: configuration.ConfigurationDelta) => void;
   readonly onSnapshot: (snapshot: configuration.ConfigurationSnapshot) => void;
   readonly onRegister: (register: registers.Register) => void;
+  readonly onOrders: (orders: readonly command.AnnouncedOrder[]) => void;
+  /** A snapshot replaced entries that this replica has not applied. */
+  readonly onEntriesSkipped: () => void;
   readonly onLeaderChange: () => void;
 }
 
@@ -330,6 +333,9 @@
     if (isRegisterChanged) {
       this.handlers.onRegister(this.control.register);
     }
+    if (decoded.kind === command.CommandKind.RecordOrders) {
+      this.handlers.onOrders(decoded.orders);
+    }
     if (applied.delta !== undefined) {
       this.handlers.onDelta(applied.delta);
       this.handlers.onSnapshot(this.control.revisions.snapshot);
@@ -343,6 +349,7 @@
     this.bytesSinceSnapshot = 0;
     this.handlers.onSnapshot(this.control.revisions.snapshot);
     this.handlers.onRegister(this.control.register);
+    this.handlers.onEntriesSkipped();
   }
 
   /**
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -72,7 +72,12 @@
     registerResource('load exchange', () => exchange.close());
     this.orders = new orders.OrderTask(
       {
-        plane: { leadership: () => plane.leadership(), configuration: () => snapshotOf(source) },
+        plane: {
+          leadership: () => plane.leadership(),
+          configuration: () => snapshotOf(source),
+          propose: (...proposal) => plane.propose(...proposal),
+          orderHistory: () => plane.orderHistory(),
+        },
         time,
         engine: (serverId) => engineLease(pool.relay(serverId)),
         servers: () => membership.servers(),
--- a/src/orders/event.ts
+++ b/src/orders/event.ts
@@ -4,6 +4,7 @@
 export enum OrderEventKind {
   BecameLeader = 'became-leader',
   LostLeadership = 'lost-leadership',
+  HistoryRead = 'history-read',
   DesiredChanged = 'desired-changed',
   ServersChanged = 'servers-changed',
   Observed = 'observed',
@@ -29,6 +30,25 @@
   readonly kind: OrderEventKind.LostLeadership;
 }
 
+/** An order of an earlier leader that may not have ended. */
+export interface EarlierOrder {
+  readonly serverId: string;
+  readonly fencingNumber: number;
+  readonly weightsVersion: string;
+  readonly expectedOrders?: number;
+  /** Monotonic time in milliseconds at which this daemon learned that the order would be sent. */
+  readonly recordedAt: number;
+}
+
+/** All orders of earlier leaders are known from `knownSince` on. */
+export interface HistoryRead extends EventBase {
+  readonly kind: OrderEventKind.HistoryRead;
+  readonly term: number;
+  /** Monotonic time in milliseconds. */
+  readonly knownSince: number;
+  readonly orders: readonly EarlierOrder[];
+}
+
 /** Replaces the desired state of all model services. */
 export interface DesiredChanged extends EventBase {
   readonly kind: OrderEventKind.DesiredChanged;
@@ -99,6 +119,7 @@
 export type OrderEvent =
   | BecameLeader
   | LostLeadership
+  | HistoryRead
   | DesiredChanged
   | ServersChanged
   | Observed
--- a/src/orders/order-task.ts
+++ b/src/orders/order-task.ts
@@ -16,7 +16,10 @@
 
 /** Dependencies of the order task. */
 export interface OrderPorts {
-  readonly plane: Pick<control.ControlPlane, 'leadership' | 'configuration'>;
+  readonly plane: Pick<
+    control.ControlPlane,
+    'leadership' | 'configuration' | 'propose' | 'orderHistory'
+  >;
   readonly time: clock.Clock;
   /** Borrows the client of an engine; `undefined` if the engine is no longer listed. */
   readonly engine: (serverId: string) => engineLease.EngineLease | undefined;
@@ -120,9 +123,26 @@
       logger.information('became leader; orders wait for those of earlier leaders to end', {
         term,
       });
+      this.readHistory(term);
     }
   }
 
+  /** Reads the orders of earlier leaders once all their entries in the log are applied here. */
+  private async readHistory(term: number): Promise<void> {
+    const { NoOperation } = control.CommandKind;
+    const read = await this.ports.plane.propose({ kind: NoOperation }, PROPOSAL_MILLISECONDS);
+    if (read.err) {
+      logger.warning('orders of earlier leaders are unknown; orders wait until those have ended', {
+        term,
+        reason: read.val,
+      });
+      return;
+    }
+    const { knownSince, orders } = this.ports.plane.orderHistory();
+    const kind = events.OrderEventKind.HistoryRead;
+    this.apply({ kind, at: this.now(), term, knownSince, orders });
+  }
+
   private readDesired(): void {
     const at = this.now();
     const services = desiredService
@@ -159,13 +179,17 @@
   private apply(event: events.OrderEvent): void {
     const step = updateModule.update(this.state, event);
     this.state = step.state;
+    this.sendRecorded(
+      step.effects.flatMap((effect) =>
+        effect.kind === effects.OrderEffectKind.SendOrder ? [effect] : [],
+      ),
+    );
     step.effects.forEach((effect) => this.execute(effect));
   }
 
   private execute(effect: effects.OrderEffect): void {
     switch (effect.kind) {
       case effects.OrderEffectKind.SendOrder:
-        this.sendOrder(effect);
         break;
       case effects.OrderEffectKind.ReadBack:
         this.readBack(effect.serverId);
@@ -175,6 +199,36 @@
     }
   }
 
+  /** Records the orders in the log before they are sent, so that the next leader knows of them. */
+  private async sendRecorded(sent: readonly effects.SendOrder[]): Promise<void> {
+    if (sent.length === 0) {
+      return;
+    }
+    const announced = sent.map(({ serverId, fencingNumber, weightsVersion, expectedOrders }) => ({
+      serverId,
+      fencingNumber,
+      weightsVersion,
+      ...(expectedOrders === undefined ? {} : { expectedOrders }),
+    }));
+    const kind = control.CommandKind.RecordOrders;
+    const recorded = await this.ports.plane.propose(
+      { kind, orders: announced },
+      PROPOSAL_MILLISECONDS,
+    );
+    sent.forEach((order) => {
+      if (recorded.ok) {
+        this.sendOrder(order);
+      } else {
+        this.applyNotSent(order);
+      }
+    });
+  }
+
+  private applyNotSent({ serverId, orderId }: effects.SendOrder): void {
+    const kind = events.OrderEventKind.OrderFailed;
+    this.apply({ kind, at: this.now(), serverId, orderId, verdict: verdict.Verdict.NotRun });
+  }
+
   private async sendOrder(order: effects.SendOrder): Promise<void> {
     const { serverId, orderId } = order;
     const { OrderAccepted, OrderFailed, OrderRefused } = events.OrderEventKind;
@@ -182,8 +236,7 @@
     const maySend = this.now() < order.sendBefore && !this.isClosed;
     if (lease === undefined || !maySend) {
       lease?.release();
-      const base = { kind: OrderFailed, at: this.now(), serverId, orderId } as const;
-      this.apply({ ...base, verdict: verdict.Verdict.NotRun });
+      this.applyNotSent(order);
       return;
     }
     const { fencingNumber, weightsVersion, expectedOrders } = order;
@@ -260,5 +313,8 @@
 // Short compared with the lease, within which an order must be sent, and with a load, which takes 0.4 s.
 const TICK_MILLISECONDS = 50;
 
+// Within the time of a lease; an order that cannot be recorded is planned again.
+const PROPOSAL_MILLISECONDS = 400;
+
 // The list has up to 2,400 entries; reading it on every tick would cost too much.
 const SERVERS_MILLISECONDS = 250;
--- a/src/orders/planning.ts
+++ b/src/orders/planning.ts
@@ -36,7 +36,11 @@
         return;
       }
       emitted.push(notices.report(effects.OrderNotice.NotCarriedOut, engine, order));
-      mutable.set(id, { ...engine, order: undefined, nextOrderAt: at });
+      mutable.set(id, {
+        ...engine,
+        order: undefined,
+        nextOrderAt: Math.max(at, engine.nextOrderAt),
+      });
     });
   });
   return transaction.create(state, emitted.length === 0 ? state : { ...state, engines }, emitted);
--- a/src/orders/state.ts
+++ b/src/orders/state.ts
@@ -81,3 +81,17 @@
     nextOrderId: 1,
   };
 }
+
+/** An engine of which nothing is known but its id. */
+export function newEngine(serverId: string): EngineState {
+  return {
+    serverId,
+    service: '',
+    listed: false,
+    suspected: false,
+    nextOrderAt: Number.NEGATIVE_INFINITY,
+    nextProbeAt: Number.NEGATIVE_INFINITY,
+    probing: false,
+    refusedTerm: Number.NEGATIVE_INFINITY,
+  };
+}
--- a/src/orders/update.ts
+++ b/src/orders/update.ts
@@ -4,8 +4,9 @@
 import type * as desiredService from './desired-service';
 import type * as effects from './effect';
 import * as events from './event';
+import * as history from './history';
 import * as planning from './planning';
-import type * as states from './state';
+import * as states from './state';
 
 /**
  * Applies one event to the state of the order core. Only the transaction of a tick contains orders, because a tick
@@ -27,6 +28,8 @@
       });
     case events.OrderEventKind.LostLeadership:
       return transaction.create(state, { ...state, issuer: undefined });
+    case events.OrderEventKind.HistoryRead:
+      return transaction.create(state, history.applyHistory(state, event));
     case events.OrderEventKind.DesiredChanged:
       return transaction.create(state, { ...state, desired: desiredFrom(event) });
     case events.OrderEventKind.ServersChanged:
@@ -39,16 +42,13 @@
 }
 
 /**
- * Delays the first orders of a leader until the orders of all earlier leaders have ended. Engines that check fencing
+ * Delays the first orders of a leader until the orders of all earlier leaders have ended, or until it knows them
+ * (`HistoryRead`). Engines that check fencing
  * numbers are no exception: while an unknown order may be executing, neither the limit on concurrent loads nor the
  * rule that half of the engines stay loaded could be kept.
  */
 function issuerFrom(state: states.OrderState, event: events.BecameLeader): states.Issuer {
-  const { longestLeaseMilliseconds, longestOrderMilliseconds, settleMilliseconds } =
-    state.parameters;
-  const delay = settleMilliseconds ?? longestLeaseMilliseconds + longestOrderMilliseconds;
-  const sendFrom = event.at + delay;
-  return { term: event.term, sendFrom };
+  return { term: event.term, sendFrom: event.at + history.settleMilliseconds(state.parameters) };
 }
 
 /** Drops the observation: another leader may have changed the weights since an earlier term of this one. */
@@ -68,7 +68,7 @@
   event: events.ServersChanged,
 ): immutable.Map<string, states.EngineState> {
   const listed = event.engines.map((engine) => {
-    const previous = state.engines.get(engine.id) ?? newEngine(engine);
+    const previous = state.engines.get(engine.id) ?? states.newEngine(engine.id);
     const { service, suspected, weightsVersion } = engine;
     const next = { ...previous, service, suspected, listedWeights: weightsVersion, listed: true };
     return [engine.id, next] as const;
@@ -78,16 +78,3 @@
     .map((engine) => ({ ...engine, listed: false }));
   return unlisted.merge(immutable.Map(listed));
 }
-
-function newEngine(engine: events.ListedEngine): states.EngineState {
-  return {
-    serverId: engine.id,
-    service: engine.service,
-    listed: true,
-    suspected: engine.suspected,
-    nextOrderAt: Number.NEGATIVE_INFINITY,
-    nextProbeAt: Number.NEGATIVE_INFINITY,
-    probing: false,
-    refusedTerm: Number.NEGATIVE_INFINITY,
-  };
-}
--- a/test/orders/order-log.test.ts
+++ b/test/orders/order-log.test.ts
@@ -41,7 +41,12 @@
   };
   const task = new orders.OrderTask(
     {
-      plane: { leadership: () => status, configuration: () => ({ revision: 1, documents }) },
+      plane: {
+        leadership: () => status,
+        configuration: () => ({ revision: 1, documents }),
+        propose: async () => new results.Ok({ kind: control.CommandResultKind.Done } as const),
+        orderHistory: () => ({ knownSince: time.monotonic(), orders: [] }),
+      },
       time,
       engine: () => ({ client, release: () => {} }),
       servers: () => [ENGINE],
--- a/test/orders/order-simulation.ts
+++ b/test/orders/order-simulation.ts
@@ -35,6 +35,8 @@
   /** Longest time until an order arrives. */
   readonly transitMilliseconds: number;
   readonly checksFencing: (service: string) => boolean;
+  /** Whether leaders record their orders in a log, which a new leader reads; otherwise it only waits. */
+  readonly recordsOrders?: boolean;
 }
 
 export const STEP_MILLISECONDS = 10;
@@ -69,6 +71,8 @@
 
   private leader = 0;
 
+  private readonly recorded: orders.EarlierOrder[] = [];
+
   private versions: Record<string, number> = { desk: 1, office: 1, solo: 1 };
 
   constructor(private readonly options: SimulationOptions) {
@@ -81,7 +85,7 @@
       }),
     );
     const network: issuerModule.IssuerNetwork = {
-      sendOrder: (issuer, order) => this.sendOrder(issuer, order),
+      sendOrder: (issuer, order) => this.recordOrder(issuer, order),
       readBack: (issuer, serverId) => this.readBack(issuer, serverId),
     };
     this.issuers = [0, 1, 2].map(() => new issuerModule.Issuer(PARAMETERS, network));
@@ -157,6 +161,11 @@
     this.term += 1;
     this.leader = index;
     issuer.apply({ kind: OrderEventKind.BecameLeader, at: this.now, term: this.term });
+    if (this.options.recordsOrders) {
+      const { now: at, term } = this;
+      const history = { at, term, knownSince: -Infinity, orders: lastOfEach(this.recorded) };
+      issuer.apply({ kind: OrderEventKind.HistoryRead, ...history });
+    }
   }
 
   private learnOfNewLeader(issuer: issuerModule.Issuer): void {
@@ -205,6 +214,20 @@
     issuer.tick(at);
   }
 
+  /** Records the order first, which takes a while and fails once the log has the entries of a later leader. */
+  private recordOrder(issuer: issuerModule.Issuer, order: orders.SendOrder): void {
+    if (!this.options.recordsOrders) {
+      this.sendOrder(issuer, order);
+    } else if (issuer.term !== this.term) {
+      const { serverId, orderId } = order;
+      const outcome = { serverId, orderId, verdict: verdict.Verdict.NotRun };
+      this.answer(issuer, 0, (at) => ({ kind: OrderEventKind.OrderFailed, at, ...outcome }));
+    } else {
+      this.recorded.push({ ...order, recordedAt: this.now });
+      this.later(RECORD_MILLISECONDS, () => this.sendOrder(issuer, order));
+    }
+  }
+
   private sendOrder(issuer: issuerModule.Issuer, order: orders.SendOrder): void {
     const { serverId, orderId, fencingNumber, weightsVersion } = order;
     const base = { serverId, orderId };
@@ -283,6 +306,13 @@
   }
 }
 
+function lastOfEach(recorded: readonly orders.EarlierOrder[]): readonly orders.EarlierOrder[] {
+  return [...new Map(recorded.map((order) => [order.serverId, order])).values()];
+}
+
 const TICK_MILLISECONDS = 50;
 
+/** Longest time until a majority has an order on disk. */
+const RECORD_MILLISECONDS = 40;
+
 const SETTLE_MILLISECONDS = 120_000;
--- a/test/orders/property.test.ts
+++ b/test/orders/property.test.ts
@@ -61,6 +61,21 @@
   }),
 );
 
+/**
+ * The same for leaders that read which orders earlier leaders have recorded and do not wait otherwise. Guards against an
+ * order to an engine that may still execute that of an earlier leader.
+ */
+suite('leaders that know the orders of earlier ones never overload an engine or a service', () =>
+  check(20_261_205, { ...WITHIN_BOUNDS, recordsOrders: true }, (simulation) => {
+    assert.is(simulation.settle(), true);
+    assert.equal(simulation.violations, []);
+    assert.equal(
+      simulation.engines.flatMap((engine) => engine.violations),
+      [],
+    );
+  }),
+);
+
 /** Guards against fencing numbers that do not increase with the leaders: here an order may arrive very late. */
 suite(
   'an engine that checks fencing numbers never executes a late order of an earlier leader',
--- a/test/orders/roll-out-simulation.ts
+++ b/test/orders/roll-out-simulation.ts
@@ -64,6 +64,9 @@
 
   private readonly random: clock.RandomSource;
 
+  /** The last order of each engine, as a leader has recorded it in the log before sending it. */
+  private readonly recorded = new Map<string, orders.EarlierOrder>();
+
   /** Orders that may still be carried out, by engine and term. */
   private readonly inFlight = new Map<string, orders.SendOrder[]>();
 
@@ -151,6 +154,13 @@
       at: this.now,
       term: index + 1,
     });
+    this.issuers[index].apply({
+      kind: OrderEventKind.HistoryRead,
+      at: this.now,
+      term: index + 1,
+      knownSince: index === 0 ? this.now : -Infinity,
+      orders: [...this.recorded.values()],
+    });
   }
 
   private step(): void {
@@ -217,6 +227,7 @@
     const { serverId, orderId, fencingNumber, weightsVersion, expectedOrders: expected } = order;
     const engine = this.engines.find(({ id }) => id === serverId)!;
     this.ordersSent += 1;
+    this.recordOrder(order);
     const key = `${serverId} of term ${fencingNumber}`;
     const surelyEndsAt = this.now + this.options.parameters.longestOrderMilliseconds;
     const arrival = this.arrivalOf();
@@ -266,6 +277,16 @@
     });
   }
 
+  /** A sender other than that of the order before has to leave the time of a lease between the two. */
+  private recordOrder(order: orders.SendOrder): void {
+    const before = this.recorded.get(order.serverId);
+    const isOtherSender = before !== undefined && before.fencingNumber !== order.fencingNumber;
+    if (isOtherSender && this.now - before.recordedAt < LEASE_BOUND_MILLISECONDS) {
+      this.violations.push(`${order.serverId}: orders of two senders at ${this.now}`);
+    }
+    this.recorded.set(order.serverId, { ...order, recordedAt: this.now });
+  }
+
   /** While one order is carried out, the engine must refuse every other order of the same term that is in flight. */
   private checkOthersExcluded(
     engine: platformEngine.PlatformEngine,
@@ -324,6 +345,9 @@
 
 const LEASE_MILLISECONDS = 400;
 
+/** The platform counts orders of two senders to one engine within this time as a conflict. */
+const LEASE_BOUND_MILLISECONDS = 3_000;
+
 const ELECTION_MILLISECONDS = 300;
 
 /** After the time for which the first leader must not send orders. */
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -57,6 +57,10 @@
     return () => {};
   }
 
+  override orderHistory(): control.OrderHistory {
+    return { knownSince: Number.POSITIVE_INFINITY, orders: [] };
+  }
+
   override broadcast(topic: control.PeerTopic, payload: unknown): void {
     [...this.shared.planes]
       .filter((plane) => plane !== this && !plane.isCutOff && !this.isCutOff)
