--- a/src/load/measure/run.ts
+++ b/src/load/measure/run.ts
@@ -20,6 +20,7 @@
   readonly json: boolean;
   /** Folder for processor profiles of the platform's daemons. */
   readonly profile?: string;
+  readonly size: string;
   readonly help?: boolean;
 }
 
@@ -43,6 +44,9 @@
   command.option('--rounds <n>', 'Number of times each measurement is repeated', { default: 3 });
   command.option('--window-seconds <n>', 'Length of one measurement, in seconds', { default: 8 });
   command.option('--profile <folder>', 'Folder for the processor profiles of --part gateway');
+  command.option('--size <name>', 'Deployment of --part gateway: grown or large', {
+    default: 'grown',
+  });
   command.option('--json', 'Print JSON lines', { default: false });
   command.help();
   return command.parse().options as Flags;
@@ -78,8 +82,8 @@
 }
 
 /** A separate program measures the platform's daemons, because only that program uses their formats. */
-async function gateway({ rounds, windowSeconds, profile }: Flags): Promise<void> {
-  const flags = [`--rounds=${rounds}`, `--window-seconds=${windowSeconds}`];
+async function gateway({ rounds, windowSeconds, profile, size }: Flags): Promise<void> {
+  const flags = [`--rounds=${rounds}`, `--window-seconds=${windowSeconds}`, `--size=${size}`];
   const profiled = profile === undefined ? [] : [`--profile=${profile}`];
   const measurement = child.Child.start('../tools/measure/gateway-run.js', [...flags, ...profiled]);
   await measurement.forwardOutput();
--- a/tools/measure/gateway-run.ts
+++ b/tools/measure/gateway-run.ts
@@ -13,6 +13,7 @@
   readonly windowSeconds: number;
   readonly phases: string;
   readonly programs: string;
+  readonly size: plan.DeploymentSize;
   readonly nodeArguments?: string;
   readonly profile?: string;
   readonly help?: boolean;
@@ -25,10 +26,11 @@
   readonly requestsPerSecond: number;
 }
 
-/** The mean rate of a gateway in a grown deployment is 4.4 requests a second. */
+/** The mean rate of a gateway is 4.4 requests a second in a grown deployment and 2 in a large one. */
 const PHASES: readonly Phase[] = [
   { name: 'idle', arePeersBusy: false, requestsPerSecond: 0 },
   { name: 'peers busy', arePeersBusy: true, requestsPerSecond: 0 },
+  { name: '2/s', arePeersBusy: true, requestsPerSecond: 2 },
   { name: '4.4/s', arePeersBusy: true, requestsPerSecond: 4.4 },
   { name: '20/s', arePeersBusy: true, requestsPerSecond: 20 },
 ];
@@ -61,6 +63,9 @@
       default: '../../target/platform/main.js',
     },
   );
+  command.option('--size <name>', `One of ${Object.values(plan.DeploymentSize).join(', ')}`, {
+    default: plan.DeploymentSize.Grown,
+  });
   command.option('--node-arguments <list>', 'Arguments for Node.js, separated by commas');
   command.option('--profile <folder>', 'Folder to which all daemons write processor profiles');
   command.help();
@@ -68,6 +73,9 @@
   if (flags.help) {
     return;
   }
+  if (plan.DEPLOYMENTS[flags.size] === undefined) {
+    throw new Error(`--size ${flags.size} is unknown`);
+  }
   if (!(flags.rounds <= MAXIMUM_ROUNDS) || !(flags.windowSeconds <= MAXIMUM_WINDOW_SECONDS)) {
     throw new Error(`use at most ${MAXIMUM_ROUNDS} rounds of ${MAXIMUM_WINDOW_SECONDS} s`);
   }
@@ -90,7 +98,7 @@
 ): Promise<void> {
   const nodeArguments = flags.nodeArguments?.split(',') ?? [];
   const deployment = new deploymentUnderTest.Deployment(
-    plan.LARGE_DEPLOYMENT,
+    plan.DEPLOYMENTS[flags.size],
     program,
     nodeArguments,
     flags.profile,
--- a/tools/measure/plan.ts
+++ b/tools/measure/plan.ts
@@ -8,13 +8,15 @@
   readonly teams: number;
 }
 
-/** The larger of the grown deployments. */
-export const LARGE_DEPLOYMENT: DeploymentPlan = {
-  controls: 6,
-  engines: 63,
-  plainServers: 6,
-  peers: 86,
-  teams: 86,
+export enum DeploymentSize {
+  /** The larger of the grown deployments. */
+  Grown = 'grown',
+  Large = 'large',
+}
+
+export const DEPLOYMENTS: Readonly<Record<DeploymentSize, DeploymentPlan>> = {
+  [DeploymentSize.Grown]: { controls: 6, engines: 63, plainServers: 6, peers: 86, teams: 86 },
+  [DeploymentSize.Large]: { controls: 6, engines: 109, plainServers: 6, peers: 193, teams: 140 },
 };
 
 /** Requests to the gateway under test. */
