Wake up an idle gateway only when something is due

Cause: an idle gateway woke up 51 times a second: membership ticks that went through all servers (10), the stall detector (10), the monitor of the process (10), the copy of the list (5), load reports (5) and messages.

Change: the membership task sets a timer for the next probe or report, if there is one; the shared list tells of changes instead of being read five times a second (each 0.5 s remains for a daemon that has lost the leader); the stall detector runs while requests are in flight; the monitor samples twice a second.

--- a/src/backend/machine.ts
+++ b/src/backend/machine.ts
@@ -38,4 +38,7 @@
 export abstract class MachineList {
   /** Reads the whole list. After an `Err` the caller continues with the previous list. */
   abstract read(): Promise<results.Result<readonly MachineRecord[], verdict.RequestFailure>>;
+
+  /** Calls `listener` when `read` would return another list; absent if the source does not notice changes. */
+  onChange?(listener: () => void): () => void;
 }
--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -52,6 +52,8 @@
 
   private requestedAt = Number.NEGATIVE_INFINITY;
 
+  private readonly listeners = new Set<() => void>();
+
   private readonly unsubscribe: () => void;
 
   constructor(private readonly ports: SharedListPorts) {
@@ -74,8 +76,15 @@
       : this.readSource(now, FALLBACK_READ_INTERVAL_MILLISECONDS);
   }
 
+  /** The listener is called on each change that the leader has sent. */
+  override onChange(listener: () => void): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
   close(): void {
     this.unsubscribe();
+    this.listeners.clear();
   }
 
   private isFresh(now: number): boolean {
@@ -168,6 +177,7 @@
     this.machines = machines;
     this.edition = edition;
     this.lastContactAt = this.ports.time.monotonic();
+    this.listeners.forEach((listener) => listener());
   }
 
   private sendFullList(to: string): void {
--- a/src/gateway/stall-detector.ts
+++ b/src/gateway/stall-detector.ts
@@ -18,20 +18,22 @@
 export class StallDetector {
   private readonly servers = new Map<string, ServerRecord>();
 
-  private timer!: clock.Timer;
+  /** Absent while no attempt is in flight. */
+  private timer: clock.Timer | undefined;
 
   constructor(
     private readonly time: clock.Clock,
     private readonly observer: Pick<routing.ServerObserver, 'attemptFailed'>,
-  ) {
-    this.scheduleCheck();
-  }
+  ) {}
 
   /** An attempt was sent. */
   attemptSent(serverId: string): void {
     const record = this.servers.get(serverId);
     if (record === undefined) {
       this.servers.set(serverId, { attempts: 1, lastDataAt: this.time.monotonic() });
+      if (this.timer === undefined) {
+        this.scheduleCheck();
+      }
     } else {
       record.attempts += 1;
     }
@@ -57,14 +59,17 @@
   }
 
   close(): void {
-    this.timer.cancel();
+    this.timer?.cancel();
   }
 
   private scheduleCheck(): void {
     const dueAt = this.time.monotonic() + CHECK_INTERVAL_MILLISECONDS;
     this.timer = this.time.setTimer(CHECK_INTERVAL_MILLISECONDS, () => {
       this.check(Math.max(0, this.time.monotonic() - dueAt));
-      this.scheduleCheck();
+      this.timer = undefined;
+      if (this.servers.size > 0) {
+        this.scheduleCheck();
+      }
     });
   }
 
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -218,15 +218,40 @@
 function tick(view: membershipView.MembershipView, at: number): Step {
   const effects: effect.MembershipEffect[] = [];
   const servers = view.servers.withMutations((mutable) => {
-    view.servers.forEach((server, id) => {
-      const change = serverChange.then(probeIfDue(server, at), (next) => repeatReport(next, at));
-      effects.push(...change.effects);
-      mutable.set(id, change.server);
-    });
+    view.servers
+      .filter((server) => dueAt(server) <= at)
+      .forEach((server, id) => {
+        const change = serverChange.then(probeIfDue(server, at), (next) => repeatReport(next, at));
+        effects.push(...change.effects);
+        mutable.set(id, change.server);
+      });
   });
   return transaction.create(view, servers === view.servers ? view : { ...view, servers }, effects);
 }
 
+/**
+ * Monotonic time in milliseconds of the first tick that does anything; infinite if there is none until the view changes.
+ *
+ * @example
+ * setTimer(membership.nextTickAt(view) - now, tick);
+ */
+export function nextTickAt(view: membershipView.MembershipView): number {
+  return view.servers.reduce(
+    (earliest, server) => Math.min(earliest, dueAt(server)),
+    Number.POSITIVE_INFINITY,
+  );
+}
+
+/** The next probe or the next report that a server is leaving, whichever comes first. */
+function dueAt({ probeStartedAt, nextProbeAt, leaving }: membershipView.ServerState): number {
+  return Math.min(
+    probeStartedAt === undefined ? nextProbeAt : Number.POSITIVE_INFINITY,
+    leaving?.source === membershipView.LeavingSource.Own
+      ? leaving.reportedAt + REPORT_INTERVAL_MILLISECONDS
+      : Number.POSITIVE_INFINITY,
+  );
+}
+
 function probeIfDue(server: membershipView.ServerState, at: number): serverChange.ServerChange {
   const isRunning = server.probeStartedAt !== undefined;
   const isDue = server.nextProbeAt <= at;
--- a/src/metrics/process-monitor.ts
+++ b/src/metrics/process-monitor.ts
@@ -92,7 +92,8 @@
 
 const logger = new logging.Logger('process');
 
-const SAMPLE_MILLISECONDS = 100;
+/** Each sample wakes the process, also while it is idle. */
+const SAMPLE_MILLISECONDS = 500;
 
 /** One line and three gauges every 5 s are far below the limit on log lines. */
 const WINDOW_MILLISECONDS = 5_000;
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -20,11 +20,6 @@
   readonly random: clock.RandomSource;
 }
 
-enum TimerName {
-  List = 'list',
-  Tick = 'tick',
-}
-
 /**
  * Maintains the membership view: reads the platform's list, runs probes, exchanges reports with the peers,
  * and reports to the decision task which servers are eligible for new requests.
@@ -36,10 +31,17 @@
 
   private isClosed = false;
 
-  private readonly timers = new Map<TimerName, clock.Timer>();
+  private listTimer: clock.Timer | undefined;
+
+  private tickTimer: clock.Timer | undefined;
+
+  /** Monotonic time in milliseconds for which the next tick is scheduled. */
+  private tickAt = Number.POSITIVE_INFINITY;
 
   private unsubscribe: (() => void) | undefined;
 
+  private unsubscribeFromList: (() => void) | undefined;
+
   private resolveFirstList: (() => void) | undefined;
 
   /** The list that was applied last. */
@@ -65,11 +67,9 @@
     const firstList = new Promise<void>((resolve) => {
       this.resolveFirstList = resolve;
     });
+    this.unsubscribeFromList = this.ports.list.onChange?.(() => this.readList());
     this.readList();
-    this.repeat(TimerName.List, this.machineListIntervalMilliseconds, () => this.readList());
-    this.repeat(TimerName.Tick, TICK_MILLISECONDS, () => {
-      this.apply({ kind: membership.MembershipEventKind.Tick, at: this.now() });
-    });
+    this.repeatList();
     await firstList;
   }
 
@@ -117,7 +117,9 @@
   close(): void {
     this.isClosed = true;
     this.unsubscribe?.();
-    this.timers.forEach((timer) => timer.cancel());
+    this.unsubscribeFromList?.();
+    this.listTimer?.cancel();
+    this.tickTimer?.cancel();
   }
 
   private now(): number {
@@ -159,6 +161,9 @@
   private apply(event: membership.MembershipEvent): void {
     const step = membership.update(this.view, event);
     this.view = step.state;
+    if (step.state !== step.startState) {
+      this.scheduleTick();
+    }
     // The decision core needs a crash report while it still has the server; the list of servers excludes dead ones.
     step.effects.forEach((effect) => this.carryOut(effect));
     if (changesServers(step, event)) {
@@ -215,16 +220,33 @@
     this.apply({ kind: ProbeSucceeded, ...base, ...outcome.val });
   }
 
-  private repeat(name: TimerName, milliseconds: number, action: () => void | Promise<void>): void {
+  /** Reads the list again and again, because a daemon without contact to the leader gets no changes. */
+  private repeatList(): void {
     if (this.isClosed) {
       return;
     }
-    const intervalMilliseconds = milliseconds * (0.9 + this.ports.random.uniform() / 5);
-    const timer = this.ports.time.setTimer(intervalMilliseconds, async () => {
-      await action();
-      this.repeat(name, milliseconds, action);
+    const { random, time } = this.ports;
+    const milliseconds = this.machineListIntervalMilliseconds * (0.9 + random.uniform() / 5);
+    this.listTimer = time.setTimer(milliseconds, async () => {
+      await this.readList();
+      this.repeatList();
+    });
+  }
+
+  /** Moves the next tick to an earlier time if the view requires it; most daemons need no tick for a long time. */
+  private scheduleTick(): void {
+    const nextAt = membership.nextTickAt(this.view);
+    if (this.isClosed || nextAt >= this.tickAt) {
+      return;
+    }
+    this.tickTimer?.cancel();
+    const delay = Math.max(TICK_MILLISECONDS, nextAt - this.now());
+    this.tickAt = this.now() + delay;
+    this.tickTimer = this.ports.time.setTimer(delay, () => {
+      this.tickAt = Number.POSITIVE_INFINITY;
+      this.apply({ kind: membership.MembershipEventKind.Tick, at: this.now() });
+      this.scheduleTick();
     });
-    this.timers.set(name, timer);
   }
 }
 
@@ -257,6 +279,7 @@
 
 const logger = new logging.Logger('membership');
 
+/** Probes that become due within this time start together. */
 const TICK_MILLISECONDS = 100;
 
 const { FailureReason } = verdict;
