Relay: less work for each event of a stream

Cause: each event was an observation in a histogram of the library, which builds and hashes an object of labels, and an event of the decision core.

Change: histograms count in plain arrays and render through the registry of the library. The core hears of the first event at once, and of later ones together each 100 ms; it averages the pauses already. A stream counts as overdue 100 ms later, since its last event may not have been reported.

--- a/src/decision/stragglers.ts
+++ b/src/decision/stragglers.ts
@@ -33,7 +33,7 @@
       waiting.length === 0 ? undefined : health.medianPieceGap(step.state.timings, pool);
     waiting.forEach((serverId) => {
       const wait = waits.get(serverId)!;
-      if (median !== undefined && wait > median * OVERDUE_RATIO) {
+      if (median !== undefined && wait > median * OVERDUE_RATIO + REPORT_MILLISECONDS) {
         step.change({
           timings: health.recordPieceGap(step.state.timings, serverId, wait, step.at),
         });
@@ -43,3 +43,6 @@
 }
 
 const OVERDUE_RATIO = 3;
+
+/** The pieces of a stream are reported up to this late, several at once. */
+const REPORT_MILLISECONDS = 100;
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -35,6 +35,9 @@
 
   private readonly timer: clock.Timer;
 
+  /** The attempt whose events the core was told of last, and when. */
+  private reportedEvents: { readonly attemptId?: string; readonly at: number } = { at: 0 };
+
   constructor(
     private readonly call: RelayCall,
     protected override readonly context: relayContext.RelayContext,
@@ -187,12 +190,19 @@
     };
   }
 
+  /** Reports the first event of an attempt at once and later ones together, several times a second. */
   private reportEvent(effect: decision.Dispatch): void {
     this.meter.pieceReceived();
     const { task } = this.context;
+    const at = task.now();
+    const isFirst = this.reportedEvents.attemptId !== effect.attemptId;
+    if (!isFirst && at - this.reportedEvents.at < EVENT_REPORT_MILLISECONDS) {
+      return;
+    }
+    this.reportedEvents = { attemptId: effect.attemptId, at };
     task.feed({
       kind: decision.DecisionEventKind.PieceReceived,
-      at: task.now(),
+      at,
       requestId: this.profile.requestId,
       attemptId: effect.attemptId,
       nextPiece: this.deliveryProgress.events,
@@ -252,6 +262,9 @@
 
 const logger = new logging.Logger('gateway');
 
+/** The core averages the pauses between the events of this time. */
+const EVENT_REPORT_MILLISECONDS = 100;
+
 /** One-way delay from a server in another region. */
 const LOAD_AGE_MILLISECONDS = 10;
 
--- a/src/metrics/prometheus-metrics.ts
+++ b/src/metrics/prometheus-metrics.ts
@@ -1,4 +1,5 @@
 import * as prometheus from 'prom-client';
+import * as aggregatedHistogram from './aggregated-histogram';
 import * as metrics from './metrics';
 
 const TAGS = ['team', 'class', 'service', 'verdict', 'reason'] as const;
@@ -9,7 +10,10 @@
 export class PrometheusMetrics extends metrics.Metrics {
   private readonly registry = new prometheus.Registry();
 
-  private readonly histograms = new Map<metrics.Histogram, prometheus.Histogram<Tag>>();
+  private readonly histograms = new Map<
+    metrics.Histogram,
+    aggregatedHistogram.AggregatedHistogram
+  >();
 
   private readonly counters = new Map<metrics.Counter, prometheus.Counter<Tag>>();
 
@@ -42,12 +46,8 @@
     );
   }
 
-  override observe(
-    histogram: metrics.Histogram,
-    value: number,
-    { team, class: requestClass, service }: metrics.MetricTags,
-  ): void {
-    this.histograms.get(histogram)?.observe(defined({ team, class: requestClass, service }), value);
+  override observe(histogram: metrics.Histogram, value: number, tags: metrics.MetricTags): void {
+    this.histograms.get(histogram)?.observe(value, tags);
   }
 
   override count(counter: metrics.Counter, tags: metrics.MetricTags, amount = 1): void {
@@ -72,14 +72,14 @@
     this.registry.clear();
   }
 
-  private open(name: metrics.Histogram): prometheus.Histogram<Tag> {
-    return new prometheus.Histogram({
-      name: `figline_${name}`,
-      help: `Distribution of ${name.replaceAll('_', ' ')}`,
-      labelNames: TAGS,
-      buckets: BUCKETS,
-      registers: [this.registry],
-    });
+  private open(name: metrics.Histogram): aggregatedHistogram.AggregatedHistogram {
+    const opened = new aggregatedHistogram.AggregatedHistogram(
+      `figline_${name}`,
+      `Distribution of ${name.replaceAll('_', ' ')}`,
+      BUCKETS,
+    );
+    this.registry.registerMetric(opened as unknown as prometheus.Metric);
+    return opened;
   }
 }
 
