Decision: compute pools, home orders and cache look-ups once for each event

Cause: an arrival compares all servers when it is admitted, when it is dispatched and when a source of cached blocks is chosen; each time the pool was built, ranked by hashing and looked up again.

Change: a step keeps such values while their inputs are the same objects.

--- a/src/decision/cache-source.ts
+++ b/src/decision/cache-source.ts
@@ -17,7 +17,7 @@
   if (profile.chainTokens === undefined || profile.prefixChain.length < 2) {
     return undefined;
   }
-  const cacheLookup = new cachedPrefixLookup.CachedPrefixLookup(step, profile);
+  const cacheLookup = cachedPrefixLookup.lookupOf(step, profile);
   const candidates = step
     .pool(profile.service)
     .filter((server) => isUsableSource(server, choice.server))
--- a/src/decision/cached-prefix-lookup.ts
+++ b/src/decision/cached-prefix-lookup.ts
@@ -3,6 +3,16 @@
 import type * as state from './state';
 import type * as steps from './step';
 
+/** The lookup for a prompt, which all comparisons of servers for one event share. */
+export function lookupOf(step: steps.Step, profile: event.RequestProfile): CachedPrefixLookup {
+  const { index, peerCache } = step.state;
+  return step.memoize(
+    `cache/${profile.requestId}`,
+    [index, peerCache],
+    () => new CachedPrefixLookup(step, profile),
+  );
+}
+
 /**
  * Estimates how much of one prompt each server has cached, from the prompts that this daemon and its peers
  * have sent there. An instance serves one request at one moment, so that it looks up the prompt's prefixes
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -206,36 +206,76 @@
   return target && step.state.servers.get(target.record.id);
 }
 
+/** The servers of a service that may get new requests. */
+interface EligiblePool {
+  readonly servers: readonly state.ServerState[];
+  readonly serverIds: readonly string[];
+  readonly meanRequests: number;
+  readonly newestWeights?: string;
+}
+
+function eligiblePool(step: steps.Step, service: string): EligiblePool {
+  const pool = step.pool(service);
+  return step.memoize(`eligible/${service}`, [pool], () => {
+    const servers = pool.filter((server) => server.eligible);
+    const total = servers.reduce(
+      (sum, server) => sum + placement.totalLoad(server.load).requests,
+      0,
+    );
+    return {
+      servers,
+      serverIds: servers.map((server) => server.record.id),
+      meanRequests: total / Math.max(1, servers.length),
+      newestWeights: newestWeights(servers),
+    };
+  });
+}
+
+/** The servers in the order in which they become homes of the request's prefix. */
+interface HomeOrder {
+  readonly ranked: readonly string[];
+  readonly ranks: ReadonlyMap<string, number>;
+}
+
+function homeOrder(
+  step: steps.Step,
+  { profile }: state.RequestState,
+  affinityKey: string,
+): HomeOrder {
+  const { prefixChain } = profile;
+  const { serverIds } = eligiblePool(step, profile.service);
+  const outerPrefix = prefixChain[placement.outerPrefixDepth(prefixChain.length) - 1];
+  const outerHomes =
+    outerPrefix === undefined
+      ? 0
+      : OUTER_PREFIX_RESERVE +
+        placement.homeCount(step.state.prefixDemand, outerPrefix, serverIds.length, step.at);
+  return step.memoize(`homes/${profile.requestId}`, [serverIds, outerHomes], () => {
+    const ranked =
+      outerPrefix === undefined
+        ? placement.rankServers(affinityKey, serverIds)
+        : placement.rankNested(outerPrefix, outerHomes, affinityKey, serverIds);
+    return { ranked, ranks: new Map(ranked.map((serverId, rank) => [serverId, rank])) };
+  });
+}
+
 function contextOf(step: steps.Step, request: state.RequestState): Context {
   const { profile } = request;
   const service = step.state.services.get(profile.service);
-  const pool = step.pool(profile.service).filter((server) => server.eligible);
+  const pool = eligiblePool(step, profile.service);
   const keyDepth = placement.affinityKeyDepth(profile.prefixChain.length);
   const affinityKey = profile.prefixChain[keyDepth - 1] ?? '';
-  const outerPrefix =
-    profile.prefixChain[placement.outerPrefixDepth(profile.prefixChain.length) - 1];
-  const serverIds = pool.map((server) => server.record.id);
-  const ranked =
-    outerPrefix === undefined
-      ? placement.rankServers(affinityKey, serverIds)
-      : placement.rankNested(
-          outerPrefix,
-          OUTER_PREFIX_RESERVE +
-            placement.homeCount(step.state.prefixDemand, outerPrefix, pool.length, step.at),
-          affinityKey,
-          serverIds,
-        );
-  const total = pool.reduce((sum, server) => sum + placement.totalLoad(server.load).requests, 0);
+  const { ranked, ranks } = homeOrder(step, request, affinityKey);
   return {
     slots: service?.slotsPerRunner ?? 1,
     cacheTokens: cacheTokensOf(service),
     prefillTokensPerSecond: prefillRate(service),
-    ranks: new Map(ranked.map((serverId, rank) => [serverId, rank])),
-    homeCount: currentHomeCount(step, pool, ranked, affinityKey, total / Math.max(1, pool.length)),
+    ranks,
+    homeCount: currentHomeCount(step, pool, ranked, affinityKey),
     sharedBlocks: Math.max(keyDepth, profile.prefixChain.length - 1),
-    meanRequests: total / Math.max(1, pool.length),
-    newestWeights: newestWeights(pool),
-    cacheLookup: new cachedPrefixLookup.CachedPrefixLookup(step, profile),
+    meanRequests: pool.meanRequests,
+    newestWeights: pool.newestWeights,
+    cacheLookup: cachedPrefixLookup.lookupOf(step, profile),
     request: {
       promptTokens: profile.promptTokens,
       chain: profile.prefixChain,
@@ -324,18 +364,17 @@
  */
 function currentHomeCount(
   step: steps.Step,
-  pool: readonly state.ServerState[],
+  { servers, meanRequests }: EligiblePool,
   ranked: readonly string[],
   affinityKey: string,
-  meanRequests: number,
 ): number {
   if (affinityKey === '') {
-    return pool.length;
+    return servers.length;
   }
   const usualHomeCount = placement.homeCount(
     step.state.prefixDemand,
     affinityKey,
-    pool.length,
+    servers.length,
     step.at,
   );
   const limit = Math.min(
--- a/src/decision/step.ts
+++ b/src/decision/step.ts
@@ -5,12 +5,19 @@
 import * as pendingLoads from './pending-loads';
 import type * as state from './state';
 
+interface Memo {
+  readonly inputs: readonly unknown[];
+  readonly value: unknown;
+}
+
 /** Collects the state changes and effects of one event during one call of `update`. */
 export class Step {
   readonly effects: effect.DecisionEffect[] = [];
 
   state: state.DecisionState;
 
+  private readonly memos = new Map<string, Memo>();
+
   constructor(
     private readonly startState: state.DecisionState,
     readonly at: number,
@@ -45,10 +52,29 @@
   }
 
   /** The servers of a service, also those that may get no new requests. */
-  pool(service: string): state.ServerState[] {
+  pool(service: string): readonly state.ServerState[] {
     this.applyPendingLoads();
-    const serverIds = this.state.pools.get(service) ?? [];
-    return serverIds.map((serverId) => this.state.servers.get(serverId)!);
+    const { servers, pools } = this.state;
+    return this.memoize(`pool/${service}`, [servers, pools], () =>
+      (pools.get(service) ?? []).map((serverId) => servers.get(serverId)!),
+    );
+  }
+
+  /**
+   * Returns the last value of this name as long as the inputs are the same objects or equal numbers: one event compares
+   * all servers several times, and what it computes from them changes in between only sometimes.
+   *
+   * @example
+   * step.memoize('ids', [step.state.servers], () => [...step.state.servers.keys()]);
+   */
+  memoize<Value>(name: string, inputs: readonly unknown[], compute: () => Value): Value {
+    const memo = this.memos.get(name);
+    if (memo !== undefined && inputs.every((input, index) => input === memo.inputs[index])) {
+      return memo.value as Value;
+    }
+    const value = compute();
+    this.memos.set(name, { inputs, value });
+    return value;
   }
 
   /** Applies the last report of all daemons' load, if there is one that was not applied yet. */
