Membership: tell peers of a suspicion only once a probe has failed

Cause: an engine from which nothing arrives for 0.7 s is suspected; on a busy engine that is a request in its queue. The suspicion was reported to the six control daemons, and each probed the engine too. It was repeated each 0.7 s.

Change: a daemon reports a server to its peers when its first probe has failed. A silent server is reported again after 1.4 s, then each 2.8 s, until data arrives. The test of the first probe now demands that nothing is reported before it fails; a second one demands the report after it, and that a peer which was told does not report in turn.

--- a/src/gateway/stall-detector.ts
+++ b/src/gateway/stall-detector.ts
@@ -7,6 +7,8 @@
   attempts: number;
   /** When data last arrived from the server, or its first attempt was sent. */
   lastDataAt: number;
+  /** Time without data after which the server is reported; it grows with each report until data arrives. */
+  patienceMilliseconds: number;
 }
 
 /**
@@ -30,7 +32,11 @@
   attemptSent(serverId: string): void {
     const record = this.servers.get(serverId);
     if (record === undefined) {
-      this.servers.set(serverId, { attempts: 1, lastDataAt: this.time.monotonic() });
+      this.servers.set(serverId, {
+        attempts: 1,
+        lastDataAt: this.time.monotonic(),
+        patienceMilliseconds: STALL_MILLISECONDS,
+      });
       if (this.timer === undefined) {
         this.scheduleCheck();
       }
@@ -44,6 +50,7 @@
     const record = this.servers.get(serverId);
     if (record !== undefined) {
       record.lastDataAt = this.time.monotonic();
+      record.patienceMilliseconds = STALL_MILLISECONDS;
     }
   }
 
@@ -79,8 +86,12 @@
     this.servers.forEach((entry, serverId) => {
       const record = entry;
       record.lastDataAt += lateness;
-      if (now - record.lastDataAt >= STALL_MILLISECONDS) {
+      if (now - record.lastDataAt >= record.patienceMilliseconds) {
         record.lastDataAt = now;
+        record.patienceMilliseconds = Math.min(
+          LONGEST_PATIENCE_MILLISECONDS,
+          2 * record.patienceMilliseconds,
+        );
         this.observer.attemptFailed(serverId, NO_DATA);
       }
     });
@@ -95,5 +106,8 @@
 
 const CHECK_INTERVAL_MILLISECONDS = 100;
 
-/** Above the usual time to the first token; a needless probe of a slow server is cheap. */
+/** Above the usual time to the first token; a needless probe costs a connection. */
 const STALL_MILLISECONDS = 700;
+
+/** A server that has answered a probe and still sends nothing is probably busy, but it may stop later. */
+const LONGEST_PATIENCE_MILLISECONDS = 2_800;
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -28,7 +28,11 @@
     : serverChange.then(alive, (next) => serverChange.unchanged(removeOutdatedMark(next, probe)));
 }
 
-/** Applies an unanswered probe. The second one in a row means that the server is dead. */
+/**
+ * Applies an unanswered probe. The second one in a row means that the server is dead. The first one is reported to the
+ * peers, which then probe the server too; a mere suspicion is not, since most suspected servers are only slow, and each
+ * probe of each peer costs a connection.
+ */
 export function failed(
   server: membershipView.ServerState,
   probe: event.ProbeFailed,
@@ -51,9 +55,13 @@
     nextProbeAt: probe.at + delay,
   };
   const isNewlyDead = isDead && server.condition !== Dead;
+  const isNewlyFailing = server.condition === Suspected && failedProbes === 1;
   return {
     server: next,
-    effects: isNewlyDead ? [serverChange.crashed(server, probe.answeredMalformed)] : [],
+    effects: [
+      ...(isNewlyFailing ? [serverChange.suspicionReport(server)] : []),
+      ...(isNewlyDead ? [serverChange.crashed(server, probe.answeredMalformed)] : []),
+    ],
   };
 }
 
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -129,9 +129,7 @@
   if (server.condition !== Alive) {
     return serverChange.unchanged(server);
   }
-  const suspected = { ...server, condition: Suspected, suspectedAt: at };
-  const probing = serverChange.probeNow(suspected, at);
-  return { ...probing, effects: [...probing.effects, serverChange.suspicionReport(server)] };
+  return serverChange.probeNow({ ...server, condition: Suspected, suspectedAt: at }, at);
 }
 
 /**
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -91,16 +91,37 @@
   const view = alive();
   view.takeEffects();
   view.connectionFailed('desk-1', 200).connectionFailed('desk-1', 201);
-  assert.equal(view.takeEffects(), [
-    MembershipEffectKind.Probe,
-    MembershipEffectKind.ReportToPeers,
-  ]);
+  assert.equal(view.takeEffects(), [MembershipEffectKind.Probe]);
   assert.is(membership.eligible(view.view)[0].suspected, true);
   view.probeSucceeded('desk-1', 220, 'a');
   assert.is(membership.eligible(view.view)[0].suspected, false);
   assert.equal(view.takeEffects(), []);
 });
 
+// Guards against a slow server that every peer of every daemon probes on a new connection each time it is suspected.
+suite('peers are told of a suspicion once the first probe fails, and only by who suspected', () => {
+  const view = alive();
+  view.takeEffects();
+  view.connectionFailed('desk-1', 200).probeFailed('desk-1', 220);
+  assert.equal(view.takeEffects(), [
+    MembershipEffectKind.Probe,
+    MembershipEffectKind.ReportToPeers,
+  ]);
+  view.tick(400).probeFailed('desk-1', 420);
+  assert.equal(view.takeEffects(), [
+    MembershipEffectKind.Probe,
+    MembershipEffectKind.ServerCrashed,
+  ]);
+  const told = alive();
+  told.takeEffects();
+  told.peerReported(200, {
+    kind: membership.ReportKind.Suspected,
+    serverId: 'desk-1',
+  });
+  told.probeFailed('desk-1', 220);
+  assert.equal(told.takeEffects(), [MembershipEffectKind.Probe]);
+});
+
 suite('a probe that began before the suspicion does not end it', () => {
   const view = alive().tick(2_000).connectionFailed('desk-1', 2_050);
   view.probeSucceeded('desk-1', 2_060, 'a', false, 2_000);
