Placement: count homes from the demand of the whole fleet

Load pattern: 194 gateways with one or two prompts a second each, which share four preambles.

Cause: the number of homes came from the daemon's own demand, which never reached the minimum, so that each preamble had 2 of 109 engines and with it all histories behind it.

Change: each gateway reports its recent demand for up to 24 prefixes once a second, the leader sends the sums of the 48 largest, and homes are counted from these; without a report for 5 s the own demand counts as before.

--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -49,6 +49,7 @@
   LoadsReported = 'loads-reported',
   CacheEvicted = 'cache-evicted',
   PrefixesPlaced = 'prefixes-placed',
+  DemandReported = 'demand-reported',
   ServerCrashed = 'server-crashed',
   QuarantineReported = 'quarantine-reported',
   Tick = 'tick',
@@ -159,6 +160,13 @@
   readonly loads: readonly ReportedLoad[];
 }
 
+/** The demand of all daemons for the prefixes that are wanted most. */
+export interface DemandReported extends EventBase {
+  readonly kind: DecisionEventKind.DemandReported;
+  readonly totalMilliseconds: number;
+  readonly keys: readonly placement.KeyDemand[];
+}
+
 /** Load of all daemons at one server. */
 export interface ReportedLoad {
   readonly serverId: string;
@@ -217,6 +225,7 @@
   | LoadsReported
   | CacheEvicted
   | PrefixesPlaced
+  | DemandReported
   | ServerCrashed
   | QuarantineReported
   | Tick;
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -231,6 +231,14 @@
   });
 }
 
+/** Number of home servers of a prefix from the demand of all daemons, or of this one while that is unknown. */
+function usualHomes(step: steps.Step, key: string, servers: number): number {
+  const { fleetDemand, prefixDemand } = step.state;
+  return fleetDemand !== undefined && step.at - fleetDemand.at < FLEET_DEMAND_MILLISECONDS
+    ? placement.fleetHomeCount(fleetDemand, key, servers)
+    : placement.homeCount(prefixDemand, key, servers, step.at);
+}
+
 /** The servers in the order in which they become homes of the request's prefix. */
 interface HomeOrder {
   readonly ranked: readonly string[];
@@ -248,8 +256,7 @@
   const outerHomes =
     outerPrefix === undefined
       ? 0
-      : OUTER_PREFIX_RESERVE +
-        placement.homeCount(step.state.prefixDemand, outerPrefix, serverIds.length, step.at);
+      : OUTER_PREFIX_RESERVE + usualHomes(step, outerPrefix, serverIds.length);
   return step.memoize(`homes/${profile.requestId}`, [serverIds, outerHomes], () => {
     const ranked =
       outerPrefix === undefined
@@ -371,12 +378,7 @@
   if (affinityKey === '') {
     return servers.length;
   }
-  const usualHomeCount = placement.homeCount(
-    step.state.prefixDemand,
-    affinityKey,
-    servers.length,
-    step.at,
-  );
+  const usualHomeCount = usualHomes(step, affinityKey, servers.length);
   const limit = Math.min(
     ranked.length,
     usualHomeCount + placement.extraHomes(step.state.prefixDemand, affinityKey, step.at),
@@ -424,6 +426,8 @@
 /** With a smaller fraction of servers ready than this, the service is saturated. */
 const READY_FRACTION = 0.34;
 const PROBE_INTERVAL_MILLISECONDS = 5_000;
+/** Reports come about once a second; without one for this long, this daemon has lost the others. */
+const FLEET_DEMAND_MILLISECONDS = 5_000;
 /** Plain services have no prompt; any positive number gives a prefill cost of 0. */
 const PLAIN_TOKENS_PER_SECOND = 1;
 /** Most requests find their prefix at its home; the rest are the first ones of a session. */
--- a/src/decision/server-updates.ts
+++ b/src/decision/server-updates.ts
@@ -100,6 +100,15 @@
   step.change({ pendingLoads: { loads: loadsEvent.loads, measuredAt } });
 }
 
+/** Replaces the demand of all daemons. */
+export function applyDemand(
+  step: steps.Step,
+  { totalMilliseconds, keys }: event.DemandReported,
+): void {
+  const byHash = new Map(keys.map((key) => [key.hash, key]));
+  step.change({ fleetDemand: { at: step.at, totalMilliseconds, keys: byHash } });
+}
+
 /** Records to which servers other daemons have sent prefixes. */
 export function applyPlacements(step: steps.Step, { placements }: event.PrefixesPlaced): void {
   step.change({ peerCache: placement.learnPlacements(step.state.peerCache, placements, step.at) });
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -108,7 +108,10 @@
   readonly index: placement.PrefixIndex;
   /** Where other daemons have sent prefixes. */
   readonly peerCache: placement.PeerCache;
+  /** Demand of this daemon's requests. */
   readonly prefixDemand: placement.PrefixDemand;
+  /** Demand of all daemons' requests, if it was reported. */
+  readonly fleetDemand?: placement.FleetDemand;
   readonly timings: health.Timings;
   /** Servers that are slower than their peers, each with the factor. */
   readonly slowdowns: immutable.Map<string, number>;
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -51,6 +51,8 @@
       return serverUpdates.applyLoads(step, decisionEvent);
     case event.DecisionEventKind.PrefixesPlaced:
       return serverUpdates.applyPlacements(step, decisionEvent);
+    case event.DecisionEventKind.DemandReported:
+      return serverUpdates.applyDemand(step, decisionEvent);
     case event.DecisionEventKind.CacheEvicted:
       return serverUpdates.applyEviction(step, decisionEvent);
     case event.DecisionEventKind.ServerCrashed:
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -10,7 +10,6 @@
 import * as routing from '../routing';
 import * as controlService from './control-service';
 import * as loadExchange from './load-exchange';
-import type * as loadTable from './load-table';
 import * as placementBuffer from './placement-buffer';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
@@ -67,7 +66,7 @@
     registerResource('membership', () => membership.close());
     const exchange = new loadExchange.LoadExchange(
       { plane, time, placementBuffer: new placementBuffer.PlacementBuffer(time) },
-      noLoads,
+      NO_REQUESTS,
       () => {},
     );
     registerResource('load exchange', () => exchange.close());
@@ -155,7 +154,11 @@
 
 const logger = new logging.Logger('control');
 
-const noLoads = (): readonly loadTable.InFlightLoad[] => [];
+/** A control daemon accepts no requests. */
+const NO_REQUESTS: loadExchange.OwnReport = {
+  loads: () => [],
+  demand: () => ({ totalMilliseconds: 0, keys: [] }),
+};
 
 /** Only gateways have a metrics address; a control daemon logs its load instead. */
 const NO_METRICS = new metrics.DisabledMetrics();
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -7,6 +7,7 @@
 import * as lifecycle from '../lifecycle';
 import * as logging from '../logging';
 import * as metrics from '../metrics';
+import * as placement from '../placement';
 import * as routes from '../routes';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
@@ -101,7 +102,13 @@
     const buffer = new placementBuffer.PlacementBuffer(time);
     const exchange = new loadExchange.LoadExchange(
       { plane, time, placementBuffer: buffer },
-      () => this.ownLoads(),
+      {
+        loads: () => this.ownLoads(),
+        demand: (maximumKeys) => {
+          const { prefixDemand } = this.task.current as decision.DecisionState;
+          return placement.reportDemand(prefixDemand, this.task.now(), maximumKeys);
+        },
+      },
       (sums) => this.receiveSums(sums),
     );
     this.lifecycle.register('load exchange', () => exchange.close());
@@ -201,12 +208,20 @@
       }));
   }
 
-  private receiveSums({ loads, placements, ageMilliseconds }: loadExchange.ReceivedSums): void {
-    const { PrefixesPlaced, LoadsReported } = decision.DecisionEventKind;
+  private receiveSums({
+    loads,
+    placements,
+    demand,
+    ageMilliseconds,
+  }: loadExchange.ReceivedSums): void {
+    const { PrefixesPlaced, LoadsReported, DemandReported } = decision.DecisionEventKind;
     const at = this.task.now();
     if (placements.length > 0) {
       this.task.feed({ kind: PrefixesPlaced, at, placements });
     }
+    if (demand !== undefined) {
+      this.task.feed({ kind: DemandReported, at, ...demand });
+    }
     this.task.feed({ kind: LoadsReported, at, ageMilliseconds, loads });
   }
 
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -2,7 +2,7 @@
 import * as clock from '../clock';
 import * as control from '../control';
 import * as logging from '../logging';
-import type * as placement from '../placement';
+import * as placement from '../placement';
 import * as loadTable from './load-table';
 import type * as placementBuffer from './placement-buffer';
 
@@ -24,10 +24,19 @@
   readonly placementBuffer: placementBuffer.PlacementBuffer;
 }
 
+/** What a daemon reports of its own requests. */
+export interface OwnReport {
+  readonly loads: () => readonly loadTable.InFlightLoad[];
+  /** Recent demand for at most this many prefixes. */
+  readonly demand: (maximumKeys: number) => placement.DemandReport;
+}
+
 /** The sums of all daemons, or the servers to which other daemons have sent prefixes. */
 export interface ReceivedSums {
   readonly loads: readonly loadTable.InFlightLoad[];
   readonly placements: readonly placement.PrefixPlacement[];
+  /** Absent from most messages. */
+  readonly demand?: placement.DemandReport;
   /** Mean age of the loads. */
   readonly ageMilliseconds: number;
 }
@@ -41,10 +50,10 @@
  */
 export class LoadExchange {
   /** Last reported load of each daemon, and when the report arrived. */
-  private readonly reports = new Map<
-    string,
-    { at: number; loads: readonly loadTable.InFlightLoad[] }
-  >();
+  private readonly reports = new Map<string, Report>();
+
+  /** When this daemon last sent its demand, or as leader that of all daemons. */
+  private demandSentAt = Number.NEGATIVE_INFINITY;
 
   /** The loads in the last message of this daemon, as JSON text. */
   private lastSentLoads = NO_LOADS;
@@ -75,7 +84,7 @@
 
   constructor(
     private readonly ports: LoadExchangePorts,
-    private readonly ownLoads: () => readonly loadTable.InFlightLoad[],
+    private readonly own: OwnReport,
     private readonly onSums: (sums: ReceivedSums) => void,
   ) {
     this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Load, (payload, from) =>
@@ -136,12 +145,28 @@
       interval: this.intervalMilliseconds,
       loads: loadTable.encodeLoads(ids, sums),
       ...(isListDue ? { servers: ids } : {}),
+      ...this.demandFields(now, () =>
+        placement.sumDemand(
+          [...this.reports.values()].flatMap(({ demand }) => demand ?? []),
+          MAXIMUM_FLEET_KEYS,
+        ),
+      ),
       ...(placements.length === 0
         ? {}
         : { placings: loadTable.encodePlacements(ids, placements) }),
     };
   }
 
+  /** The fields with the demand, about once a second. */
+  private demandFields(now: number, demandOf: () => placement.DemandReport): object {
+    if (now - this.demandSentAt < DEMAND_INTERVAL_MILLISECONDS) {
+      return {};
+    }
+    this.demandSentAt = now;
+    const { totalMilliseconds, keys } = demandOf();
+    return { demandTotal: totalMilliseconds, demand: loadTable.encodeDemand(keys) };
+  }
+
   /** Adds the servers that the list lacks; the next message then contains the list. */
   private addServers(serverIds: readonly string[]): void {
     const known = new Set(this.servers.ids);
@@ -161,11 +186,16 @@
       this.reportedTerm = term;
       this.lastSentLoads = NO_LOADS;
     }
-    const loads = this.ownLoads();
+    const loads = this.own.loads();
     const text = JSON.stringify(loads);
     const placements = this.ports.placementBuffer.drain();
     if (text !== this.lastSentLoads || placements.length > 0) {
-      const payload = encodeOwn(loads, placements);
+      const payload = {
+        ...encodeOwn(loads, placements),
+        ...this.demandFields(this.ports.time.monotonic(), () =>
+          this.own.demand(MAXIMUM_OWN_KEYS),
+        ),
+      };
       if (this.ports.plane.sendToLeader(control.PeerTopic.Load, payload)) {
         this.lastSentLoads = text;
       }
@@ -194,12 +224,17 @@
     } else if (this.ports.plane.leadership().role === control.ReplicaRole.Leader) {
       const { loads, placings = [] } = parsed.data;
       placings.map(decodePlacement).forEach((placed) => this.ports.placementBuffer.add(placed));
-      this.reports.set(from, { at: this.ports.time.monotonic(), loads: loads.map(decode) });
+      this.reports.set(from, {
+        at: this.ports.time.monotonic(),
+        loads: loads.map(decode),
+        demand: decodeDemand(parsed.data) ?? this.reports.get(from)?.demand,
+      });
     }
   }
 
   /** Without the list that belongs to the table, the daemon waits for a later message that contains it. */
-  private receiveSums({ edition, servers, interval, loads, placings }: SumsMessage): void {
+  private receiveSums(message: SumsMessage): void {
+    const { edition, servers, interval, loads, placings } = message;
     this.intervalMilliseconds = interval;
     if (servers !== undefined) {
       this.servers = { edition, ids: servers };
@@ -217,14 +252,29 @@
     this.onSums({
       loads: decodedLoads,
       placements,
+      demand: decodeDemand(message),
       ageMilliseconds: interval + TRANSIT_MILLISECONDS,
     });
   }
 }
 
+/** The last report of one daemon. */
+interface Report {
+  readonly at: number;
+  readonly loads: readonly loadTable.InFlightLoad[];
+  readonly demand?: placement.DemandReport;
+}
+
 const logger = new logging.Logger('load');
 
+const demandFields = {
+  /** Milliseconds of server time for all prefixes. */
+  demandTotal: zod.number().min(0).optional(),
+  demand: zod.instanceof(Uint8Array).optional(),
+};
+
 const ownSchema = zod.object({
+  ...demandFields,
   kind: zod.literal(MessageKind.Own),
   /** Server, requests, prompt tokens whose prefill has not ended, tokens in memory. */
   loads: zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()])),
@@ -233,6 +283,7 @@
 });
 
 const sumsSchema = zod.object({
+  ...demandFields,
   kind: zod.literal(MessageKind.Sums),
   /** Of the list of servers. */
   edition: zod.int(),
@@ -247,6 +298,16 @@
 
 const messageSchema = zod.discriminatedUnion('kind', [ownSchema, sumsSchema]);
 
+function decodeDemand({
+  demandTotal,
+  demand,
+}: Pick<SumsMessage, 'demandTotal' | 'demand'>): placement.DemandReport | undefined {
+  const keys = demand && loadTable.decodeDemand(demand);
+  return keys === undefined || demandTotal === undefined
+    ? undefined
+    : { totalMilliseconds: demandTotal, keys };
+}
+
 type EncodedPlacement = [string, number[]];
 
 function encodeOwn(
@@ -315,6 +376,14 @@
 /** A daemon that has just connected gets the list of servers within this time. */
 const SERVERS_INTERVAL_MILLISECONDS = 2_000;
 
+const DEMAND_INTERVAL_MILLISECONDS = 1_000;
+
+/** A daemon of a large fleet sees about as many prefixes within a half-life of their demand. */
+const MAXIMUM_OWN_KEYS = 24;
+
+/** A prefix beyond these has less than a fiftieth of the demand and so needs few homes. */
+const MAXIMUM_FLEET_KEYS = 48;
+
 /** A new list starts when servers have been replaced many times. */
 const MAXIMUM_SERVERS = 4_096;
 
--- a/src/gateway/load-table.ts
+++ b/src/gateway/load-table.ts
@@ -103,6 +103,37 @@
   return [...hashesByServer].map(([serverId, hashes]) => ({ serverId, hashes }));
 }
 
+/** Writes one row of 10 bytes for each prefix: hash, milliseconds of server time, requests. */
+export function encodeDemand(keys: readonly placement.KeyDemand[]): Uint8Array {
+  const table = Buffer.alloc(keys.length * DEMAND_ROW_BYTES);
+  keys.forEach(({ hash, milliseconds, requests }, index) => {
+    const offset = index * DEMAND_ROW_BYTES;
+    table.writeUInt32LE(hash, offset);
+    table.writeUInt32LE(Math.min(MAXIMUM_MILLISECONDS, Math.round(milliseconds)), offset + 4);
+    table.writeUInt16LE(
+      Math.min(MAXIMUM_VALUE, Math.round(requests * REQUEST_UNITS)),
+      offset + 8,
+    );
+  });
+  return table;
+}
+
+/** The demand in a table; `undefined` if it does not consist of whole rows. */
+export function decodeDemand(bytes: Uint8Array): readonly placement.KeyDemand[] | undefined {
+  if (bytes.length % DEMAND_ROW_BYTES !== 0) {
+    return undefined;
+  }
+  const table = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+  return Array.from({ length: bytes.length / DEMAND_ROW_BYTES }, (_, index) => {
+    const offset = index * DEMAND_ROW_BYTES;
+    return {
+      hash: table.readUInt32LE(offset),
+      milliseconds: table.readUInt32LE(offset + 4),
+      requests: table.readUInt16LE(offset + 8) / REQUEST_UNITS,
+    };
+  });
+}
+
 /** Rounds up, so that a load above 0 stays above 0. */
 function toUnits(tokens: number): number {
   return Math.min(MAXIMUM_VALUE, Math.ceil(tokens / TOKENS_PER_UNIT));
@@ -112,6 +143,13 @@
 
 const PLACEMENT_ROW_BYTES = 6;
 
+const DEMAND_ROW_BYTES = 10;
+
+/** Rows contain tenths of requests, because older requests count in part. */
+const REQUEST_UNITS = 10;
+
+const MAXIMUM_MILLISECONDS = 0xffff_ffff;
+
 /** A row reaches up to half a million tokens. */
 const TOKENS_PER_UNIT = 8;
 
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -2,6 +2,7 @@
 export * from './affinity-cost';
 export * from './affinity-key';
 export * from './cost-rule';
+export * from './fleet-demand';
 export * from './prefix-demand';
 export * from './peer-cache';
 export * from './prefix-index';
--- a/src/placement/prefix-demand.ts
+++ b/src/placement/prefix-demand.ts
@@ -1,7 +1,7 @@
 import * as immutable from 'immutable';
 
 /** Recent server time and number of requests of one key, with exponential decay. */
-interface Demand {
+export interface Demand {
   readonly milliseconds: number;
   readonly requests: number;
   readonly at: number;
@@ -59,13 +59,33 @@
 ): number {
   const total = prefixDemand.total.milliseconds * decay(prefixDemand.total, at);
   const demand = prefixDemand.keys.get(key);
-  if (demand === undefined || total < MINIMUM_DEMAND_MILLISECONDS) {
+  if (demand === undefined) {
+    return 1;
+  }
+  return homesForDemand(recent(demand, at), total, servers);
+}
+
+/** The demand that counts at a later time. */
+export function recent(
+  demand: Demand,
+  at: number,
+): { readonly milliseconds: number; readonly requests: number } {
+  const factor = decay(demand, at);
+  return { milliseconds: demand.milliseconds * factor, requests: demand.requests * factor };
+}
+
+/** The number of home servers for a part of all demand, in milliseconds of server time. */
+export function homesForDemand(
+  { milliseconds, requests }: Pick<Demand, 'milliseconds' | 'requests'>,
+  totalMilliseconds: number,
+  servers: number,
+): number {
+  if (totalMilliseconds < MINIMUM_DEMAND_MILLISECONDS) {
     return 1;
   }
   // The standard deviation of a count is about its square root; random variation must not add home servers.
-  const requests = demand.requests * decay(demand, at);
   const confidence = Math.max(0, 1 - STANDARD_DEVIATIONS / Math.sqrt(requests));
-  const share = (demand.milliseconds * decay(demand, at)) / total;
+  const share = milliseconds / totalMilliseconds;
   return Math.max(1, Math.min(servers, Math.ceil(share * confidence * servers * HEADROOM_FACTOR)));
 }
 
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -196,6 +196,11 @@
   third.forEach((list) => assert.equal(list, source.records));
 });
 
+/** The report of a daemon with these loads and without demand. */
+function own(loads: readonly loadTable.InFlightLoad[]): loadExchange.OwnReport {
+  return { loads: () => loads, demand: () => ({ totalMilliseconds: 0, keys: [] }) };
+}
+
 // Guards against daemons that all overload the engine that looks idle to each of them.
 suite('each daemon gets the sums of all loads, without that of a stopped daemon', () => {
   const peers = new peersModule.Peers();
@@ -209,12 +214,12 @@
       time,
       placementBuffer: new placementBuffer.PlacementBuffer(time),
     },
-    () => [],
+    own([]),
     () => {},
   );
   const first = new loadExchange.LoadExchange(
     { plane: peers.plane('b', None), time, placementBuffer: buffer },
-    () => [load],
+    own([load]),
     ({ loads }) => {
       sums = loads;
     },
@@ -225,7 +230,7 @@
       time,
       placementBuffer: new placementBuffer.PlacementBuffer(time),
     },
-    () => [load],
+    own([load]),
     () => {},
   );
   time.advance(400);
@@ -249,7 +254,7 @@
       buffer,
       exchange: new loadExchange.LoadExchange(
         { plane, time, placementBuffer: buffer },
-        () => [],
+        own([]),
         onSums,
       ),
     };
@@ -274,7 +279,7 @@
     }
     return new loadExchange.LoadExchange(
       { plane, time, placementBuffer: buffer },
-      () => [],
+      own([]),
       () => {},
     );
   });
@@ -305,7 +310,7 @@
     };
     return new loadExchange.LoadExchange(
       ports,
-      () => (role === None ? [load] : []),
+      own(role === None ? [load] : []),
       ({ loads }) => received.push(loads.reduce((sum, { requests }) => sum + requests, 0)),
     );
   });
--- a/tools/measure/peer-gateways.ts
+++ b/tools/measure/peer-gateways.ts
@@ -49,9 +49,12 @@
     this.exchanges.push(
       new gateway.LoadExchange(
         { plane: controlNode, time, placementBuffer: buffer },
-        () => {
-          this.addPlacement(buffer);
-          return this.randomLoads();
+        {
+          loads: () => {
+            this.addPlacement(buffer);
+            return this.randomLoads();
+          },
+          demand: () => ({ totalMilliseconds: 0, keys: [] }),
         },
         () => {},
       ),
