Read from the settings whether engines check fencing numbers

`require_fencing` was not read, and every engine's document said that it checks. No decision hangs on it: a leader leaves the time of a lease after the orders of the one before, which the log names.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -403,8 +403,7 @@
   private heartbeatInterval(peer: wire.PeerIdentity): number {
     const leader = this.knownLeader()?.address;
     const isLeaderLink = leader === this.network.address || leader === peer.address;
-    const isReplicaLink =
-      this.replicaTask !== undefined && this.network.isConfigured(peer.address);
+    const isReplicaLink = this.replicaTask !== undefined && this.network.isConfigured(peer.address);
     return leader === undefined || isLeaderLink || isReplicaLink
       ? wire.HEARTBEAT_INTERVAL_MILLISECONDS
       : RARE_HEARTBEAT_MILLISECONDS;
--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -37,7 +37,9 @@
 }
 
 function relocate(step: steps.Step, request: state.RequestState): void {
-  if (admission.retriesLeft(step.retryBudget(request.profile.service), step.at) < RESERVED_RETRIES) {
+  if (
+    admission.retriesLeft(step.retryBudget(request.profile.service), step.at) < RESERVED_RETRIES
+  ) {
     return;
   }
   const [attempt] = request.attempts;
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -38,7 +38,7 @@
 
   constructor(
     private readonly ports: ControlPorts,
-    speeds: routes.EngineSpeeds,
+    engineProperties: routes.EngineProperties,
     parameters: orders.OrderParameters,
   ) {
     const { plane, time, random } = ports;
@@ -48,7 +48,7 @@
     registerResource('control plane', () => plane.close());
     const monitor = new metrics.ProcessMonitor(time, NO_METRICS, metrics.processUsage);
     registerResource('process watch', () => monitor.close());
-    const source = this.followRegister(speeds, parameters);
+    const source = this.followRegister(engineProperties, parameters);
     const pool = new routing.BackendPool(ports.backends);
     registerResource('backend clients', () => pool.close());
     const list = new sharedMachineList.SharedMachineList({
@@ -104,12 +104,15 @@
   }
 
   private followRegister(
-    speeds: routes.EngineSpeeds,
+    engineProperties: routes.EngineProperties,
     { graceMilliseconds = Infinity }: orders.OrderParameters,
   ): routingSource.RoutingSource {
     const { plane, decode, time } = this.ports;
     const age = new weightsAge.WeightsAge(time, graceMilliseconds);
-    const source = new routingSource.RoutingSource(decode, speeds, { dispatch: age, start: age });
+    const source = new routingSource.RoutingSource(decode, engineProperties, {
+      dispatch: age,
+      start: age,
+    });
     this.lifecycle.register(
       'register',
       plane.onRegister((register) => source.update(register)),
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -45,7 +45,7 @@
   readonly listen: { readonly host: string; readonly port: number };
   readonly limits: daemon.ListenerLimits;
   readonly stop: gracefulStop.StopTimes;
-  readonly speeds: routes.EngineSpeeds;
+  readonly engineProperties: routes.EngineProperties;
   /** Age of the desired weights version from which engines without it get no requests. */
   readonly weightsGraceMilliseconds: number;
   /** Age of the desired weights version from which streams that have not begun on older weights are cancelled. */
@@ -94,7 +94,7 @@
       LIST_INTERVAL_MILLISECONDS,
       false,
     );
-    this.source = new routingSource.RoutingSource(ports.decode, options.speeds, {
+    this.source = new routingSource.RoutingSource(ports.decode, options.engineProperties, {
       dispatch: new weightsAge.WeightsAge(time, options.weightsGraceMilliseconds),
       start: new weightsAge.WeightsAge(time, options.weightsStartMilliseconds),
     });
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -151,9 +151,7 @@
           MAXIMUM_FLEET_KEYS,
         ),
       ),
-      ...(placements.length === 0
-        ? {}
-        : { placings: loadTable.encodePlacements(ids, placements) }),
+      ...(placements.length === 0 ? {} : { placings: loadTable.encodePlacements(ids, placements) }),
     };
   }
 
@@ -192,9 +190,7 @@
     if (text !== this.lastSentLoads || placements.length > 0) {
       const payload = {
         ...encodeOwn(loads, placements),
-        ...this.demandFields(this.ports.time.monotonic(), () =>
-          this.own.demand(MAXIMUM_OWN_KEYS),
-        ),
+        ...this.demandFields(this.ports.time.monotonic(), () => this.own.demand(MAXIMUM_OWN_KEYS)),
       };
       if (this.ports.plane.sendToLeader(control.PeerTopic.Load, payload)) {
         this.lastSentLoads = text;
--- a/src/gateway/load-table.ts
+++ b/src/gateway/load-table.ts
@@ -110,10 +110,7 @@
     const offset = index * DEMAND_ROW_BYTES;
     table.writeUInt32LE(hash, offset);
     table.writeUInt32LE(Math.min(MAXIMUM_MILLISECONDS, Math.round(milliseconds)), offset + 4);
-    table.writeUInt16LE(
-      Math.min(MAXIMUM_VALUE, Math.round(requests * REQUEST_UNITS)),
-      offset + 8,
-    );
+    table.writeUInt16LE(Math.min(MAXIMUM_VALUE, Math.round(requests * REQUEST_UNITS)), offset + 8);
   });
   return table;
 }
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -39,7 +39,7 @@
 
   constructor(
     private readonly decode: RoutingDecoder,
-    private readonly speeds: routes.EngineSpeeds,
+    private readonly engineProperties: routes.EngineProperties,
     /** Absent if nothing depends on the age of a version. */
     private readonly ages?: WeightsAges,
   ) {}
@@ -70,7 +70,7 @@
     if (table !== undefined) {
       const snapshot = routes.decisionSnapshot(
         table,
-        this.speeds,
+        this.engineProperties,
         (model) => weights.get(model) ?? {},
       );
       this.active = { table, snapshot };
--- a/src/routes/decision-documents.ts
+++ b/src/routes/decision-documents.ts
@@ -1,12 +1,14 @@
 import * as configuration from '../configuration';
 import type * as routingTable from './routing-table';
 
-/** Speeds of an engine, which the routing table does not contain. */
-export interface EngineSpeeds {
+/** Properties of the engines that the routing table does not contain. */
+export interface EngineProperties {
   /** Uncached prompt tokens that one backend server prefills in a second. */
   readonly prefillTokensPerSecond: number;
   /** Tokens that one backend server generates in a second for one request in a usual batch. */
   readonly decodeTokensPerSecond: number;
+  /** Whether engines refuse orders with a lower fencing number than that of an earlier order. */
+  readonly checksFencing: boolean;
 }
 
 /** Weights versions of one model. */
@@ -27,12 +29,12 @@
  */
 export function decisionSnapshot(
   table: routingTable.RoutingTable,
-  speeds: EngineSpeeds,
+  engineProperties: EngineProperties,
   weightsOf: (model: string) => ModelWeights,
 ): configuration.ConfigurationSnapshot {
   const services = table.services
     .filter((service) => service.store === undefined)
-    .map((service) => serviceDocument(service, speeds, weightsOf));
+    .map((service) => serviceDocument(service, engineProperties, weightsOf));
   const teams = (table.teams ?? []).map(teamDocument);
   const documents = [...services, ...teams].map(
     (document) => [configuration.documentKey(document), document] as const,
@@ -42,7 +44,7 @@
 
 function serviceDocument(
   { name, engine }: routingTable.RoutedService,
-  speeds: EngineSpeeds,
+  engineProperties: EngineProperties,
   weightsOf: (model: string) => ModelWeights,
 ): configuration.ServiceDocument {
   const kind = configuration.DocumentKind.Service;
@@ -61,8 +63,7 @@
     ...(minimumStart === undefined ? {} : { minimumStartWeightsVersion: minimumStart }),
     slotsPerRunner: engine.slots,
     ...(engine.cacheTokens > 0 ? { cacheTokensPerRunner: engine.cacheTokens } : {}),
-    checksFencing: true,
-    ...speeds,
+    ...engineProperties,
   };
 }
 
--- a/test/decision/loads.test.ts
+++ b/test/decision/loads.test.ts
@@ -47,8 +47,14 @@
         });
         loads.forEach((load) => reportOne(single, load));
         assert.equal(
-          decision.currentServers(whole.state).map(({ load }) => load).toJS(),
-          decision.currentServers(single.state).map(({ load }) => load).toJS(),
+          decision
+            .currentServers(whole.state)
+            .map(({ load }) => load)
+            .toJS(),
+          decision
+            .currentServers(single.state)
+            .map(({ load }) => load)
+            .toJS(),
         );
       });
     }),
--- a/test/gateway/routing-source.test.ts
+++ b/test/gateway/routing-source.test.ts
@@ -25,8 +25,12 @@
     dispatch: new weightsAge.WeightsAge(time, 6_000),
     start: new weightsAge.WeightsAge(time, 7_000),
   };
-  const speeds = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1 };
-  const source = new routingSource.RoutingSource(decode, speeds, ages);
+  const engineProperties = {
+    prefillTokensPerSecond: 1,
+    decodeTokensPerSecond: 1,
+    checksFencing: true,
+  };
+  const source = new routingSource.RoutingSource(decode, engineProperties, ages);
   const old = control.putRouting(control.EMPTY_REGISTER, { version: 1, text: 'old-model' });
   const desired = control.setDesiredWeights(old, 'old-model', 2, time.now());
   source.update(desired);
@@ -43,8 +47,15 @@
 suite('the ages of desired versions for orders do not include a step of the wall clock', () => {
   const time = new clock.ManualClock();
   const age = new weightsAge.WeightsAge(time, 6_000);
-  const speeds = { prefillTokensPerSecond: 1, decodeTokensPerSecond: 1 };
-  const source = new routingSource.RoutingSource(decode, speeds, { dispatch: age, start: age });
+  const engineProperties = {
+    prefillTokensPerSecond: 1,
+    decodeTokensPerSecond: 1,
+    checksFencing: true,
+  };
+  const source = new routingSource.RoutingSource(decode, engineProperties, {
+    dispatch: age,
+    start: age,
+  });
   assert.equal(source.desiredVersions('desk'), []);
   const routed = control.putRouting(control.EMPTY_REGISTER, { version: 1, text: 'model' });
   const second = control.setDesiredWeights(routed, 'model', 2, time.now());
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -197,7 +197,7 @@
 });
 
 /** The report of a daemon with these loads and without demand. */
-function own(loads: readonly loadTable.InFlightLoad[]): loadExchange.OwnReport {
+function ownReport(loads: readonly loadTable.InFlightLoad[]): loadExchange.OwnReport {
   return { loads: () => loads, demand: () => ({ totalMilliseconds: 0, keys: [] }) };
 }
 
@@ -214,12 +214,12 @@
       time,
       placementBuffer: new placementBuffer.PlacementBuffer(time),
     },
-    own([]),
+    ownReport([]),
     () => {},
   );
   const first = new loadExchange.LoadExchange(
     { plane: peers.plane('b', None), time, placementBuffer: buffer },
-    own([load]),
+    ownReport([load]),
     ({ loads }) => {
       sums = loads;
     },
@@ -230,7 +230,7 @@
       time,
       placementBuffer: new placementBuffer.PlacementBuffer(time),
     },
-    own([load]),
+    ownReport([load]),
     () => {},
   );
   time.advance(400);
@@ -254,7 +254,7 @@
       buffer,
       exchange: new loadExchange.LoadExchange(
         { plane, time, placementBuffer: buffer },
-        own([]),
+        ownReport([]),
         onSums,
       ),
     };
@@ -279,7 +279,7 @@
     }
     return new loadExchange.LoadExchange(
       { plane, time, placementBuffer: buffer },
-      own([]),
+      ownReport([]),
       () => {},
     );
   });
@@ -310,7 +310,7 @@
     };
     return new loadExchange.LoadExchange(
       ports,
-      own(role === None ? [load] : []),
+      ownReport(role === None ? [load] : []),
       ({ loads }) => received.push(loads.reduce((sum, { requests }) => sum + requests, 0)),
     );
   });
--- a/test/placement/fleet-demand.test.ts
+++ b/test/placement/fleet-demand.test.ts
@@ -70,9 +70,7 @@
   const seenByAll = placement.fleetHomeCount(fleet, 'preamble-0', SERVERS.length);
   assert.is(seenAlone, 1);
   assert.ok(seenByAll >= SERVERS.length / PREAMBLES, `${seenByAll} homes`);
-  const inUse = homesInUse(requests, (key) =>
-    placement.fleetHomeCount(fleet, key, SERVERS.length),
-  );
+  const inUse = homesInUse(requests, (key) => placement.fleetHomeCount(fleet, key, SERVERS.length));
   assert.ok(inUse >= SERVERS.length / 2, `${inUse} homes are in use`);
   assert.ok(homesInUse(requests, () => 1 + seenAlone) <= 2 * PREAMBLES);
 });
