--- a/test/gateway/silence-watch.test.ts
+++ b/test/gateway/silence-watch.test.ts
@@ -66,4 +66,45 @@
   detector.close();
 });
 
+/** A clock that counts the timers that are set. */
+class CountingClock extends clock.ManualClock {
+  timers = 0;
+
+  override setTimer(delayMilliseconds: number, callback: () => void): clock.Timer {
+    this.timers += 1;
+    return super.setTimer(delayMilliseconds, callback);
+  }
+}
+
+// Guards against hundreds of idle daemons that wake up ten times a second to check nothing.
+suite('no timer runs while no request is in flight', () => {
+  const time = new CountingClock();
+  const { reported, detector } = createDetector(time);
+  time.advance(5_000);
+  assert.is(time.timers, 0);
+  detector.attemptSent('runner-0');
+  time.advance(300);
+  detector.attemptEnded('runner-0');
+  time.advance(100);
+  const { timers } = time;
+  time.advance(5_000);
+  assert.is(time.timers, timers);
+  detector.attemptSent('runner-0');
+  time.advance(800);
+  assert.equal(reported, ['runner-0']);
+  detector.close();
+});
+
+// Guards against a probe, and so a connection, each 0.7 s for each request that waits in the queue of a busy server.
+suite('a server that stays silent is reported less and less often, until data arrives', () => {
+  const { time, reported, detector } = createDetector();
+  detector.attemptSent('runner-0');
+  time.advance(5_000);
+  assert.is(reported.length, 3);
+  detector.dataReceived('runner-0');
+  time.advance(800);
+  assert.is(reported.length, 4);
+  detector.close();
+});
+
 suite.run();
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -207,4 +207,24 @@
   assert.is(membership.parseReport('leaving'), undefined);
 });
 
+// Guards against idle daemons that go through all servers ten times a second.
+suite('without probes at intervals the next tick is the next probe of a suspected server', () => {
+  const view = { ...membership.EMPTY_VIEW, probesPeriodically: false };
+  const machines = [builder.machine('desk-1'), builder.machine('desk-2')];
+  const { Tick, ListRead, ConnectionFailed, ProbeFailed } = membership.MembershipEventKind;
+  const listed = membership.update(view, { kind: ListRead, at: 0, machines }).state;
+  assert.is(membership.nextTickAt(listed), Infinity);
+  const base = { serverId: 'desk-1', at: 100 };
+  const suspected = membership.update(listed, { kind: ConnectionFailed, ...base }).state;
+  assert.is(membership.nextTickAt(suspected), Infinity);
+  const failed = { kind: ProbeFailed, ...base, startedAt: 100, jitter: 0.5 } as const;
+  const failing = membership.update(suspected, failed).state;
+  const dueAt = membership.nextTickAt(failing);
+  assert.ok(dueAt > 100 && dueAt < 1_000, String(dueAt));
+  const early = membership.update(failing, { kind: Tick, at: dueAt - 1 });
+  assert.equal(early.effects, []);
+  const due = membership.update(failing, { kind: Tick, at: dueAt });
+  assert.is(due.effects.length, 1);
+});
+
 suite.run();
