--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -159,7 +159,11 @@
     idleMilliseconds: 1_000,
   },
   stop: { loadBalancerMilliseconds: 10, graceMilliseconds: 500 },
-  engineProperties: { prefillTokensPerSecond: 40_000, decodeTokensPerSecond: 100, checksFencing: true },
+  engineProperties: {
+    prefillTokensPerSecond: 40_000,
+    decodeTokensPerSecond: 100,
+    checksFencing: true,
+  },
   weightsGraceMilliseconds: WEIGHTS_GRACE_MILLISECONDS,
   weightsStartMilliseconds: 0.9 * WEIGHTS_LIMIT_MILLISECONDS,
   retryLimits: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
