Decision: compare waiting requests with the servers only after a change

Cause: each event and each tick, 50 a second while a request waits, compared every waiting request with all servers of its service again.

Change: a pass over the queues is made when servers, loads, queues, services or suspicions have changed since the last one, and at least each 100 ms, as requests wait for a better server for a limited time only.

--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -12,13 +12,37 @@
 import type * as state from './state';
 import type * as steps from './step';
 
-/** Dispatches queued requests while servers have free slots, the short lane first. */
+/**
+ * Dispatches queued requests while servers have free slots, the short lane first.
+ *
+ * Load pattern: many requests wait for a few busy servers. Each event would compare all of them with all servers again,
+ * although nothing has changed that could let one of them go.
+ */
 export function dispatchQueued(step: steps.Step): void {
+  if (step.state.queues.every((queue) => queue.lanes.isEmpty()) || !isPassDue(step)) {
+    return;
+  }
   step.state.queues.forEach((queue, service) => {
     if (!queue.lanes.isEmpty()) {
       LANES.forEach((lane) => dispatchLane(step, service, lane));
     }
   });
+  step.change({ queuePass: { at: step.at, inputs: passInputs(step) } });
+}
+
+/** Whether servers, loads or queues have changed since the last pass, or enough time has passed for a request to give up waiting. */
+function isPassDue(step: steps.Step): boolean {
+  const { queuePass } = step.state;
+  return (
+    queuePass === undefined ||
+    step.at - queuePass.at >= PASS_MILLISECONDS ||
+    passInputs(step).some((input, index) => input !== queuePass.inputs[index])
+  );
+}
+
+function passInputs({ state }: steps.Step): readonly unknown[] {
+  const { servers, pendingLoads, queues, services, quarantine, slowdowns } = state;
+  return [servers, pendingLoads, queues, services, quarantine, slowdowns];
 }
 
 /** Starts an attempt at the chosen server. */
@@ -137,4 +161,7 @@
   );
 }
 
+/** Short beside the time for which a request waits for a better server. */
+const PASS_MILLISECONDS = 100;
+
 const LANES = [admission.Lane.Short, admission.Lane.Long];
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -75,6 +75,12 @@
   readonly measuredAt: number;
 }
 
+/** What the last pass over the queues has seen. */
+export interface QueuePass {
+  readonly at: number;
+  readonly inputs: readonly unknown[];
+}
+
 /** Smoothed observations of one service. */
 export interface ServiceTiming {
   /** Time from a dispatch to the first piece. */
@@ -103,6 +109,7 @@
   readonly pools: immutable.Map<string, readonly string[]>;
   readonly requests: immutable.Map<string, RequestState>;
   readonly queues: immutable.Map<string, admission.ServiceQueue>;
+  readonly queuePass?: QueuePass;
   /** Identifiers of the requests that wait outside the queues until the quarantine allows a dispatch. */
   readonly heldRequests: immutable.OrderedSet<string>;
   readonly index: placement.PrefixIndex;
