Membership and decision: apply only the differences of a list of VMs

Load pattern: a roll-out over 109 engines while 194 gateways follow it.

Cause: each edition, several a second during a roll-out, made every gateway rebuild all servers of its view, compare them as JSON text, and rebuild all servers, pools and groups of the decision state.

Change: servers whose record is the same object keep their state in both; the descriptions of eligible servers are kept with the state they describe; pools and groups are rebuilt only when ids change. A test demands that a list which differs in one server changes only that one.

--- a/src/decision/server-updates.ts
+++ b/src/decision/server-updates.ts
@@ -27,41 +27,88 @@
   serviceAvailability.failUnavailable(step);
 }
 
-/** Replaces the list of servers. A server that is no longer listed finishes its running requests. */
+/**
+ * Replaces the list of servers. A server that is no longer listed finishes its running requests. Servers whose record is
+ * the same object are left alone: most lists differ in one server.
+ */
 export function applyServers(step: steps.Step, serversEvent: event.ServersChanged): void {
-  const previousServers = step.state.servers;
+  const { servers: previousServers } = step.state;
   const listed = new Set(serversEvent.servers.map((record) => record.id));
-  const draining = previousServers
-    .filter((server, id) => !listed.has(id) && server.load.own.requests > 0)
-    .map((server) => ({ ...server, eligible: false }));
-  previousServers.keySeq().forEach((id) => {
-    if (!listed.has(id)) {
-      forgetServer(step, id);
-    }
-  });
-  const servers = serversEvent.servers.map((record) => {
-    const previous = previousServers.get(record.id) ?? newServer(record);
-    const loadingSince = record.loading === true ? (previous.loadingSince ?? step.at) : undefined;
-    return [record.id, { ...previous, record, loadingSince, eligible: true }] as const;
+  const unlisted = [...previousServers.keys()].filter((id) => !listed.has(id));
+  const changed = serversEvent.servers.filter(
+    (record) => !isUnchanged(previousServers.get(record.id), record),
+  );
+  unlisted.forEach((id) => forgetServer(step, id));
+  step.change({
+    servers: previousServers.withMutations((mutable) => {
+      unlisted.forEach((id) => removeServer(mutable, id));
+      changed.forEach((record) =>
+        mutable.set(record.id, withRecord(previousServers.get(record.id), record, step.at)),
+      );
+    }),
   });
-  step.change({ servers: draining.merge(immutable.Map(servers)) });
-  serversEvent.servers.forEach((record) => {
-    if (record.incarnation !== undefined) {
-      observeIncarnation(step, record.id, record.incarnation);
+  changed.forEach(({ id, incarnation, weightsVersion }) => {
+    if (incarnation !== undefined) {
+      observeIncarnation(step, id, incarnation);
+    }
+    if (previousServers.get(id)?.record.weightsVersion !== weightsVersion) {
+      step.change({ index: placement.forgetServer(step.state.index, id) });
     }
   });
-  serversEvent.servers
-    .filter(
-      ({ id, weightsVersion }) => previousServers.get(id)?.record.weightsVersion !== weightsVersion,
-    )
-    .forEach(({ id }) => step.change({ index: placement.forgetServer(step.state.index, id) }));
-  rebuildPools(step);
+  if (unlisted.length > 0 || changed.some(({ id, service }) => isNewIn(step, service, id))) {
+    rebuildPools(step);
+  }
   if (serversEvent.listed !== undefined) {
-    step.change({ listed: listedByService(serversEvent.listed) });
+    applyListed(step, serversEvent.listed);
   }
   serviceAvailability.failUnavailable(step);
 }
 
+function isUnchanged(
+  previous: state.ServerState | undefined,
+  record: membership.EligibleServer,
+): boolean {
+  return previous !== undefined && previous.eligible && previous.record === record;
+}
+
+/** Keeps a server without a record in the list while it runs requests. */
+function removeServer(servers: immutable.Map<string, state.ServerState>, id: string): void {
+  const server = servers.get(id)!;
+  if (server.load.own.requests > 0) {
+    servers.set(id, { ...server, eligible: false });
+  } else {
+    servers.delete(id);
+  }
+}
+
+function withRecord(
+  known: state.ServerState | undefined,
+  record: membership.EligibleServer,
+  at: number,
+): state.ServerState {
+  const previous = known ?? newServer(record);
+  const loadingSince = record.loading === true ? (previous.loadingSince ?? at) : undefined;
+  return { ...previous, record, loadingSince, eligible: true };
+}
+
+/** Whether the pool of the service lacks the server, because it is new or was in another service. */
+function isNewIn(step: steps.Step, service: string, id: string): boolean {
+  return step.state.pools.get(service)?.includes(id) !== true;
+}
+
+/** Groups the ids only when they have changed. */
+function applyListed(step: steps.Step, listed: readonly event.ListedServer[]): void {
+  const known = new Set(
+    [...step.state.listed].flatMap(([service, ids]) => ids.map((id) => `${service}/${id}`)),
+  );
+  const isSame =
+    known.size === listed.length &&
+    listed.every(({ id, service }) => known.has(`${service}/${id}`));
+  if (!isSame) {
+    step.change({ listed: listedByService(listed) });
+  }
+}
+
 function listedByService(
   listed: readonly event.ListedServer[],
 ): immutable.Map<string, readonly string[]> {
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -84,12 +84,7 @@
  * const servers = membership.eligible(view).filter((server) => server.service === 'inspection-desk');
  */
 export function eligible(view: MembershipView): readonly EligibleServer[] {
-  return view.servers
-    .valueSeq()
-    .filter(mayGetRequests)
-    .map(toEligible)
-    .sortBy((server) => server.id)
-    .toArray();
+  return view.servers.valueSeq().filter(mayGetRequests).map(toEligible).toArray().sort(byId);
 }
 
 /**
@@ -102,8 +97,8 @@
   return view.servers
     .valueSeq()
     .map((server) => server.machine)
-    .sortBy((machine) => machine.id)
-    .toArray();
+    .toArray()
+    .sort(byId);
 }
 
 /**
@@ -136,11 +131,28 @@
   );
 }
 
+function byId(left: backend.MachineRecord, right: backend.MachineRecord): number {
+  return left.id < right.id ? -1 : Number(left.id > right.id);
+}
+
 function mayGetRequests(server: ServerState): boolean {
   return server.condition !== ServerCondition.Dead && !isLeaving(server);
 }
 
+/** The result of `toEligible` for each state, so that an unchanged server stays the same object. */
+const eligibleByState = new WeakMap<ServerState, EligibleServer>();
+
 function toEligible(server: ServerState): EligibleServer {
+  const known = eligibleByState.get(server);
+  if (known !== undefined) {
+    return known;
+  }
+  const described = describe(server);
+  eligibleByState.set(server, described);
+  return described;
+}
+
+function describe(server: ServerState): EligibleServer {
   return {
     ...server.machine,
     ...(server.incarnation === undefined ? {} : { incarnation: server.incarnation }),
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -1,4 +1,3 @@
-import * as immutable from 'immutable';
 import * as backend from '../backend';
 import * as transaction from '../transaction';
 import type * as effect from './effect';
@@ -61,27 +60,48 @@
   }
 }
 
+/**
+ * Applies a list. Servers whose record is the same object keep their state: during a roll-out each of hundreds of
+ * daemons gets several lists a second that differ in one server.
+ */
 function readList(view: membershipView.MembershipView, list: event.ListRead): Step {
-  const changes = list.machines.map((machine, index) => {
-    const existing = view.servers.get(machine.id);
-    const firstProbeAt = view.probesPeriodically
-      ? list.at + index * PROBE_SPACING_MILLISECONDS
-      : Number.POSITIVE_INFINITY;
-    const server =
-      existing === undefined || hasMoved(existing.machine, machine)
-        ? serverChange.newServer(machine, firstProbeAt)
-        : updateMachine(existing, machine);
-    return serverChange.then(reportIfListedAsLeaving(server, list), (next) =>
-      machine.incarnation === undefined
-        ? serverChange.unchanged(next)
-        : serverChange.observeIncarnation(next, machine.incarnation),
-    );
+  const effects: effect.MembershipEffect[] = [];
+  const listed = new Set(list.machines.map(({ id }) => id));
+  const servers = view.servers.withMutations((mutable) => {
+    view.servers.forEach((_, id) => {
+      if (!listed.has(id)) {
+        mutable.delete(id);
+      }
+    });
+    list.machines.forEach((machine, index) => {
+      if (view.servers.get(machine.id)?.machine !== machine) {
+        const change = applyRecord(view, list, machine, index);
+        mutable.set(machine.id, change.server);
+        effects.push(...change.effects);
+      }
+    });
   });
-  const servers = immutable.Map(changes.map(({ server }) => [server.machine.id, server]));
-  return transaction.create(
-    view,
-    { ...view, servers },
-    changes.flatMap((change) => change.effects),
+  return transaction.create(view, servers === view.servers ? view : { ...view, servers }, effects);
+}
+
+function applyRecord(
+  view: membershipView.MembershipView,
+  list: event.ListRead,
+  machine: backend.MachineRecord,
+  index: number,
+): serverChange.ServerChange {
+  const existing = view.servers.get(machine.id);
+  const firstProbeAt = view.probesPeriodically
+    ? list.at + index * PROBE_SPACING_MILLISECONDS
+    : Number.POSITIVE_INFINITY;
+  const server =
+    existing === undefined || hasMoved(existing.machine, machine)
+      ? serverChange.newServer(machine, firstProbeAt)
+      : updateMachine(existing, machine);
+  return serverChange.then(reportIfListedAsLeaving(server, list), (next) =>
+    machine.incarnation === undefined
+      ? serverChange.unchanged(next)
+      : serverChange.observeIncarnation(next, machine.incarnation),
   );
 }
 
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -259,6 +259,9 @@
   after.forEach((server) => {
     const previous = removed.get(server.id);
     removed.delete(server.id);
+    if (previous === server) {
+      return;
+    }
     if (previous === undefined || stateOf(previous) !== stateOf(server)) {
       const { id: backendServer, service, weightsVersion, loading, suspected } = server;
       const state = { backendServer, service, weightsVersion, loading, suspected };
@@ -309,9 +312,22 @@
     return differs(membership.eligible(startState), membership.eligible(state));
   }
   const id = event.kind === PeerReported ? event.report.serverId : event.serverId;
-  return differs(membership.eligibleServer(startState, id), membership.eligibleServer(state, id));
+  return differs(
+    [membership.eligibleServer(startState, id)],
+    [membership.eligibleServer(state, id)],
+  );
 }
 
-function differs(before: unknown, after: unknown): boolean {
-  return JSON.stringify(before) !== JSON.stringify(after);
+/** Compares the texts of those servers only that are not the same object. */
+function differs(
+  before: readonly (membership.EligibleServer | undefined)[],
+  after: readonly (membership.EligibleServer | undefined)[],
+): boolean {
+  return (
+    before.length !== after.length ||
+    before.some(
+      (server, index) =>
+        server !== after[index] && JSON.stringify(server) !== JSON.stringify(after[index]),
+    )
+  );
 }
--- a/test/decision/update.test.ts
+++ b/test/decision/update.test.ts
@@ -168,4 +168,47 @@
   assert.is(driver.takeEffects(Dispatch).length, 1);
 });
 
+/** Guards against roll-outs during which each of hundreds of daemons rebuilds all servers several times a second. */
+suite('a list that differs in one server leaves the state of the others alone', () => {
+  const driver = builder.createDriver(4);
+  const kind = decision.DecisionEventKind.ServersChanged;
+  const servers = builder.listServers(4);
+  driver.apply({ kind, at: driver.at, servers, listed: servers });
+  const { state: before } = driver;
+  const loading = { ...servers[2], loading: true as const };
+  driver.apply({
+    kind,
+    at: driver.at,
+    servers: [servers[0], servers[1], loading, servers[3]],
+    listed: servers,
+  });
+  const { state: after } = driver;
+  const changed = [...after.servers.keys()].filter(
+    (id) => after.servers.get(id) !== before.servers.get(id),
+  );
+  assert.equal(changed, [servers[2].id]);
+  assert.is(after.pools, before.pools);
+  assert.is(after.listed, before.listed);
+  driver.apply({ kind, at: driver.at, servers: servers.slice(1), listed: servers.slice(1) });
+  assert.is(driver.state.servers.has(servers[0].id), false);
+  assert.equal(driver.state.pools.get(servers[0].service)?.length, 3);
+});
+
+/** Guards against a crest at which each waiting request is compared with all servers fifty times a second. */
+suite('waiting requests are compared with the servers again only after a change or 100 ms', () => {
+  const driver = builder.createDriver(1, 1);
+  const [running] = driver.arrive('first').takeEffects(Dispatch);
+  driver.arrive('second').arrive('third').wait(100);
+  const passedAt = () => driver.state.queuePass?.at;
+  const start = passedAt()!;
+  driver.wait(20).wait(20).wait(20);
+  assert.is(passedAt(), start);
+  driver.wait(40);
+  assert.is(passedAt(), start + 100);
+  driver.at += 10;
+  driver.finish(running);
+  assert.is(passedAt(), start + 110);
+  assert.is(driver.takeEffects(Dispatch).length, 1);
+});
+
 suite.run();
--- a/test/gateway/silence-watch.test.ts
+++ b/test/gateway/silence-watch.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import * as clock from '../../src/clock';
 import * as stallDetector from '../../src/gateway/stall-detector';
+import * as countingClock from '../support/counting-clock';
 
 const suite = uvu.suite('stall detector');
 
@@ -66,19 +67,9 @@
   detector.close();
 });
 
-/** A clock that counts the timers that are set. */
-class CountingClock extends clock.ManualClock {
-  timers = 0;
-
-  override setTimer(delayMilliseconds: number, callback: () => void): clock.Timer {
-    this.timers += 1;
-    return super.setTimer(delayMilliseconds, callback);
-  }
-}
-
 // Guards against hundreds of idle daemons that wake up ten times a second to check nothing.
 suite('no timer runs while no request is in flight', () => {
-  const time = new CountingClock();
+  const time = new countingClock.CountingClock();
   const { reported, detector } = createDetector(time);
   time.advance(5_000);
   assert.is(time.timers, 0);
