--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -1,18 +1,11 @@
-import * as zod from 'zod';
 import * as clock from '../clock';
 import * as control from '../control';
 import * as logging from '../logging';
 import * as placement from '../placement';
+import * as loadMessage from './load-message';
 import * as loadTable from './load-table';
 import type * as placementBuffer from './placement-buffer';
 
-enum MessageKind {
-  /** Load in flight from the sender. */
-  Own = 'own',
-  /** Load in flight from all daemons. */
-  Sums = 'sums',
-}
-
 /** Dependencies of the load exchange. */
 export interface LoadExchangePorts {
   readonly plane: Pick<
@@ -140,7 +133,7 @@
     const isListDue = now - this.serversSentAt >= SERVERS_INTERVAL_MILLISECONDS;
     this.serversSentAt = isListDue ? now : this.serversSentAt;
     return {
-      kind: MessageKind.Sums,
+      kind: loadMessage.MessageKind.Sums,
       edition,
       interval: this.intervalMilliseconds,
       loads: loadTable.encodeLoads(ids, sums),
@@ -189,7 +182,7 @@
     const placements = this.ports.placementBuffer.drain();
     if (text !== this.lastSentLoads || placements.length > 0) {
       const payload = {
-        ...encodeOwn(loads, placements),
+        ...loadMessage.encodeOwn(loads, placements),
         ...this.demandFields(this.ports.time.monotonic(), () => this.own.demand(MAXIMUM_OWN_KEYS)),
       };
       if (this.ports.plane.sendToLeader(control.PeerTopic.Load, payload)) {
@@ -212,24 +205,26 @@
   }
 
   private receive(payload: unknown, from: string): void {
-    const parsed = messageSchema.safeParse(payload);
+    const parsed = loadMessage.messageSchema.safeParse(payload);
     if (!parsed.success) {
       logger.warning('load message of a peer is malformed; it is ignored');
-    } else if (parsed.data.kind === MessageKind.Sums) {
+    } else if (parsed.data.kind === loadMessage.MessageKind.Sums) {
       this.receiveSums(parsed.data);
     } else if (this.ports.plane.leadership().role === control.ReplicaRole.Leader) {
       const { loads, placings = [] } = parsed.data;
-      placings.map(decodePlacement).forEach((placed) => this.ports.placementBuffer.add(placed));
+      placings
+        .map(loadMessage.decodePlacement)
+        .forEach((placed) => this.ports.placementBuffer.add(placed));
       this.reports.set(from, {
         at: this.ports.time.monotonic(),
-        loads: loads.map(decode),
-        demand: decodeDemand(parsed.data) ?? this.reports.get(from)?.demand,
+        loads: loads.map(loadMessage.decodeLoad),
+        demand: loadMessage.decodeDemand(parsed.data) ?? this.reports.get(from)?.demand,
       });
     }
   }
 
   /** Without the list that belongs to the table, the daemon waits for a later message that contains it. */
-  private receiveSums(message: SumsMessage): void {
+  private receiveSums(message: loadMessage.SumsMessage): void {
     const { edition, servers, interval, loads, placings } = message;
     this.intervalMilliseconds = interval;
     if (servers !== undefined) {
@@ -248,7 +243,7 @@
     this.onSums({
       loads: decodedLoads,
       placements,
-      demand: decodeDemand(message),
+      demand: loadMessage.decodeDemand(message),
       ageMilliseconds: interval + TRANSIT_MILLISECONDS,
     });
   }
@@ -263,85 +258,6 @@
 
 const logger = new logging.Logger('load');
 
-const demandFields = {
-  /** Milliseconds of server time for all prefixes. */
-  demandTotal: zod.number().min(0).optional(),
-  demand: zod.instanceof(Uint8Array).optional(),
-};
-
-const ownSchema = zod.object({
-  ...demandFields,
-  kind: zod.literal(MessageKind.Own),
-  /** Server, requests, prompt tokens whose prefill has not ended, tokens in memory. */
-  loads: zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()])),
-  /** Server, hashes of the prefixes that were sent to it. */
-  placings: zod.array(zod.tuple([zod.string(), zod.array(zod.int())])).optional(),
-});
-
-const sumsSchema = zod.object({
-  ...demandFields,
-  kind: zod.literal(MessageKind.Sums),
-  /** Of the list of servers. */
-  edition: zod.int(),
-  servers: zod.array(zod.string()).optional(),
-  /** Milliseconds between two messages of the leader, and of a daemon to the leader. */
-  interval: zod.number().min(50).max(10_000),
-  loads: zod.instanceof(Uint8Array),
-  placings: zod.instanceof(Uint8Array).optional(),
-});
-
-type SumsMessage = zod.infer<typeof sumsSchema>;
-
-const messageSchema = zod.discriminatedUnion('kind', [ownSchema, sumsSchema]);
-
-function decodeDemand({
-  demandTotal,
-  demand,
-}: Pick<SumsMessage, 'demandTotal' | 'demand'>): placement.DemandReport | undefined {
-  const keys = demand && loadTable.decodeDemand(demand);
-  return keys === undefined || demandTotal === undefined
-    ? undefined
-    : { totalMilliseconds: demandTotal, keys };
-}
-
-type EncodedPlacement = [string, number[]];
-
-function encodeOwn(
-  loads: readonly loadTable.InFlightLoad[],
-  placements: readonly placement.PrefixPlacement[],
-): object {
-  const placings = placements.map(({ serverId, hashes }) => [serverId, [...hashes]]);
-  return {
-    kind: MessageKind.Own,
-    loads: loads.map(encode),
-    ...(placings.length === 0 ? {} : { placings }),
-  };
-}
-
-function decodePlacement([serverId, hashes]: EncodedPlacement): placement.PrefixPlacement {
-  return { serverId, hashes };
-}
-
-type Encoded = [string, number, number, number];
-
-function encode({
-  serverId,
-  requests,
-  prefillTokens,
-  memoryTokens,
-}: loadTable.InFlightLoad): Encoded {
-  return [serverId, requests, Math.round(prefillTokens), Math.round(memoryTokens)];
-}
-
-function decode([
-  serverId,
-  requests,
-  prefillTokens,
-  memoryTokens,
-]: Encoded): loadTable.InFlightLoad {
-  return { serverId, requests, prefillTokens, memoryTokens };
-}
-
 function add(
   sum: loadTable.InFlightLoad | undefined,
   load: loadTable.InFlightLoad,
