Orders: send a recorded order under the lease of that moment

Cause: an order was dropped when recording it had taken longer than the rest of the lease at planning time (400 ms at most). On a disk that needs a few hundred milliseconds for a sync no order would ever have been sent.

Change: after the record is committed, the leader checks the lease that it holds then; a daemon that leads no more still sends nothing. Two tests, one for each direction; the first one cannot pass with the check before.

--- a/src/orders/order-task.ts
+++ b/src/orders/order-task.ts
@@ -120,9 +120,12 @@
     }
     if (isLeader && issuer?.term !== term) {
       this.apply({ kind: events.OrderEventKind.BecameLeader, at, term });
-      logger.information('became leader; orders wait for those of earlier leaders to end', {
-        term,
-      });
+      logger.information(
+        'became leader; orders wait until those of earlier leaders are known or have ended',
+        {
+          term,
+        },
+      );
       this.readHistory(term);
     }
   }
@@ -190,6 +193,7 @@
   private execute(effect: effects.OrderEffect): void {
     switch (effect.kind) {
       case effects.OrderEffectKind.SendOrder:
+        // Sent together with the others of the same step, by `sendRecorded`.
         break;
       case effects.OrderEffectKind.ReadBack:
         this.readBack(effect.serverId);
@@ -224,6 +228,14 @@
     });
   }
 
+  /** Whether no other daemon can lead yet. A slow disk may take longer to record an order than the lease at that time. */
+  private mayStillSend({ sendBefore, fencingNumber }: effects.SendOrder): boolean {
+    const { role, term, leaseRemainingMilliseconds = 0 } = this.ports.plane.leadership();
+    const isLeader = role === control.ReplicaRole.Leader && term === fencingNumber;
+    const leaseEndsAt = isLeader ? this.now() + leaseRemainingMilliseconds : sendBefore;
+    return !this.isClosed && this.now() < leaseEndsAt;
+  }
+
   private applyNotSent({ serverId, orderId }: effects.SendOrder): void {
     const kind = events.OrderEventKind.OrderFailed;
     this.apply({ kind, at: this.now(), serverId, orderId, verdict: verdict.Verdict.NotRun });
@@ -233,8 +245,7 @@
     const { serverId, orderId } = order;
     const { OrderAccepted, OrderFailed, OrderRefused } = events.OrderEventKind;
     const lease = this.ports.engine(serverId);
-    const maySend = this.now() < order.sendBefore && !this.isClosed;
-    if (lease === undefined || !maySend) {
+    if (lease === undefined || !this.mayStillSend(order)) {
       lease?.release();
       this.applyNotSent(order);
       return;
@@ -313,8 +324,8 @@
 // Short compared with the lease, within which an order must be sent, and with a load, which takes 0.4 s.
 const TICK_MILLISECONDS = 50;
 
-// Within the time of a lease; an order that cannot be recorded is planned again.
-const PROPOSAL_MILLISECONDS = 400;
+// Two writes to a slow disk; an order that cannot be recorded is planned again.
+const PROPOSAL_MILLISECONDS = 1_500;
 
 // The list has up to 2,400 entries; reading it on every tick would cost too much.
 const SERVERS_MILLISECONDS = 250;
--- a/test/orders/order-log.test.ts
+++ b/test/orders/order-log.test.ts
@@ -79,4 +79,76 @@
   );
 });
 
+/** Guards against a roll-out that a slow disk stops, and against an order of a daemon that leads no more. */
+[
+  {
+    title: 'an order that was recorded after its lease is sent by a leader with a later lease',
+    leads: true,
+  },
+  {
+    title: 'an order that was recorded after its lease is not sent by a former leader',
+    leads: false,
+  },
+].forEach(({ title, leads }) =>
+  suite(title, async () => {
+    const time = new clock.ManualClock();
+    const status = {
+      role: control.ReplicaRole.Leader,
+      term: 1,
+      leaseRemainingMilliseconds: 400,
+    } as control.ControlStatus;
+    const documents = new Map([[`service/${SERVICE.name}`, SERVICE]]);
+    const report = { incarnation: 'i', weightsVersion: '1', leaving: false, loading: false };
+    let sent = 0;
+    const pending: (() => void)[] = [];
+    const done = new results.Ok({ kind: control.CommandResultKind.Done } as const);
+    const task = new orders.OrderTask(
+      {
+        plane: {
+          leadership: () => status,
+          configuration: () => ({ revision: 1, documents }),
+          propose: ({ kind }) =>
+            kind === control.CommandKind.RecordOrders
+              ? new Promise((resolve) => {
+                  pending.push(() => resolve(done));
+                })
+              : Promise.resolve(done),
+          orderHistory: () => ({ knownSince: -Infinity, orders: [] }),
+        },
+        time,
+        engine: () => ({
+          client: {
+            order: async () => {
+              sent += 1;
+              return new results.Ok(backend.OrderOutcome.Accepted);
+            },
+            probe: async () => new results.Ok(report),
+          },
+          release: () => {},
+        }),
+        servers: () => [ENGINE],
+        onReadBack: () => {},
+      },
+      { ...orders.DEFAULT_PARAMETERS, settleMilliseconds: 950 },
+    );
+    const advance = async (milliseconds: number) => {
+      for (let elapsed = 0; elapsed < milliseconds; elapsed += 50) {
+        time.advance(50);
+        await new Promise(setImmediate);
+      }
+    };
+    task.start();
+    await advance(500);
+    assert.is(pending.length, 1);
+    if (!leads) {
+      Object.assign(status, { role: control.ReplicaRole.Follower, leaseRemainingMilliseconds: 0 });
+    }
+    await advance(600);
+    pending[0]();
+    await advance(100);
+    task.close();
+    assert.is(sent, leads ? 1 : 0);
+  }),
+);
+
 suite.run();
