Log the shared prompt parts and the pieces received of each failed attempt

Ids of parts are opaque; long ones are hashed and their number is bounded. The profile of a request gets the ids too; nothing decides by them yet. The new test fails without the fields.

--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -19,6 +19,8 @@
    * `TOKENS_PER_BLOCK` tokens.
    */
   readonly chainTokens?: readonly number[];
+  /** Ids of the prompt parts that other requests may contain too, in order; absent when the parts are unknown. */
+  readonly sharedParts?: readonly string[];
   /** Estimated prompt length; 0 for plain services. */
   readonly promptTokens: number;
   readonly expectedOutputTokens: number;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -133,6 +133,7 @@
         service,
         class: configuration.RequestClass.Short,
         ...chainOf(metadata.parts, cacheNamespace),
+        sharedParts: sharedPartsOf(metadata.parts),
         promptTokens: metadata.promptTokens,
         expectedOutputTokens: metadata.outputTokens,
         idempotent: isRepeatable(route),
@@ -174,6 +175,18 @@
   return { prefixChain: chain, chainTokens };
 }
 
+/** The last part belongs to the request alone. Ids are as long as callers make them, so that long ones are hashed. */
+function sharedPartsOf(parts: readonly headerCodec.PromptPart[]): readonly string[] {
+  return parts
+    .slice(0, -1)
+    .slice(0, MAXIMUM_SHARED_PARTS)
+    .map(({ id }) => (id.length <= MAXIMUM_PART_CHARACTERS ? id.toLowerCase() : hashOf(id)));
+}
+
+function hashOf(id: string): string {
+  return crypto.createHash('sha1').update(id.toLowerCase()).digest('base64');
+}
+
 function fingerprintOf(
   team: string | undefined,
   method: string,
@@ -187,6 +200,11 @@
     .digest('base64');
 }
 
+/** Prompts have two to four parts on all known platforms. */
+const MAXIMUM_SHARED_PARTS = 16;
+
+const MAXIMUM_PART_CHARACTERS = 32;
+
 const { FailureReason, Verdict } = verdict;
 
 const NO_TABLE = verdict.failure(
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -249,6 +249,14 @@
     return this.deliveryProgress.events > 0 || this.mayHaveRun;
   }
 
+  /** A crash by a prompt part shows in the requests at the crashed server that had received no event. */
+  protected override progressFields(): logging.LogFields {
+    return {
+      pieces: this.deliveryProgress.events,
+      sharedParts: this.profile.sharedParts?.join(','),
+    };
+  }
+
   private mayHaveRun = false;
 
   protected override attemptFailed(
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -63,6 +63,7 @@
     const { reason, verdict: outcome } = failure;
     logger.information('attempt failed', {
       ...this.fields(),
+      ...this.progressFields(),
       backendServer: serverId,
       verdict: outcome,
       reason,
@@ -110,6 +111,11 @@
     this.attempts.clear();
   }
 
+  /** Fields of a failed attempt's log line that only some kinds of execution know. */
+  protected progressFields(): logging.LogFields {
+    return {};
+  }
+
   private fields(): logging.LogFields {
     const { requestId, team, service } = this.profile;
     return { requestId: this.loggedId ?? requestId, team, service };
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -292,6 +292,23 @@
   },
 );
 
+/** Guards against logs that do not tell requests that crash servers by a part of their prompt from their neighbours. */
+suite(
+  'the log of a failed attempt names the shared prompt parts and the pieces received',
+  async () => {
+    const server = createServer((_request, response) => response.destroy());
+    const lines = await capturedLog.linesOf('attempt failed', () =>
+      new builder.GatewayBuilder([server]).run(async (gateway) => {
+        const headers = { 'x-figline-prompt-prefix': '5C1E07A2:800,91bd3f06:410,e4402b7d:250' };
+        await gateway.send('POST', '/report/7', headers);
+      }),
+    );
+    assert.is(lines.length, 1);
+    assert.is(lines[0].sharedParts, '5c1e07a2,91bd3f06');
+    assert.is(lines[0].pieces, 0);
+  },
+);
+
 /** Guards against a request that waits in an engine until its weights are too old and then begins. */
 suite(
   'a stream that has not begun is cancelled when the weights of its server become too old',
