--- a/src/clock/manual-clock.ts
+++ b/src/clock/manual-clock.ts
@@ -66,10 +66,18 @@
   }
 
   private dequeueDue(end: number): PendingTimer | undefined {
-    const [next] = this.pending
-      .filter((timer) => timer.due <= end)
-      .sort((left, right) => left.due - right.due || left.sequence - right.sequence);
-    this.pending = this.pending.filter((timer) => timer !== next);
+    const next = this.pending.reduce<PendingTimer | undefined>(
+      (first, timer) =>
+        timer.due <= end && (first === undefined || isBefore(timer, first)) ? timer : first,
+      undefined,
+    );
+    if (next !== undefined) {
+      this.pending = this.pending.filter((timer) => timer !== next);
+    }
     return next;
   }
 }
+
+function isBefore(left: PendingTimer, right: PendingTimer): boolean {
+  return left.due < right.due || (left.due === right.due && left.sequence < right.sequence);
+}
