Quarantine: excuse a request that goes on at another server after a crash

Cause: every request in flight at two crashes is refused, although one that crashes servers as it begins does not run on at the next one.

A request whose pieces still arrive 200 ms after the first one of an attempt is excused of the crashes so far. A request that crashes servers late in its run would be excused each time, so that four crashes refuse it in any case. Ruled out: to leave begun requests out of the suspects altogether, which would never stop such a request.

--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -55,9 +55,17 @@
       timings: health.recordPieceGap(step.state.timings, attempt.serverId, gap, step.at),
     });
   }
-  const advanced = {
+  const firstPieceAt = attempt.firstPieceAt ?? step.at;
+  const hasBegunSafely = step.at - firstPieceAt >= SAFE_BEGIN_MILLISECONDS;
+  if (hasBegunSafely && attempt.hasBegunSafely !== true) {
+    const { fingerprint } = request.profile;
+    step.change({ quarantine: health.excuseSuspect(step.state.quarantine, fingerprint) });
+  }
+  const advanced: state.AttemptState = {
     ...attempt,
     prefillTokens: 0,
+    firstPieceAt,
+    ...(hasBegunSafely ? { hasBegunSafely } : {}),
     lastPieceAt: step.at,
     nextPiece: pieceEvent.nextPiece,
   };
@@ -168,6 +176,8 @@
   }));
 }
 
+/** A request that crashes servers does so within some tens of milliseconds after its answer has begun. */
+const SAFE_BEGIN_MILLISECONDS = 200;
 /** Smooths over about 20 requests. */
 const GAIN = 0.1;
 /** Unreported load of other daemons delays a first piece by about this, also at a server of normal speed. */
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -25,6 +25,10 @@
   readonly prefillTokens: number;
   /** When the prefix index last had each block of the prompt as cached, as of the dispatch. */
   readonly lastCachedTimes: placement.LastCachedTimes;
+  /** When the first piece of this attempt arrived. */
+  readonly firstPieceAt?: number;
+  /** Whether pieces still arrived some time after the first one, so that beginning the answer has not crashed the server. */
+  readonly hasBegunSafely?: true;
   /** When the last piece arrived. */
   readonly lastPieceAt?: number;
   /** Number of the next piece of this attempt. */
--- a/src/health/quarantine.ts
+++ b/src/health/quarantine.ts
@@ -5,6 +5,8 @@
 interface Suspect {
   /** Confirmed crashes that it was in flight at. */
   readonly crashes: immutable.Set<string>;
+  /** Crashes after which it went on to run at another server. */
+  readonly excused: immutable.Set<string>;
   /** Times of lost connections, by the identifier of the crash that may have caused them. */
   readonly losses: immutable.Map<string, number>;
   readonly refused: boolean;
@@ -75,12 +77,29 @@
     fingerprints.forEach((fingerprint) => {
       const suspect = mutable.get(fingerprint, NEW_SUSPECT);
       const crashes = suspect.crashes.add(crashId);
-      const refused = crashes.size >= CRASHES_BEFORE_REFUSAL;
+      const total = crashes.union(suspect.excused).size;
+      const refused =
+        suspect.refused ||
+        crashes.size >= CRASHES_BEFORE_REFUSAL ||
+        total >= EXCUSED_CRASHES_BEFORE_REFUSAL;
       mutable.set(fingerprint, { ...suspect, crashes, refused, at });
     });
   });
 }
 
+/**
+ * Excuses a suspect that has begun and goes on to run at another server: a request that crashes servers rarely gets that
+ * far. Its crashes count less from now on. A refused fingerprint stays refused.
+ */
+export function excuseSuspect(quarantine: Quarantine, fingerprint: string): Quarantine {
+  const suspect = quarantine.get(fingerprint);
+  if (suspect === undefined || suspect.refused || suspect.crashes.isEmpty()) {
+    return quarantine;
+  }
+  const excused = suspect.excused.union(suspect.crashes);
+  return quarantine.set(fingerprint, { ...suspect, excused, crashes: NEW_SUSPECT.crashes });
+}
+
 /** Removes a suspect that ran to its end without a crash. A refused fingerprint stays refused. */
 export function clearSuspect(quarantine: Quarantine, fingerprint: string): Quarantine {
   return quarantine.get(fingerprint)?.refused === false
@@ -109,7 +128,8 @@
   const recentLosses = suspect.losses.filter(
     (lostTime) => at - lostTime <= CONNECTION_LOSS_MILLISECONDS,
   );
-  const possibleCrashes = suspect.crashes.union(recentLosses.keySeq());
+  const unexcusedLosses = recentLosses.keySeq().filterNot((id) => suspect.excused.has(id));
+  const possibleCrashes = suspect.crashes.union(unexcusedLosses);
   if (possibleCrashes.size >= CRASHES_BEFORE_REFUSAL) {
     return QuarantineStatus.Held;
   }
@@ -131,21 +151,25 @@
     if (suspect.refused) {
       return at - suspect.at <= REFUSED_MILLISECONDS;
     }
-    const retention = suspect.crashes.isEmpty()
-      ? CONNECTION_LOSS_MILLISECONDS
-      : SUSPECT_MILLISECONDS;
+    const retention =
+      suspect.crashes.isEmpty() && suspect.excused.isEmpty()
+        ? CONNECTION_LOSS_MILLISECONDS
+        : SUSPECT_MILLISECONDS;
     return at - suspect.at <= retention;
   });
 }
 
 const NEW_SUSPECT: Suspect = {
   crashes: immutable.Set<string>(),
+  excused: immutable.Set<string>(),
   losses: immutable.Map<string, number>(),
   refused: false,
   at: 0,
 };
 
 const CRASHES_BEFORE_REFUSAL = 2;
+/** A request may crash servers late in its run, so that it is refused at some time even if it goes on each time. */
+const EXCUSED_CRASHES_BEFORE_REFUSAL = 4;
 /** A probe shows within this time whether a crash caused a connection loss. */
 const CONNECTION_LOSS_MILLISECONDS = 3_000;
 /** Long enough for a request that a caller resends for a minute. */
