Decision core: count crashes for each shared prompt part, over requests

Callers saw engine after engine end: requests with one part of a prompt crash each engine that begins to answer them, and no two of them are alike. Cause: a suspicion was about one whole request, by a hash of team, method, path and body, so that each one was a first case.

At a crash the request itself and the shared parts of its prompt are possible causes, if its answer had not begun and gone on for 200 ms. An answer that begins later and goes on clears its parts, so that preambles are cleared within a second. A cause in flight at three crashes that are a second old is refused, unless another cause explains more crashes; of causes that explain the same crashes, a request must hold all. Queued requests and those that wait in an engine are then failed, too.

Ruled out: refusing by the team or by the first part (sound requests share both); counting lost connections without a confirmed crash (a reset of connections would convict).

--- a/src/bench/core-strategy.ts
+++ b/src/bench/core-strategy.ts
@@ -212,8 +212,10 @@
         this.environment.fail(daemon.requests.get(effect.requestId)!, effect.failure);
         daemon.requests.delete(effect.requestId);
         return undefined;
-      default:
+      case decision.DecisionEffectKind.ReportCrash:
         return this.reportToPeers(daemon, effect);
+      default:
+        return undefined;
     }
   }
 
--- a/src/daemon/peer-quarantine.ts
+++ b/src/daemon/peer-quarantine.ts
@@ -11,11 +11,17 @@
   fingerprints: zod.array(zod.string().min(1).max(128)).max(10_000),
 });
 
-/** Sends the peers the fingerprints of the requests that were in flight when a server crashed. */
+/**
+ * Sends the peers the fingerprints of the requests that were in flight when a server crashed. Callers of this daemon name no
+ * prompt parts, so that there are no causes but whole requests.
+ */
 export function broadcastCrashReport(
   plane: control.ControlPlane,
-  report: decision.ReportCrash,
+  report: decision.ReportCrash | decision.ReportSafeBegin,
 ): void {
+  if (report.kind === decision.DecisionEffectKind.ReportSafeBegin) {
+    return;
+  }
   const { crashId, serverId, fingerprints } = report;
   plane.broadcast(control.PeerTopic.Quarantine, { crashId, serverId, fingerprints });
 }
--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -11,6 +11,7 @@
 import * as serviceAvailability from './service-availability';
 import * as standardChecks from './standard-checks';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 
 /** Queues a new request, or fails it when an arrival check refuses it. */
 export function applyArrival(step: steps.Step, arrivalEvent: event.RequestArrived): void {
@@ -42,9 +43,9 @@
   target = serverSelection.findTarget(step, request),
 ): void {
   const { profile } = request;
-  const status = health.quarantineStatus(step.state.quarantine, profile.fingerprint, step.at);
+  const status = suspicion.statusOf(step, profile);
   if (status === health.QuarantineStatus.Refused) {
-    ending.fail(step, request, health.quarantineFailure());
+    ending.fail(step, request, suspicion.failureOf(step, profile));
     return;
   }
   if (!serviceAvailability.isAvailable(step, profile.service)) {
--- a/src/decision/attempt-failure.ts
+++ b/src/decision/attempt-failure.ts
@@ -8,6 +8,7 @@
 import * as slots from './slots';
 import type * as state from './state';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 
 /** Retries, resumes or fails a request after one of its attempts failed. */
 export function applyFailure(step: steps.Step, failureEvent: event.AttemptFailed): void {
@@ -82,6 +83,7 @@
   if (failure.verdict === verdict.Verdict.MayHaveRun && CRASH_SIGNS.has(failure.reason)) {
     const crashId = health.crashIdOf(attempt.serverId, attempt.incarnation ?? UNKNOWN_INCARNATION);
     const { fingerprint } = request.profile;
+    suspicion.recordLoss(step, request, attempt);
     step.change({
       quarantine: health.recordConnectionLoss(step.state.quarantine, fingerprint, crashId, step.at),
     });
--- a/src/decision/crash.ts
+++ b/src/decision/crash.ts
@@ -8,6 +8,7 @@
 import * as serverUpdates from './server-updates';
 import type * as state from './state';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 
 /**
  * Drops the cache entries and timings of a crashed server, suspects the requests that were in flight there,
@@ -26,22 +27,54 @@
     ...health.fingerprintsOfLostConnections(step.state.quarantine, crashId, step.at),
   ];
   const fingerprints = crashEvent.isProcessAlive === true ? [] : [...new Set(suspects)];
+  const causes =
+    crashEvent.isProcessAlive === true ? [] : possibleCauses(step, server.record.id, lostAttempts);
   markCrashed(step, server, incarnation);
   recordCrash(step, crashId, fingerprints);
   if (fingerprints.length > 0) {
     const kind = effect.DecisionEffectKind.ReportCrash;
-    step.emit({ kind, crashId, serverId: crashEvent.serverId, fingerprints });
+    recordCauses(step, crashEvent.serverId, causes);
+    step.emit({ kind, crashId, serverId: crashEvent.serverId, fingerprints, causes });
   }
   const { BackendError, ConnectionLost } = verdict.FailureReason;
   const reason = crashEvent.isProcessAlive === true ? BackendError : ConnectionLost;
   lostAttempts.forEach(({ request, attempt }) => loseAttempt(step, request, attempt, reason));
 }
 
+/** Fails requests that must not run, also those that wait in a server, before they crash it. */
+export function failRefused(step: steps.Step): void {
+  if (step.state.crashEvidence.suspicions.isEmpty()) {
+    return;
+  }
+  [...step.state.requests.values()]
+    .filter((request) => !request.attempts.some(({ hasBegunSafely }) => hasBegunSafely === true))
+    .filter(({ profile }) => suspicion.statusOf(step, profile) === health.QuarantineStatus.Refused)
+    .forEach((request) => ending.fail(step, request, suspicion.failureOf(step, request.profile)));
+}
+
 /** Records the fingerprints that a peer had in flight at a crash. */
 export function applyReport(step: steps.Step, reportEvent: event.QuarantineReported): void {
   recordCrash(step, reportEvent.crashId, reportEvent.fingerprints);
 }
 
+/** Causes of the requests that the server had not begun to answer safely, as far as this daemon sent them. */
+function possibleCauses(
+  step: steps.Step,
+  serverId: string,
+  lostAttempts: ReturnType<typeof attemptsAt>,
+): readonly string[] {
+  const inFlight = lostAttempts
+    .filter(({ attempt }) => attempt.hasBegunSafely !== true)
+    .flatMap(({ request }) => suspicion.causesOf(request.profile));
+  const lost = health.lostCauses(step.state.crashEvidence, serverId, step.at);
+  return [...new Set([...inFlight, ...lost])];
+}
+
+function recordCauses(step: steps.Step, serverId: string, causes: readonly string[]): void {
+  const report = { serverId, at: step.at, causes };
+  step.change({ crashEvidence: health.addCrash(step.state.crashEvidence, report) });
+}
+
 /**
  * The incarnation that crashed. When the next incarnation was already observed, this is the newest dead one
  * that had requests of this daemon.
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -11,6 +11,7 @@
 import * as slots from './slots';
 import type * as state from './state';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 
 /**
  * Dispatches queued requests while servers have free slots, the short lane first.
@@ -41,8 +42,9 @@
 }
 
 function passInputs({ state }: steps.Step): readonly unknown[] {
-  const { servers, pendingLoads, queues, services, quarantine, slowdowns } = state;
-  return [servers, pendingLoads, queues, services, quarantine, slowdowns];
+  const { servers, pendingLoads, queues, services, quarantine, crashEvidence, slowdowns } = state;
+  const { suspicions } = crashEvidence;
+  return [servers, pendingLoads, queues, services, quarantine, suspicions, slowdowns];
 }
 
 /** Starts an attempt at the chosen server. */
@@ -119,13 +121,9 @@
 /** Returns whether the entry left the queue. */
 function dispatchEntry(step: steps.Step, service: string, entry: admission.QueueEntry): boolean {
   const request = step.state.requests.get(entry.requestId)!;
-  const status = health.quarantineStatus(
-    step.state.quarantine,
-    request.profile.fingerprint,
-    step.at,
-  );
+  const status = suspicion.statusOf(step, request.profile);
   if (status === health.QuarantineStatus.Refused) {
-    ending.fail(step, request, health.quarantineFailure());
+    ending.fail(step, request, suspicion.failureOf(step, request.profile));
     return true;
   }
   if (status === health.QuarantineStatus.Held) {
--- a/src/decision/effect.ts
+++ b/src/decision/effect.ts
@@ -5,6 +5,7 @@
   CancelAttempt = 'cancel-attempt',
   Fail = 'fail',
   ReportCrash = 'report-crash',
+  ReportSafeBegin = 'report-safe-begin',
 }
 
 /** Send the request to a server. The adapter reports the result in events that carry `attemptId`. */
@@ -43,6 +44,16 @@
   readonly crashId: string;
   readonly serverId: string;
   readonly fingerprints: readonly string[];
+  /** What the requests that the server had not begun to answer safely may have crashed it by. */
+  readonly causes: readonly string[];
 }
 
-export type DecisionEffect = Dispatch | CancelAttempt | Fail | ReportCrash;
+/** Report to the peers that answers with suspected causes began at the given time and went on. */
+export interface ReportSafeBegin {
+  readonly kind: DecisionEffectKind.ReportSafeBegin;
+  readonly causes: readonly string[];
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+}
+
+export type DecisionEffect = Dispatch | CancelAttempt | Fail | ReportCrash | ReportSafeBegin;
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -1,5 +1,6 @@
 import * as configuration from '../configuration';
 import * as membership from '../membership';
+import type * as health from '../health';
 import type * as placement from '../placement';
 import * as verdict from '../verdict';
 
@@ -54,6 +55,7 @@
   DemandReported = 'demand-reported',
   ServerCrashed = 'server-crashed',
   QuarantineReported = 'quarantine-reported',
+  CrashEvidenceReported = 'crash-evidence-reported',
   Tick = 'tick',
 }
 
@@ -207,6 +209,13 @@
   readonly fingerprints: readonly string[];
 }
 
+/** Other daemons have seen requests in flight at crashes, or answers that began safely. */
+export interface CrashEvidenceReported extends EventBase {
+  readonly kind: DecisionEventKind.CrashEvidenceReported;
+  readonly crashes: readonly health.CrashReport[];
+  readonly safeBegins: readonly health.SafeBegin[];
+}
+
 /** Time has passed; sent every 20 ms while requests wait, 50 ms while some run, else each second. */
 export interface Tick extends EventBase {
   readonly kind: DecisionEventKind.Tick;
@@ -230,4 +239,5 @@
   | DemandReported
   | ServerCrashed
   | QuarantineReported
+  | CrashEvidenceReported
   | Tick;
--- a/src/decision/periodic-tasks.ts
+++ b/src/decision/periodic-tasks.ts
@@ -1,6 +1,7 @@
 import * as health from '../health';
 import * as placement from '../placement';
 import * as arrival from './arrival';
+import * as crash from './crash';
 import * as deadlineCheck from './deadline-check';
 import * as ending from './ending';
 import * as hedging from './hedging';
@@ -8,6 +9,7 @@
 import * as serviceTiming from './service-timing';
 import * as stragglers from './stragglers';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 
 /** Runs the tasks that become due as time passes. */
 export function applyTick(step: steps.Step): void {
@@ -18,6 +20,7 @@
     stragglers.refresh(step);
     hedging.hedgeLate(step);
     relocation.relocateFromLoading(step);
+    crash.failRefused(step);
   }
   if (step.at - step.state.prunedAt >= PRUNE_INTERVAL_MILLISECONDS) {
     step.applyPendingLoads();
@@ -31,6 +34,7 @@
       peerCache: placement.prunePeerCache(step.state.peerCache, step.at),
       prefixDemand: placement.pruneDemand(step.state.prefixDemand, step.at),
       quarantine: health.pruneQuarantine(step.state.quarantine, step.at),
+      crashEvidence: health.pruneCrashEvidence(step.state.crashEvidence, step.at),
     });
   }
 }
@@ -63,11 +67,7 @@
 function releaseHeld(step: steps.Step): void {
   step.state.heldRequests.forEach((requestId) => {
     const request = step.state.requests.get(requestId)!;
-    const { fingerprint } = request.profile;
-    if (
-      health.quarantineStatus(step.state.quarantine, fingerprint, step.at) !==
-      health.QuarantineStatus.Held
-    ) {
+    if (suspicion.statusOf(step, request.profile) !== health.QuarantineStatus.Held) {
       step.change({ heldRequests: step.state.heldRequests.delete(requestId) });
       arrival.enqueue(step, request);
     }
--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -10,6 +10,7 @@
 import * as slots from './slots';
 import type * as state from './state';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 
 /** Updates the prefix index and the expected time from the headers of an answer. */
 export function applyAnswerStart(step: steps.Step, startEvent: event.AnswerStarted): void {
@@ -59,6 +60,7 @@
   const hasBegunSafely = step.at - firstPieceAt >= SAFE_BEGIN_MILLISECONDS;
   if (hasBegunSafely && attempt.hasBegunSafely !== true) {
     const { fingerprint } = request.profile;
+    suspicion.recordSafeBegin(step, request.profile, firstPieceAt);
     step.change({ quarantine: health.excuseSuspect(step.state.quarantine, fingerprint) });
   }
   const advanced: state.AttemptState = {
@@ -88,6 +90,7 @@
   const attempts = request.attempts.filter((other) => other !== attempt);
   step.setRequest({ ...request, attempts });
   ending.remove(step, finishEvent.requestId);
+  suspicion.recordSafeBegin(step, request.profile, attempt.firstPieceAt ?? attempt.dispatchedAt);
   step.change({
     quarantine: health.clearSuspect(step.state.quarantine, request.profile.fingerprint),
   });
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -11,6 +11,7 @@
 import * as suspectPartition from './suspect-partition';
 import type * as state from './state';
 import type * as steps from './step';
+import * as suspicion from './suspicion';
 import * as weightsFilter from './weights-filter';
 
 /** The server selected for a request, with the expected cache hit, time and cost. */
@@ -92,11 +93,7 @@
 
 /** Whether the request's fingerprint was in flight at a crash that it may have caused. */
 export function isSuspect(step: steps.Step, request: state.RequestState): boolean {
-  const { fingerprint } = request.profile;
-  return (
-    health.quarantineStatus(step.state.quarantine, fingerprint, step.at) !==
-    health.QuarantineStatus.Clear
-  );
+  return suspicion.statusOf(step, request.profile) !== health.QuarantineStatus.Clear;
 }
 
 /** The home server of the request's prefix, the same for all daemons. */
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -128,6 +128,8 @@
   readonly slowdowns: immutable.Map<string, number>;
   readonly serviceTimings: immutable.Map<string, ServiceTiming>;
   readonly quarantine: health.Quarantine;
+  /** Which parts of prompts crash servers. */
+  readonly crashEvidence: health.CrashEvidence;
   /** Number of daemons that share the slack of the retry limits, once it is known. */
   readonly daemons?: number;
   readonly retryBudgets: immutable.Map<string, admission.RetryBudget>;
@@ -165,6 +167,7 @@
     slowdowns: immutable.Map<string, number>(),
     serviceTimings: immutable.Map<string, ServiceTiming>(),
     quarantine: health.EMPTY_QUARANTINE,
+    crashEvidence: health.EMPTY_CRASH_EVIDENCE,
     daemons: decisionOptions.retryLimits === undefined ? 1 : decisionOptions.daemons,
     retryBudgets: immutable.Map<string, admission.RetryBudget>(),
     hedgeBudget: decisionOptions.hedgeBudget ?? admission.HEDGE_BUDGET,
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -11,6 +11,7 @@
 import * as progress from './progress';
 import type * as state from './state';
 import * as steps from './step';
+import * as suspicion from './suspicion';
 import * as periodicTasks from './periodic-tasks';
 
 /**
@@ -59,6 +60,9 @@
       return crash.applyCrash(step, decisionEvent);
     case event.DecisionEventKind.QuarantineReported:
       return crash.applyReport(step, decisionEvent);
+    case event.DecisionEventKind.CrashEvidenceReported:
+      suspicion.applyEvidence(step, decisionEvent);
+      return crash.failRefused(step);
     case event.DecisionEventKind.RequestArrived:
       return arrival.applyArrival(step, decisionEvent);
     case event.DecisionEventKind.AnswerStarted:
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -111,9 +111,9 @@
     this.attempts.clear();
   }
 
-  /** Fields of a failed attempt's log line that only some kinds of execution know. */
+  /** How far a failed attempt got, and what it has in common with others, for its log line. */
   protected progressFields(): logging.LogFields {
-    return {};
+    return { sharedParts: this.profile.sharedParts?.join(',') };
   }
 
   private fields(): logging.LogFields {
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -5,8 +5,8 @@
 import type * as decisionCore from './decision-core';
 import type * as requestExecution from './request-execution';
 
-/** Sends a crash report to the peer daemons. */
-export type CrashReporter = (report: decision.ReportCrash) => void;
+/** Tells the peer daemons of a crash, or of an answer that began safely. */
+export type CrashReporter = (report: decision.ReportCrash | decision.ReportSafeBegin) => void;
 
 /**
  * Returns the event that became due as time passed and that the core has to apply before an event at `at`
@@ -155,7 +155,10 @@
   }
 
   private carryOut(effect: decision.DecisionEffect): void {
-    if (effect.kind === decision.DecisionEffectKind.ReportCrash) {
+    if (
+      effect.kind === decision.DecisionEffectKind.ReportCrash ||
+      effect.kind === decision.DecisionEffectKind.ReportSafeBegin
+    ) {
       this.reportCrash(effect);
       return;
     }
--- a/test/decision/crash-fleet.ts
+++ b/test/decision/crash-fleet.ts
@@ -38,7 +38,10 @@
 }
 
 /** Passes on what a gateway reports to the others. */
-export type Reporter = (gateway: Gateway, effect: decision.DecisionEffect) => void;
+export type Reporter = (
+  gateway: Gateway,
+  effect: decision.ReportCrash | decision.ReportSafeBegin,
+) => void;
 
 /**
  * Load pattern: gateways send requests to the same engines, and one part of a prompt crashes each engine that begins an
--- a/test/decision/random-adapter.ts
+++ b/test/decision/random-adapter.ts
@@ -289,8 +289,10 @@
         return undefined;
       case decision.DecisionEffectKind.Fail:
         return this.checkFailure(effect);
-      default:
+      case decision.DecisionEffectKind.ReportCrash:
         return this.recordCrash(effect.crashId, effect.fingerprints);
+      default:
+        return undefined;
     }
   }
 
