Read the request limit that a server names, and log when it changes

Each change is one line with the server and the limit. Nothing decides by it yet. The new test of the log fails without it.

--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -14,6 +14,8 @@
   /** Whether the headers prove that the body is the server's and unchanged; required of successful answers only. */
   readonly isGenuine: boolean;
   readonly load?: relayServer.RelayLoad;
+  /** Requests a second that the server takes from all daemons together; absent if it names no limit. */
+  readonly requestsPerSecond?: number;
 }
 
 /** Reads the metadata from the status and headers of an answer. */
@@ -79,6 +81,7 @@
   }
 
   protected override receiveHead(head: httpRequest.HttpHead): void {
+    this.receiver.onLimit(this.metadata?.requestsPerSecond);
     if (this.metadata?.refusal !== undefined) {
       return;
     }
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -22,6 +22,8 @@
 
 /** Receives one answer: status and headers, data and end, or a failure in place of the remaining calls. */
 export interface RelayReceiver {
+  /** Called for each answer, refusals too, with the requests a second that the server takes, if it names a limit. */
+  onLimit(requestsPerSecond: number | undefined): void;
   onHead(head: httpRequest.HttpHead, load: RelayLoad | undefined): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -28,6 +28,7 @@
   /** Shared by all requests. */
   readonly bufferBudget: bufferBudget.BufferBudget;
   readonly onLoad: (load: backend.RelayLoad) => void;
+  readonly onLimit: (requestsPerSecond: number | undefined) => void;
 }
 
 /**
@@ -60,6 +61,10 @@
     private readonly onSettled: (failure?: verdict.RequestFailure) => void,
   ) {}
 
+  onLimit(requestsPerSecond: number | undefined): void {
+    this.ports.onLimit(requestsPerSecond);
+  }
+
   onHead(head: backend.HttpHead, load: backend.RelayLoad | undefined): void {
     this.head = head;
     this.ports.onArrival();
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -20,6 +20,7 @@
 import * as loadExchange from './load-exchange';
 import type * as loadTable from './load-table';
 import * as placementBuffer from './placement-buffer';
+import * as requestLimits from './request-limits';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 import * as stallDetector from './stall-detector';
@@ -136,6 +137,7 @@
         stallDetector: detector,
         bufferBudget: new bufferBudget.BufferBudget(),
         placementBuffer: buffer,
+        requestLimits: new requestLimits.RequestLimits(),
         server: (serverId) => membership.server(serverId),
         supersededMilliseconds: (service, version) =>
           this.source.supersededMilliseconds(service, version),
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -2,6 +2,7 @@
 import * as routing from '../routing';
 import type * as headerCodec from './header-codec';
 import type * as bufferBudget from './buffer-budget';
+import type * as requestLimits from './request-limits';
 import type * as placementBuffer from './placement-buffer';
 import type * as stallDetector from './stall-detector';
 
@@ -10,6 +11,7 @@
   readonly headerCodec: headerCodec.HeaderCodec;
   readonly stallDetector: stallDetector.StallDetector;
   readonly bufferBudget: bufferBudget.BufferBudget;
+  readonly requestLimits: requestLimits.RequestLimits;
   readonly placementBuffer: placementBuffer.PlacementBuffer;
   /** The current record of a backend server in the membership task. */
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -113,6 +113,7 @@
           bufferBudget: context.bufferBudget,
           onArrival: () => context.stallDetector.dataReceived(effect.serverId),
           onLoad: (load) => this.reportLoad(lease.machine, load),
+          onLimit: (perSecond) => context.requestLimits.observe(effect.serverId, perSecond),
         },
         resolve,
       );
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -292,6 +292,24 @@
   },
 );
 
+/** Guards against logs that do not show since when a gateway knows the limit that a server has named. */
+suite('the log shows when a server names a request limit, changes it and names none', async () => {
+  const answer = (limit?: string) =>
+    fakeBackendServer.answer('done', limit === undefined ? {} : { 'server-limit': limit });
+  const server = createServer(...['1.2', '1.2', '40'].map(answer), answer());
+  const lines = await capturedLog.linesOf('request limit of a server changed', () =>
+    new builder.GatewayBuilder([server]).run(async (gateway) => {
+      for (let turn = 0; turn < 4; turn += 1) {
+        await gateway.send('GET', '/balance/7');
+      }
+    }),
+  );
+  assert.equal(
+    lines.map(({ requestsPerSecond }) => requestsPerSecond),
+    [1.2, 40, 'none'],
+  );
+});
+
 /** Guards against logs that do not tell requests that crash servers by a part of their prompt from their neighbours. */
 suite(
   'the log of a failed attempt names the shared prompt parts and the pieces received',
