Keep to the request limits that servers name: one turn for each daemon in a period

Servers in need got 19 and 23 requests in 4 s where 12 and 15 are allowed, from gateways that had passed on their limits. Cause: the limit was not read, so that each gateway sent to them as to the others. Evidence: up to 13 requests in one second and 22 from one gateway 11 s after the naming, where requests sent before the limit was known are long gone.

Each daemon has a turn at a limited server once in N / (0.85 x limit) seconds and may send one request in it, where N is the number of daemons as the control daemons report it. Turns begin at random times and end unused, three at once on average, so that they do not add up while nobody sends. Without a turn a server is no candidate, so that the request goes elsewhere or waits.

Ruled out: a token bucket for each daemon (200 daemons that were idle would send 200 requests at once); one holder of the whole limit named by the leader (uses more of it in a large fleet, and needs a lease that holds when the holder or the leader is cut off; not built).

--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -7,6 +7,7 @@
 import * as deadlineCheck from './deadline-check';
 import * as effect from './effect';
 import * as ending from './ending';
+import * as requestLimits from './request-limits';
 import * as serviceTiming from './service-timing';
 import * as slots from './slots';
 import type * as state from './state';
@@ -44,7 +45,8 @@
 function passInputs({ state }: steps.Step): readonly unknown[] {
   const { servers, pendingLoads, queues, services, quarantine, crashEvidence, slowdowns } = state;
   const { suspicions } = crashEvidence;
-  return [servers, pendingLoads, queues, services, quarantine, suspicions, slowdowns];
+  const { requestLimits: limits } = state;
+  return [servers, pendingLoads, queues, services, quarantine, suspicions, slowdowns, limits];
 }
 
 /** Starts an attempt at the chosen server. */
@@ -77,6 +79,7 @@
   const cacheSource = cacheSources.findSource(step, request, choice);
   learnExpectedCache(step, serverId, incarnation, prefixChain);
   slots.occupy(step, request, attempt);
+  requestLimits.countSent(step, serverId);
   step.setRequest({
     ...request,
     entry: undefined,
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -48,6 +48,7 @@
   AttemptFinished = 'attempt-finished',
   AttemptFailed = 'attempt-failed',
   RequestCancelled = 'request-cancelled',
+  ServerLimitChanged = 'server-limit-changed',
   LoadReported = 'load-reported',
   LoadsReported = 'loads-reported',
   CacheEvicted = 'cache-evicted',
@@ -156,6 +157,14 @@
   readonly memoryTokens?: number;
 }
 
+/** A server has named another limit of the requests that it takes from all daemons together, or no limit any more. */
+export interface ServerLimitChanged extends EventBase {
+  readonly kind: DecisionEventKind.ServerLimitChanged;
+  readonly serverId: string;
+  /** Absent if the server has no limit. */
+  readonly requestsPerSecond?: number;
+}
+
 /** The load of all servers at one moment, from one message. */
 export interface LoadsReported extends EventBase {
   readonly kind: DecisionEventKind.LoadsReported;
@@ -232,6 +241,7 @@
   | AttemptFinished
   | AttemptFailed
   | RequestCancelled
+  | ServerLimitChanged
   | LoadReported
   | LoadsReported
   | CacheEvicted
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -7,6 +7,7 @@
 import type * as event from './event';
 import * as homeOrders from './home-order';
 import * as cachedPrefixLookup from './cached-prefix-lookup';
+import * as requestLimits from './request-limits';
 import * as standardFilters from './standard-filters';
 import * as suspectPartition from './suspect-partition';
 import type * as state from './state';
@@ -152,6 +153,7 @@
       cacheTokens,
       suspect,
       reserved,
+      throttled: requestLimits.isThrottled(step, server.record.id),
       weightsExpected,
       minimumWeights,
     };
--- a/src/decision/standard-filters.ts
+++ b/src/decision/standard-filters.ts
@@ -1,6 +1,7 @@
 import type * as candidateFilter from './candidate-filter';
 import * as eligibleFilter from './eligible-filter';
 import * as isolationFilter from './isolation-filter';
+import * as limitFilter from './limit-filter';
 import * as memoryFilter from './memory-filter';
 import * as prefillFilter from './prefill-filter';
 import * as slotFilter from './slot-filter';
@@ -11,6 +12,7 @@
   new eligibleFilter.EligibleFilter(),
   new weightsFilter.WeightsFilter(),
   new isolationFilter.IsolationFilter(),
+  new limitFilter.LimitFilter(),
 ];
 
 /** Filters for the servers among these that have room for the request now. */
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -79,6 +79,9 @@
   readonly measuredAt: number;
 }
 
+/** This daemon's shares of the limits that servers have named, by server. */
+export type RequestLimits = immutable.Map<string, admission.RateShare>;
+
 /** What the last pass over the queues has seen. */
 export interface QueuePass {
   readonly at: number;
@@ -128,6 +131,7 @@
   readonly slowdowns: immutable.Map<string, number>;
   readonly serviceTimings: immutable.Map<string, ServiceTiming>;
   readonly quarantine: health.Quarantine;
+  readonly requestLimits: RequestLimits;
   /** Which parts of prompts crash servers. */
   readonly crashEvidence: health.CrashEvidence;
   /** Number of daemons that share the slack of the retry limits, once it is known. */
@@ -167,6 +171,7 @@
     slowdowns: immutable.Map<string, number>(),
     serviceTimings: immutable.Map<string, ServiceTiming>(),
     quarantine: health.EMPTY_QUARANTINE,
+    requestLimits: immutable.Map<string, admission.RateShare>(),
     crashEvidence: health.EMPTY_CRASH_EVIDENCE,
     daemons: decisionOptions.retryLimits === undefined ? 1 : decisionOptions.daemons,
     retryBudgets: immutable.Map<string, admission.RetryBudget>(),
--- a/test/decision/crashing-part.test.ts
+++ b/test/decision/crashing-part.test.ts
@@ -6,7 +6,7 @@
 import * as crashEvidenceExchange from '../../src/gateway/crash-evidence-exchange';
 import * as peersModule from '../gateway/peers';
 import * as builder from './builder';
-import * as crashFleet from './crash-fleet';
+import * as engineFleet from './engine-fleet';
 
 const suite = uvu.suite('crashes by a prompt part');
 
@@ -19,10 +19,10 @@
 const SMALL = { gateways: 6, engines: 8, rate: 60, harmfulShare: 0.05 };
 
 /** Gateways that exchange evidence through a leader. */
-function connectedFleet(options: crashFleet.FleetOptions): crashFleet.CrashFleet {
+function connectedFleet(options: engineFleet.FleetOptions): engineFleet.EngineFleet {
   const peers = new peersModule.Peers();
   const exchanges: crashEvidenceExchange.CrashEvidenceExchange[] = [];
-  const fleet = new crashFleet.CrashFleet(options, ({ index }, effect) =>
+  const fleet = new engineFleet.EngineFleet(options, ({ index }, effect) =>
     exchanges[index].report(effect),
   );
   const { time } = fleet;
--- a/test/decision/crash-fleet.ts
+++ b/test/decision/engine-fleet.ts
@@ -13,6 +13,8 @@
   readonly rate: number;
   /** Share of the long requests whose prompt contains the part that crashes engines. */
   readonly harmfulShare: number;
+  /** Limit that the first engine names in its answers from the given time on. */
+  readonly limit?: { readonly perSecond: number; readonly from: number };
   readonly seed: number;
 }
 
@@ -44,11 +46,11 @@
 ) => void;
 
 /**
- * Load pattern: gateways send requests to the same engines, and one part of a prompt crashes each engine that begins an
+ * Load pattern: gateways send requests to the same engines, one of which may name a limit of requests, and one part of a prompt crashes each engine that begins an
  * answer on it. The requests with that part are all different and come through all gateways; most of their parts are those
  * of sound requests. Runs the decision cores against simulated engines in virtual time.
  */
-export class CrashFleet {
+export class EngineFleet {
   readonly time = new clock.ManualClock();
 
   readonly gateways: readonly Gateway[];
@@ -59,6 +61,9 @@
   /** Times at which requests with the harmful part reached engines. */
   readonly harmfulArrivals: number[] = [];
 
+  /** Times at which requests reached the first engine from gateways that knew its limit. */
+  readonly limitedArrivals: number[] = [];
+
   soundRequests = 0;
 
   /** Sound requests that were refused because they are believed to crash engines. */
@@ -66,6 +71,9 @@
 
   private readonly engines: readonly Engine[];
 
+  /** Gateways that have received an answer with the limit. */
+  private readonly toldLimit = new Set<number>();
+
   private readonly random: clock.SeededRandomSource;
 
   private nextRequest = 0;
@@ -116,6 +124,15 @@
     return this.harmfulArrivals.filter((at) => at > limit).length;
   }
 
+  /** The most requests in any span of the given length that reached the limited engine after the given time. */
+  mostLimitedArrivals(after: number, spanMilliseconds: number): number {
+    const arrivals = this.limitedArrivals.filter((at) => at >= after);
+    const counts = arrivals.map(
+      (start) => arrivals.filter((at) => at >= start && at <= start + spanMilliseconds).length,
+    );
+    return Math.max(0, ...counts);
+  }
+
   /** Crashes engines that no request harms, all at the same time. */
   stopEngines(count: number): void {
     this.engines
@@ -211,6 +228,9 @@
         return;
       }
       engine.running.push(running);
+      if (engine === this.engines[0] && this.toldLimit.has(gateway.index)) {
+        this.limitedArrivals.push(this.time.monotonic());
+      }
       if (isHarmful(profile)) {
         this.harmfulArrivals.push(this.time.monotonic());
       }
@@ -220,6 +240,7 @@
   }
 
   private begin(engine: Engine, running: Running): void {
+    this.nameLimit(engine, running.gateway);
     if (isHarmful(running.profile)) {
       this.crashes.push(this.time.monotonic());
       this.crash(engine);
@@ -230,6 +251,19 @@
     this.makePieces(engine, running, running.dispatch.resumeFrom + 1, pieces);
   }
 
+  private nameLimit(engine: Engine, gateway: Gateway): void {
+    const { limit } = this.options;
+    const at = this.time.monotonic();
+    if (limit !== undefined && engine === this.engines[0] && at >= limit.from) {
+      const isNew = !this.toldLimit.has(gateway.index);
+      this.toldLimit.add(gateway.index);
+      const kind = decision.DecisionEventKind.ServerLimitChanged;
+      if (isNew) {
+        this.feed(gateway, { kind, at, serverId: engine.id, requestsPerSecond: limit.perSecond });
+      }
+    }
+  }
+
   private makePieces(engine: Engine, running: Running, nextPiece: number, pieces: number): void {
     const { gateway, dispatch } = running;
     const { requestId, attemptId } = dispatch;
