Keep the request limit of a server that is away from the list for a moment

A server that names a limit would have got its full share again after it was missing from the list for a second: the decision core dropped the limits of servers that it did not have, and the gateway, which remembers the last limit, does not report an unchanged one again. The new test sends requests to such a server with the pruning and none without.

--- a/src/decision/periodic-tasks.ts
+++ b/src/decision/periodic-tasks.ts
@@ -6,7 +6,6 @@
 import * as ending from './ending';
 import * as hedging from './hedging';
 import * as relocation from './relocation';
-import * as requestLimits from './request-limits';
 import * as serviceTiming from './service-timing';
 import * as stragglers from './stragglers';
 import type * as steps from './step';
@@ -35,7 +34,6 @@
       peerCache: placement.prunePeerCache(step.state.peerCache, step.at),
       prefixDemand: placement.pruneDemand(step.state.prefixDemand, step.at),
       quarantine: health.pruneQuarantine(step.state.quarantine, step.at),
-      requestLimits: requestLimits.pruneLimits(step.state),
       crashEvidence: health.pruneCrashEvidence(step.state.crashEvidence, step.at),
     });
   }
--- a/src/decision/request-limits.ts
+++ b/src/decision/request-limits.ts
@@ -1,6 +1,5 @@
 import * as admission from '../admission';
 import type * as event from './event';
-import type * as state from './state';
 import type * as steps from './step';
 
 /** Records that a server has named another limit of requests a second, or none. */
@@ -34,8 +33,3 @@
     step.change({ requestLimits: requestLimits.set(serverId, used) });
   }
 }
-
-/** Removes the limits of servers that are gone. */
-export function pruneLimits({ requestLimits, servers }: state.DecisionState): state.RequestLimits {
-  return requestLimits.filter((_, serverId) => servers.has(serverId));
-}
--- a/test/decision/request-limit.test.ts
+++ b/test/decision/request-limit.test.ts
@@ -2,6 +2,8 @@
 import * as assert from 'uvu/assert';
 import * as admission from '../../src/admission';
 import * as clock from '../../src/clock';
+import * as decision from '../../src/decision';
+import * as builder from './builder';
 import * as engineFleet from './engine-fleet';
 
 const suite = uvu.suite('request limit of an engine');
@@ -47,6 +49,20 @@
   });
 });
 
+// Guards against a limit that is lost while its server is missing from the list for a moment.
+suite('a server that is away from the list for a moment keeps its limit', () => {
+  const driver = builder.createDriver(2);
+  const servers = builder.listServers(2);
+  const { ServerLimitChanged, ServersChanged } = decision.DecisionEventKind;
+  const limit = { serverId: 'runner-0', requestsPerSecond: 0.001 };
+  driver.apply({ kind: ServerLimitChanged, at: driver.at, ...limit });
+  driver.apply({ kind: ServersChanged, at: driver.at, servers: servers.slice(1) }).wait(2_000);
+  driver.apply({ kind: ServersChanged, at: driver.at, servers });
+  ['a', 'b', 'c', 'd', 'e', 'f'].forEach((requestId) => driver.arrive(requestId));
+  const dispatched = driver.takeEffects(decision.DecisionEffectKind.Dispatch);
+  assert.equal([...new Set(dispatched.map(({ serverId }) => serverId))], ['runner-1']);
+});
+
 // Guards against unused turns that add up: a fleet that was idle must not send one request from each daemon at once.
 [9, 40, 200].forEach((daemons) =>
   suite(
