Tell all daemons of the request limits that servers name

Each gateway learned of a limit by its own first answer, so that a fleet of hundreds sends as many requests to a server in need before all keep to its limit; and a gateway whose turn comes every few minutes learns of the end of a limit as late. The newest answer to any gateway now counts for all: gateways tell the control leader what is new to them, and it tells the others. Messages are sent only while a limit is in force or a change is at most 8 s old.

Tests: a limit and its end reach three gateways within 0.5 s; the newest answer wins in any order; a new leader and a late daemon know the limits; answers without a limit cause no message.

--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -17,6 +17,8 @@
   Quarantine = 'quarantine',
   /** Which prompt parts were in flight at crashes. */
   CrashEvidence = 'crash-evidence',
+  /** Limits of requests that backend servers have named. */
+  RequestLimits = 'request-limits',
   /** The platform's machine list, read by one daemon for all. */
   Machines = 'machines',
   /** Requests in flight at backend servers. */
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -12,6 +12,7 @@
 import * as crashEvidenceExchange from './crash-evidence-exchange';
 import * as loadExchange from './load-exchange';
 import * as placementBuffer from './placement-buffer';
+import * as requestLimitExchange from './request-limit-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 import * as weightsAge from './weights-age';
@@ -73,6 +74,8 @@
     registerResource('load exchange', () => exchange.close());
     const evidence = new crashEvidenceExchange.CrashEvidenceExchange({ plane, time }, () => {});
     registerResource('crash evidence', () => evidence.close());
+    const limits = new requestLimitExchange.RequestLimitExchange({ plane, time }, () => {});
+    registerResource('request limits', () => limits.close());
     this.orders = new orders.OrderTask(
       {
         plane: {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -20,7 +20,7 @@
 import * as loadExchange from './load-exchange';
 import type * as loadTable from './load-table';
 import * as placementBuffer from './placement-buffer';
-import * as requestLimits from './request-limits';
+import * as requestLimitExchange from './request-limit-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
 import * as stallDetector from './stall-detector';
@@ -124,6 +124,14 @@
       },
     );
     this.lifecycle.register('crash evidence', () => this.evidenceExchange.close());
+    const limitExchange = new requestLimitExchange.RequestLimitExchange(
+      { plane, time },
+      (serverId, requestsPerSecond) => {
+        const kind = decision.DecisionEventKind.ServerLimitChanged;
+        this.task.feed({ kind, at: this.task.now(), serverId, requestsPerSecond });
+      },
+    );
+    this.lifecycle.register('request limits', () => limitExchange.close());
     const detector = new stallDetector.StallDetector(time, membership);
     this.lifecycle.register('silence watch', () => detector.close());
     this.gateway = new gatewayModule.Gateway(
@@ -137,7 +145,7 @@
         stallDetector: detector,
         bufferBudget: new bufferBudget.BufferBudget(),
         placementBuffer: buffer,
-        requestLimits: new requestLimits.RequestLimits(),
+        requestLimits: limitExchange,
         server: (serverId) => membership.server(serverId),
         supersededMilliseconds: (service, version) =>
           this.source.supersededMilliseconds(service, version),
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -2,7 +2,7 @@
 import * as routing from '../routing';
 import type * as headerCodec from './header-codec';
 import type * as bufferBudget from './buffer-budget';
-import type * as requestLimits from './request-limits';
+import type * as requestLimitExchange from './request-limit-exchange';
 import type * as placementBuffer from './placement-buffer';
 import type * as stallDetector from './stall-detector';
 
@@ -11,7 +11,7 @@
   readonly headerCodec: headerCodec.HeaderCodec;
   readonly stallDetector: stallDetector.StallDetector;
   readonly bufferBudget: bufferBudget.BufferBudget;
-  readonly requestLimits: requestLimits.RequestLimits;
+  readonly requestLimits: requestLimitExchange.RequestLimitExchange;
   readonly placementBuffer: placementBuffer.PlacementBuffer;
   /** The current record of a backend server in the membership task. */
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -113,7 +113,7 @@
           bufferBudget: context.bufferBudget,
           onArrival: () => context.stallDetector.dataReceived(effect.serverId),
           onLoad: (load) => this.reportLoad(lease.machine, load),
-          onLimit: (perSecond) => this.reportLimit(effect.serverId, perSecond),
+          onLimit: (perSecond) => context.requestLimits.observe(effect.serverId, perSecond),
         },
         resolve,
       );
@@ -229,14 +229,6 @@
     });
   }
 
-  private reportLimit(serverId: string, requestsPerSecond: number | undefined): void {
-    const { requestLimits, task } = this.context;
-    if (requestLimits.observe(serverId, requestsPerSecond)) {
-      const kind = decision.DecisionEventKind.ServerLimitChanged;
-      task.feed({ kind, at: task.now(), serverId, requestsPerSecond });
-    }
-  }
-
   private finish(effect: decision.Dispatch): void {
     if (this.finishAttempt(effect)) {
       this.deliveryProgress.complete?.({ backendServer: effect.serverId });
