Bound the evidence of crashes that control daemons and gateways keep

Control daemons that do not lead, and gateways, merge each broadcast and never removed expired crashes, so that their memory would grow for months. Safe begins of all shared parts were kept for a minute, of which the first 15 s can still answer a report of a crash. Found while reading the change; no caller has seen it. The new test fixes how long safe begins are kept; the growth itself was not measured.

--- a/src/gateway/crash-evidence-exchange.ts
+++ b/src/gateway/crash-evidence-exchange.ts
@@ -64,10 +64,11 @@
   private merge({ crashes, safeBegins }: evidenceMessage.EvidenceReport): boolean {
     const before = this.fleet.suspicions;
     const told = new Set(health.suspectedCrashes(this.fleet).flatMap(({ causes }) => causes));
-    this.fleet = crashes.reduce(
+    const merged = crashes.reduce(
       health.addCrash,
       safeBegins.reduce(health.addSafeBegin, this.fleet),
     );
+    this.fleet = health.pruneCrashEvidence(merged, this.ports.time.monotonic());
     const cleared = [
       ...safeBegins.filter(({ cause }) => told.has(cause)),
       ...health.disproved(this.fleet, crashes),
@@ -106,7 +107,6 @@
       safeBegins: this.own.safeBegins.filter(isRecent),
     };
     this.cleared = this.cleared.filter(isRecent);
-    this.fleet = health.pruneCrashEvidence(this.fleet, now);
   }
 
   private logSuspected(): void {
--- a/src/health/crash-evidence.ts
+++ b/src/health/crash-evidence.ts
@@ -204,7 +204,9 @@
   const suspicions = evidence.suspicions
     .map((crashIds) => crashIds.filter((crashId) => isKept(crashes.get(crashId), crashIds, at)))
     .filterNot((crashIds) => crashIds.isEmpty());
-  const safeBegins = evidence.safeBegins.filter((begunAt) => at - begunAt <= SINGLE_MILLISECONDS);
+  const safeBegins = evidence.safeBegins.filter(
+    (begunAt) => at - begunAt <= SAFE_BEGIN_MILLISECONDS,
+  );
   const lostRequests = evidence.lostRequests
     .map((lost) => lost.filter((one) => at - one.at <= DETECTION_MILLISECONDS))
     .filterNot((lost) => lost.length === 0);
@@ -236,6 +238,8 @@
 /** Probes of all daemons have detected a crash by this time, and the server is not yet back. */
 const DETECTION_MILLISECONDS = 2_500;
 const SINGLE_MILLISECONDS = 60_000;
+/** Daemons report a crash again for some seconds, and hear then of what began safely since. */
+const SAFE_BEGIN_MILLISECONDS = 15_000;
 /** Callers that are refused for so long have stopped to send the request again. */
 const EVIDENCE_MILLISECONDS = 600_000;
 const MAXIMUM_TOLD_CAUSES = 64;
--- a/test/health/crash-evidence.test.ts
+++ b/test/health/crash-evidence.test.ts
@@ -72,4 +72,13 @@
   },
 );
 
+// Guards against a list of every part of every request of the last minute.
+suite('safe begins are kept as long as crashes before them are still reported', () => {
+  const begun = health.addSafeBegin(health.EMPTY_CRASH_EVIDENCE, { cause: 'sound', at: 1_000 });
+  const late = { serverId: 'engine-0', at: 500, causes: ['sound'] };
+  const reported = (at: number) => health.addCrash(health.pruneCrashEvidence(begun, at), late);
+  assert.is(health.crashCount(reported(11_000), 'sound'), 0);
+  assert.is(health.pruneCrashEvidence(begun, 31_000).safeBegins.size, 0);
+});
+
 suite.run();
