Log the software version of servers and what a caller takes up

The two ways to a joined stream, within an answer and over two tries of a caller, could not be told apart in the logs. The platform's list names the version of each server's software; it is decoded now, passed on to all daemons and logged with each dispatch, beside the last event and the request that a caller's 'Resumes' names. An entry of the list without a version, or with one of another type, names no usable server, as the other fields. No decision depends on the version yet.

--- a/src/backend/machine.ts
+++ b/src/backend/machine.ts
@@ -32,6 +32,8 @@
   readonly loading?: true;
   /** Weights version, if the list contains it. */
   readonly weightsVersion?: string;
+  /** Version of the server's software, if the list contains it. */
+  readonly softwareVersion?: string;
 }
 
 /** Port for the platform's list of VMs, which shows changes with a delay. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -126,6 +126,7 @@
       cacheNamespace,
       deadline: now + wait,
       lastEventId: metadata.lastEventId,
+      resumes: metadata.resumes,
       profile: {
         // Callers may reuse an id; the decision core needs a unique one for each request.
         requestId: `${metadata.requestId}#${this.nextId}`,
--- a/src/gateway/header-codec.ts
+++ b/src/gateway/header-codec.ts
@@ -19,6 +19,8 @@
   readonly parts: readonly PromptPart[];
   /** Last event of a broken stream that the caller has received. */
   readonly lastEventId?: number;
+  /** Id of the caller's earlier request that brought the first event of the broken stream. */
+  readonly resumes?: string;
 }
 
 /** Metadata of one attempt that the router sends to the backend server. */
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -27,6 +27,8 @@
   readonly deadline: number;
   /** Last event that the caller received before it sent the request again. */
   readonly lastEventId?: number;
+  /** Id of the caller's earlier request that brought the first event of the stream. */
+  readonly resumes?: string;
 }
 
 /** Runs one request: relays its unchanged content between the caller and the servers that the core selected. */
@@ -152,6 +154,7 @@
       service: profile.service,
       backendServer: effect.serverId,
       attempt: effect.attemptId,
+      softwareVersion: server?.softwareVersion,
       weightsVersion,
       supersededMilliseconds:
         weightsVersion === undefined
@@ -161,6 +164,8 @@
       expectedCachedTokens: effect.expectedCachedTokens,
       cacheSource: effect.cacheSource,
       resumeFrom: effect.resumeFrom,
+      lastEventId: this.deliveryProgress.lastEventId,
+      resumes: this.call.resumes,
     });
   }
 
--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -210,6 +210,7 @@
   phase: zod.enum(backend.MachinePhase),
   incarnation: zod.string().optional(),
   weightsVersion: zod.string().optional(),
+  softwareVersion: zod.string().optional(),
   loading: zod.literal(true).optional(),
 });
 
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -263,8 +263,16 @@
       return;
     }
     if (previous === undefined || stateOf(previous) !== stateOf(server)) {
-      const { id: backendServer, service, weightsVersion, loading, suspected } = server;
-      const state = { backendServer, service, weightsVersion, loading, suspected };
+      const {
+        id: backendServer,
+        service,
+        softwareVersion,
+        weightsVersion,
+        loading,
+        suspected,
+      } = server;
+      const versions = { softwareVersion, weightsVersion };
+      const state = { backendServer, service, ...versions, loading, suspected };
       logger.information(
         previous === undefined ? 'server takes work' : 'state of a server changed',
         state,
@@ -276,8 +284,9 @@
   );
 }
 
-function stateOf({ weightsVersion, loading, suspected }: membership.EligibleServer): string {
-  return `${weightsVersion} ${loading} ${suspected}`;
+function stateOf(server: membership.EligibleServer): string {
+  const { softwareVersion, weightsVersion, loading, suspected } = server;
+  return `${softwareVersion} ${weightsVersion} ${loading} ${suspected}`;
 }
 
 const logger = new logging.Logger('membership');
--- a/test/platform/endless-management.test.ts
+++ b/test/platform/endless-management.test.ts
@@ -109,7 +109,14 @@
 // Guards against a list with endless pages, of which one read would last for minutes.
 suite('a list with endless pages is an error', async () => {
   let pages = 0;
-  const entry = { id: 'i', service: 's', addr: '10.0.0.1:1', zone: 'z', state: 'ready' };
+  const entry = {
+    id: 'i',
+    service: 's',
+    addr: '10.0.0.1:1',
+    zone: 'z',
+    version: 'v1',
+    state: 'ready',
+  };
   const server = http.createServer((_request, response) => {
     pages += 1;
     response.end(JSON.stringify({ instances: [entry], next_page_token: `p-${pages}` }));
--- a/test/platform/machine-list.test.ts
+++ b/test/platform/machine-list.test.ts
@@ -13,6 +13,7 @@
   service: 'desk',
   addr: '10.1.64.5:8080',
   zone: 'pl-caudan',
+  version: 'v2',
   state: 'ready',
   models: [{ name: 'm', version: 2, adapters: [] }],
   born: 17,
@@ -51,6 +52,7 @@
   const [first, second] = read.unwrap();
   assert.is(first.incarnation, 'i-1@17');
   assert.is(first.weightsVersion, '2');
+  assert.is(first.softwareVersion, 'v2');
   assert.is(first.kind, backend.BackendKind.ModelEngine);
   assert.is(second.phase, backend.MachinePhase.Leaving);
   assert.is(second.weightsVersion, undefined);
@@ -65,6 +67,8 @@
     { ...ENTRY, state: 'dreaming' },
     { ...ENTRY, id: 7 },
     { ...ENTRY, models: 'none' },
+    { ...ENTRY, version: 2 },
+    { ...ENTRY, version: undefined },
   ];
   const read = await readPages([{ instances: [...odd, ENTRY], next_page_token: null }]);
   assert.equal(
--- a/tools/local/loopback-environment.ts
+++ b/tools/local/loopback-environment.ts
@@ -166,7 +166,7 @@
 const GRACE_SECONDS = 8;
 
 function vmListEntryOf({ id, service, addr, models = [] }: ListedServer): object {
-  return { id, service, addr, zone: ZONE, state: 'ready', models, born: 1 };
+  return { id, service, addr, zone: ZONE, version: 'v1', state: 'ready', models, born: 1 };
 }
 
 /** Ports that the operating system has just assigned and released; it reuses them only after many others. */
