Decision core: go on with a stream only at servers of its software version

Callers saw text joined from two software versions of a service within one answer: after a crash, a garbled or a refused attempt, a move from an engine that loads weights or a wait, the stream went on at any server of the service.

Cause: the version of a server's software was not known to the core. Each path to a second server goes through the selection of a server, so that the rule stands there once: after the first piece only servers of the version that wrote it are compatible. If none is left, the stream ends at once, and a stream is not moved from a loading engine when no other one is compatible.

Ruled out: a check beside each path (hedges, moves, retries, queues), which the next new path would lack; a preference instead of a rule, since servers do not check the version.

Not cured by this: streams that callers take up at another gateway.

--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -48,7 +48,7 @@
     ending.fail(step, request, suspicion.failureOf(step, profile));
     return;
   }
-  if (!serviceAvailability.isAvailable(step, profile.service)) {
+  if (!serviceAvailability.isAvailable(step, request)) {
     ending.fail(step, request, serviceAvailability.unavailableFailure());
     return;
   }
--- a/src/decision/availability-check.ts
+++ b/src/decision/availability-check.ts
@@ -10,7 +10,7 @@
     step: steps.Step,
     request: state.RequestState,
   ): verdict.RequestFailure | undefined {
-    return serviceAvailability.isAvailable(step, request.profile.service)
+    return serviceAvailability.isAvailable(step, request)
       ? undefined
       : serviceAvailability.unavailableFailure();
   }
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -63,6 +63,7 @@
     attemptId: `${requestId}/${request.attemptCount}`,
     serverId,
     incarnation,
+    softwareVersion: choice.server.record.softwareVersion,
     dispatchedAt: step.at,
     hedge,
     suspect: serverSelection.isSuspect(step, request),
--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -74,6 +74,7 @@
   step.setRequest({
     ...request,
     attempts: [advanced],
+    softwareVersion: request.softwareVersion ?? attempt.softwareVersion,
     nextPiece: Math.max(request.nextPiece, pieceEvent.nextPiece),
   });
 }
--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -2,6 +2,7 @@
 import * as verdict from '../verdict';
 import * as ending from './ending';
 import * as attemptFailure from './attempt-failure';
+import * as softwareVersions from './software-version';
 import type * as state from './state';
 import type * as steps from './step';
 
@@ -25,14 +26,16 @@
 }
 
 function mayRelocate(step: steps.Step, request: state.RequestState): boolean {
-  const { idempotent, maximumAttempts = Infinity, service } = request.profile;
+  const { idempotent, maximumAttempts = Infinity } = request.profile;
   return (
     request.attempts.length === 1 &&
     request.nextPiece > 0 &&
     request.attemptCount <= MAXIMUM_ATTEMPTS &&
     idempotent &&
     (request.runCount ?? 0) + 1 < maximumAttempts &&
-    step.pool(service).some((server) => server.eligible && server.record.loading !== true)
+    softwareVersions
+      .compatibleServers(step, request)
+      .some((server) => server.eligible && server.record.loading !== true)
   );
 }
 
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -10,6 +10,7 @@
 import * as requestLimits from './request-limits';
 import * as standardFilters from './standard-filters';
 import * as suspectPartition from './suspect-partition';
+import * as softwareVersions from './software-version';
 import type * as state from './state';
 import type * as steps from './step';
 import * as suspicion from './suspicion';
@@ -33,7 +34,7 @@
     standardFilters.PERMISSION_FILTERS,
     step,
     request,
-    preferUnsuspected(step.pool(request.profile.service)),
+    preferUnsuspected(softwareVersions.compatibleServers(step, request)),
   );
   const ready = filterServers(standardFilters.READINESS_FILTERS, step, request, permitted);
   if (ready.length === 0) {
@@ -70,7 +71,7 @@
     standardFilters.PERMISSION_FILTERS,
     step,
     request,
-    preferUnsuspected(step.pool(request.profile.service)),
+    preferUnsuspected(softwareVersions.compatibleServers(step, request)),
   );
   if (permitted.length === 0) {
     return undefined;
--- a/src/decision/service-availability.ts
+++ b/src/decision/service-availability.ts
@@ -1,18 +1,23 @@
 import * as verdict from '../verdict';
 import * as ending from './ending';
+import * as softwareVersions from './software-version';
+import type * as state from './state';
 import type * as steps from './step';
 
 /** Fails waiting requests whose service has no server that may get requests. */
 export function failUnavailable(step: steps.Step): void {
   const unavailable = [...step.state.requests.values()].filter(
-    (request) => request.attempts.length === 0 && !isAvailable(step, request.profile.service),
+    (request) => request.attempts.length === 0 && !isAvailable(step, request),
   );
   unavailable.forEach((request) => ending.fail(step, request, unavailableFailure()));
 }
 
-/** Whether a service is configured and has a server that may get requests. */
-export function isAvailable(step: steps.Step, service: string): boolean {
-  return step.state.services.has(service) && step.pool(service).some((server) => server.eligible);
+/** Whether the request's service is configured and has a server that may get the request. */
+export function isAvailable(step: steps.Step, request: state.RequestState): boolean {
+  return (
+    step.state.services.has(request.profile.service) &&
+    softwareVersions.compatibleServers(step, request).some((server) => server.eligible)
+  );
 }
 
 /** The failure of a request whose service is unavailable. */
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -15,6 +15,8 @@
   readonly serverId: string;
   /** Incarnation of the server at the dispatch; absent when it was unknown. */
   readonly incarnation?: string;
+  /** Version of the server's software at the dispatch, if the list contains it. */
+  readonly softwareVersion?: string;
   readonly dispatchedAt: number;
   readonly hedge: boolean;
   /** Whether the fingerprint was suspected at the dispatch. */
@@ -52,6 +54,8 @@
   readonly verdict: verdict.Verdict;
   /** Number of the first piece that is not yet delivered. */
   readonly nextPiece: number;
+  /** Software version of the server that wrote the pieces that the caller has; absent before the first one. */
+  readonly softwareVersion?: string;
   /** Servers at which an attempt failed; used again only when no other is left. */
   readonly failedServers: readonly string[];
 }
