Gateways: take a broken stream up only at the software version that began it

Callers whose streams broke off and who took them up at another gateway got an answer with status 200 whose text was joined from two software versions. After all gateways had lost power at once nearly every stream was joined so.

Cause: the gateway of the second try knew nothing of the first one; 'Resumes' was not read.

The register holds for each service the software versions that may have begun a stream which callers still take up: the leader adds a version before its servers are shown to the gateways, and removes it a minute after its last server has left the list. With one version nothing is recorded or asked. With several, a gateway records each stream in the log when it delivers its first event, and also those that began before the second version came. A gateway that does not know a stream asks the leader; a stream that nobody knows is refused at once as not run. What is missing leads to a refusal, never to a join, so that no event waits for the log.

A record is 12 bytes of key in an entry that a gateway's streams of 25 ms share.

--- a/src/control/command.ts
+++ b/src/control/command.ts
@@ -10,6 +10,9 @@
   SetDesiredWeights = 'name-weights',
   ReadRegister = 'read-register',
   RecordOrders = 'record-orders',
+  ChangeSoftwareVersions = 'change-software-versions',
+  RecordStreams = 'record-streams',
+  FindStreams = 'find-streams',
   NoOperation = 'no-operation',
 }
 
@@ -98,6 +101,33 @@
   readonly orders: readonly AnnouncedOrder[];
 }
 
+/** Adds or removes software versions of a service that may have begun streams which callers still take up. */
+export interface ChangeSoftwareVersionsCommand {
+  readonly kind: CommandKind.ChangeSoftwareVersions;
+  readonly service: string;
+  readonly added: readonly string[];
+  readonly removed: readonly string[];
+}
+
+/** Streams that servers of one software version have begun. */
+export interface BegunStreams {
+  readonly softwareVersion: string;
+  /** Short hashes that identify the streams. */
+  readonly keys: readonly string[];
+}
+
+/** Records which software versions have begun streams. */
+export interface RecordStreamsCommand {
+  readonly kind: CommandKind.RecordStreams;
+  readonly begun: readonly BegunStreams[];
+}
+
+/** Asks through the log which software versions have begun streams, so that no earlier record is missed. */
+export interface FindStreamsCommand {
+  readonly kind: CommandKind.FindStreams;
+  readonly keys: readonly string[];
+}
+
 /** Commits the entries of earlier terms; used by a new leader. */
 export interface NoOperationCommand {
   readonly kind: CommandKind.NoOperation;
@@ -112,6 +142,9 @@
   | SetDesiredWeightsCommand
   | ReadRegisterCommand
   | RecordOrdersCommand
+  | ChangeSoftwareVersionsCommand
+  | RecordStreamsCommand
+  | FindStreamsCommand
   | NoOperationCommand;
 
 export enum CommandResultKind {
@@ -121,6 +154,7 @@
   ClaimHeld = 'claim-held',
   ClaimRefused = 'claim-refused',
   RegisterSequence = 'register-known',
+  StreamsFound = 'streams-found',
   Done = 'done',
 }
 
@@ -178,6 +212,12 @@
   readonly sequence: number;
 }
 
+/** The streams whose software version is recorded; the others are unknown. */
+export interface StreamsFound {
+  readonly kind: CommandResultKind.StreamsFound;
+  readonly begun: readonly BegunStreams[];
+}
+
 export interface CommandDone {
   readonly kind: CommandResultKind.Done;
 }
@@ -189,6 +229,7 @@
   | ClaimHeld
   | ClaimRefused
   | RegisterSequence
+  | StreamsFound
   | CommandDone;
 
 /** Larger answers are not stored: a resend gets only the information that the request ran. */
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -21,6 +21,10 @@
 
 const MAXIMUM_VOTERS = 64;
 
+/** Above the streams of a daemon in one message and the length of their keys. */
+const MAXIMUM_STREAMS = 4_096;
+const MAXIMUM_KEY_CHARACTERS = 32;
+
 const counter = zod.int().min(0);
 const bytes = zod.instanceof(Uint8Array);
 const member = zod.object({ replicaId: zod.string(), address: zod.string() });
@@ -188,6 +192,25 @@
       }),
     ),
   }),
+  zod.object({
+    kind: zod.literal(command.CommandKind.ChangeSoftwareVersions),
+    service: zod.string(),
+    added: zod.array(zod.string()),
+    removed: zod.array(zod.string()),
+  }),
+  zod.object({
+    kind: zod.literal(command.CommandKind.RecordStreams),
+    begun: zod.array(
+      zod.object({
+        softwareVersion: zod.string(),
+        keys: zod.array(zod.string().max(MAXIMUM_KEY_CHARACTERS)).max(MAXIMUM_STREAMS),
+      }),
+    ),
+  }),
+  zod.object({
+    kind: zod.literal(command.CommandKind.FindStreams),
+    keys: zod.array(zod.string().max(MAXIMUM_KEY_CHARACTERS)).max(MAXIMUM_STREAMS),
+  }),
   zod.object({ kind: zod.literal(command.CommandKind.NoOperation) }),
 ]);
 
@@ -245,6 +268,7 @@
     sequence: counter,
     routing: zod.object({ version: zod.int(), text: zod.string() }).optional(),
     weights: zod.array(zod.tuple([zod.string(), desiredWeights])),
+    softwareVersions: zod.array(zod.tuple([zod.string(), zod.array(zod.string())])).optional(),
   }),
   zod.object({
     kind: zod.literal(PeerMessageKind.Broadcast),
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -17,6 +17,8 @@
   readonly routing?: RoutingText;
   /** Desired weights version of each model. */
   readonly weights: immutable.Map<string, DesiredWeights>;
+  /** Software versions of each service that may have begun streams which callers still take up, sorted. */
+  readonly softwareVersions: immutable.Map<string, readonly string[]>;
 }
 
 /** A desired weights version, and when it was committed. */
@@ -55,7 +57,11 @@
 const MAXIMUM_UNMERGED_VERSIONS =
   DESIRED_VERSION_RETENTION_MILLISECONDS / DESIRED_VERSION_SPACING_MILLISECONDS;
 
-export const EMPTY_REGISTER: Register = { sequence: 0, weights: immutable.Map() };
+export const EMPTY_REGISTER: Register = {
+  sequence: 0,
+  weights: immutable.Map(),
+  softwareVersions: immutable.Map(),
+};
 
 /**
  * Replaces the routing document if the version is higher; otherwise the register stays the same.
@@ -116,19 +122,56 @@
     : [...merged, desired];
 }
 
+/**
+ * Adds and removes software versions of a service; the register stays the same if nothing changes.
+ *
+ * @example
+ * changeSoftwareVersions(EMPTY_REGISTER, 'desk', ['v1'], []).softwareVersions.get('desk'); // ['v1']
+ */
+export function changeSoftwareVersions(
+  register: Register,
+  service: string,
+  added: readonly string[],
+  removed: readonly string[],
+): Register {
+  const before = register.softwareVersions.get(service, []);
+  const kept = before.filter((version) => !removed.includes(version));
+  const after = [...new Set([...kept, ...added])].sort();
+  if (after.join() === before.join()) {
+    return register;
+  }
+  const softwareVersions =
+    after.length === 0
+      ? register.softwareVersions.delete(service)
+      : register.softwareVersions.set(service, after);
+  return { ...register, sequence: register.sequence + 1, softwareVersions };
+}
+
 /** A register as it is written to snapshots and sent to daemons. */
 export interface EncodedRegister {
   readonly sequence: number;
   readonly routing?: RoutingText;
   readonly weights: readonly (readonly [string, DesiredWeights])[];
+  /** Absent in copies of releases that did not know software versions. */
+  readonly softwareVersions?: readonly (readonly [string, readonly string[]])[];
 }
 
-export function encodeRegister({ sequence, routing, weights }: Register): EncodedRegister {
-  return { sequence, ...(routing === undefined ? {} : { routing }), weights: [...weights] };
+export function encodeRegister(register: Register): EncodedRegister {
+  const { sequence, routing, weights, softwareVersions } = register;
+  return {
+    sequence,
+    ...(routing === undefined ? {} : { routing }),
+    weights: [...weights],
+    softwareVersions: [...softwareVersions],
+  };
 }
 
 export function decodeRegister(encoded: EncodedRegister | undefined): Register {
   return encoded === undefined
     ? EMPTY_REGISTER
-    : { ...encoded, weights: immutable.Map(encoded.weights) };
+    : {
+        ...encoded,
+        weights: immutable.Map(encoded.weights),
+        softwareVersions: immutable.Map(encoded.softwareVersions ?? []),
+      };
 }
--- a/src/control/state-machine.ts
+++ b/src/control/state-machine.ts
@@ -5,18 +5,21 @@
 import * as command from './command';
 import * as registers from './register';
 import * as revisions from './revisions';
+import * as streamOrigins from './stream-origins';
 
 /** The state that results from the replicated log. */
 export interface ControlState {
   readonly revisions: revisions.RevisionState;
   readonly claims: claims.ClaimState;
   readonly register: registers.Register;
+  readonly streamOrigins: streamOrigins.StreamOrigins;
 }
 
 export const EMPTY_CONTROL_STATE: ControlState = {
   revisions: revisions.EMPTY_REVISIONS,
   claims: claims.EMPTY_CLAIMS,
   register: registers.EMPTY_REGISTER,
+  streamOrigins: streamOrigins.EMPTY_STREAM_ORIGINS,
 };
 
 /** The state after a command, and the result for its proposer. */
@@ -67,6 +70,21 @@
     }
     case command.CommandKind.ReadRegister:
       return withRegister(pruned, pruned.register);
+    case command.CommandKind.ChangeSoftwareVersions: {
+      const { service, added, removed } = committedCommand;
+      return withRegister(
+        pruned,
+        registers.changeSoftwareVersions(pruned.register, service, added, removed),
+      );
+    }
+    case command.CommandKind.RecordStreams: {
+      const { begun } = committedCommand;
+      const recorded = streamOrigins.recordStreams(pruned.streamOrigins, begun, timestamp);
+      const kind = command.CommandResultKind.Done;
+      return { state: { ...pruned, streamOrigins: recorded }, result: { kind } };
+    }
+    case command.CommandKind.FindStreams:
+      return { state: pruned, result: findStreams(pruned, committedCommand) };
     default:
       return { state: pruned, result: { kind: command.CommandResultKind.Done } };
   }
@@ -84,6 +102,7 @@
     claims: [...state.claims.claims.entries()],
     abandoned: [...state.claims.abandoned.entries()],
     register: registers.encodeRegister(state.register),
+    streamOrigins: streamOrigins.encodeStreamOrigins(state.streamOrigins),
   });
 }
 
@@ -106,6 +125,7 @@
     },
     claims: claims.restore(value.claims, value.abandoned),
     register: registers.decodeRegister(value.register),
+    streamOrigins: streamOrigins.decodeStreamOrigins(value.streamOrigins),
   };
 }
 
@@ -120,6 +140,19 @@
   readonly abandoned: readonly [string, number][];
   /** Absent in snapshots of releases without a register. */
   readonly register?: registers.EncodedRegister;
+  /** Absent in snapshots of releases that did not record streams. */
+  readonly streamOrigins?: streamOrigins.EncodedStreamOrigins;
+}
+
+function findStreams(
+  state: ControlState,
+  { keys }: command.FindStreamsCommand,
+): command.StreamsFound {
+  const begun = keys.flatMap((key) => {
+    const softwareVersion = streamOrigins.originOf(state.streamOrigins, key);
+    return softwareVersion === undefined ? [] : [{ softwareVersion, keys: [key] }];
+  });
+  return { kind: command.CommandResultKind.StreamsFound, begun };
 }
 
 function withRegister(state: ControlState, register: registers.Register): Applied {
--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -93,6 +93,7 @@
     attemptCount: 0,
     verdict: verdict.Verdict.NotRun,
     nextPiece: 0,
+    softwareVersion: profile.softwareVersion,
     failedServers: [],
   };
 }
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -92,6 +92,7 @@
     requestId,
     attemptId: attempt.attemptId,
     serverId,
+    softwareVersion: attempt.softwareVersion,
     resumeFrom: request.nextPiece,
     hedge,
     queuedMilliseconds: step.at - request.arrivedAt,
--- a/src/decision/effect.ts
+++ b/src/decision/effect.ts
@@ -14,6 +14,8 @@
   readonly requestId: string;
   readonly attemptId: string;
   readonly serverId: string;
+  /** Version of the server's software, if the list contains it. */
+  readonly softwareVersion?: string;
   /** Number of the first piece to send; above 0 the attempt resumes a broken stream. */
   readonly resumeFrom: number;
   /** True for a second attempt while a late first one runs; the first one to deliver a piece continues. */
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -12,6 +12,8 @@
   readonly service: string;
   /** Weights that must answer; absent for plain services. */
   readonly weightsVersion?: string;
+  /** Software version that began the stream which the caller takes up; absent for a new request. */
+  readonly softwareVersion?: string;
   readonly class: configuration.RequestClass;
   /** Chain hashes of the prompt's blocks in hexadecimal, shortest prefix first. */
   readonly prefixChain: readonly string[];
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -15,6 +15,8 @@
 import * as requestLimitExchange from './request-limit-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
+import * as softwareVersionList from './software-version-list';
+import * as softwareVersionRegistrar from './software-version-registrar';
 import * as weightsAge from './weights-age';
 
 /** Dependencies of a control daemon. */
@@ -53,9 +55,12 @@
     const source = this.followRegister(engineProperties, parameters);
     const pool = new routing.BackendPool(ports.backends);
     registerResource('backend clients', () => pool.close());
+    const registrar = new softwareVersionRegistrar.SoftwareVersionRegistrar({ plane, time });
     const list = new sharedMachineList.SharedMachineList({
       plane,
-      source: ports.list,
+      source: new softwareVersionList.SoftwareVersionList(ports.list, plane, (machines) =>
+        registrar.observe(machines),
+      ),
       time,
       annotate: (record) => withStatus(record, this.orders.engineStatus(record.id)),
     });
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -23,7 +23,9 @@
 import * as requestLimitExchange from './request-limit-exchange';
 import * as routingSource from './routing-source';
 import * as sharedMachineList from './shared-machine-list';
+import * as softwareVersionList from './software-version-list';
 import * as stallDetector from './stall-detector';
+import * as streamOrigins from './stream-origins';
 import * as gracefulStop from './graceful-stop';
 import * as weightsAge from './weights-age';
 
@@ -92,7 +94,8 @@
       (report) => this.evidenceExchange.report(report),
       (at) => this.refreshedConfiguration(at),
     );
-    const list = new sharedMachineList.SharedMachineList({ plane, source: ports.list, time });
+    const source = new softwareVersionList.SoftwareVersionList(ports.list, plane);
+    const list = new sharedMachineList.SharedMachineList({ plane, source, time });
     this.membership = new routing.MembershipTask(
       { list, pool, plane, task: this.task, time, random },
       LIST_INTERVAL_MILLISECONDS,
@@ -132,6 +135,12 @@
       },
     );
     this.lifecycle.register('request limits', () => limitExchange.close());
+    const origins = new streamOrigins.StreamOrigins({
+      plane,
+      time,
+      listedVersions: (service) => membership.softwareVersions(service),
+    });
+    this.lifecycle.register('stream origins', () => origins.close());
     const detector = new stallDetector.StallDetector(time, membership);
     this.lifecycle.register('silence watch', () => detector.close());
     this.gateway = new gatewayModule.Gateway(
@@ -145,6 +154,7 @@
         stallDetector: detector,
         bufferBudget: new bufferBudget.BufferBudget(),
         placementBuffer: buffer,
+        streamOrigins: origins,
         requestLimits: limitExchange,
         server: (serverId) => membership.server(serverId),
         supersededMilliseconds: (service, version) =>
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import type * as relayContext from './relay-context';
 import * as relayExecution from './relay-execution';
 import type * as relayReply from './relay-reply';
+import type * as streamOrigins from './stream-origins';
 
 /** A request as it arrived, with its whole body. */
 export interface IncomingCall {
@@ -31,6 +32,9 @@
 
   private nextId = 0;
 
+  /** Requests that wait for the software version of their stream. */
+  private lookups = 0;
+
   constructor(
     private readonly context: relayContext.RelayContext,
     private readonly random: clock.RandomSource,
@@ -95,13 +99,45 @@
       reply.fail(admitted.val);
     } else if (requestId === undefined) {
       reply.fail(NO_REQUEST_ID);
-    } else if (this.context.task.activeRequests >= this.limits.maximumRequests) {
+    } else if (this.openRequests >= this.limits.maximumRequests) {
       reply.fail(TOO_MANY_REQUESTS);
     } else {
       const call = this.callOf(incoming, { ...metadata, requestId }, admitted.val);
-      const execution = new relayExecution.RelayExecution(call, this.context, reply);
-      reply.onCallerDisconnect(() => execution.cancel());
-      this.context.task.submit(execution);
+      if (call.stream !== undefined && isTakenUp(metadata)) {
+        this.takeUp(call, call.stream, reply);
+      } else {
+        this.submit(call, reply);
+      }
+    }
+  }
+
+  private get openRequests(): number {
+    return this.context.task.activeRequests + this.lookups;
+  }
+
+  private submit(call: relayExecution.RelayCall, reply: relayReply.RelayReply): void {
+    const execution = new relayExecution.RelayExecution(call, this.context, reply);
+    reply.onCallerDisconnect(() => execution.cancel());
+    this.context.task.submit(execution);
+  }
+
+  /** Submits the rest of a broken stream once it is known which software version may go on with it. */
+  private async takeUp(
+    call: relayExecution.RelayCall,
+    stream: streamOrigins.StreamIdentity,
+    reply: relayReply.RelayReply,
+  ): Promise<void> {
+    this.lookups += 1;
+    const origin = await this.context.streamOrigins.find(stream);
+    this.lookups -= 1;
+    if (reply.isClosed) {
+      return;
+    }
+    if (origin.err) {
+      reply.fail(origin.val);
+    } else {
+      const profile = { ...call.profile, softwareVersion: origin.val };
+      this.submit({ ...call, profile }, reply);
     }
   }
 
@@ -126,7 +162,7 @@
       cacheNamespace,
       deadline: now + wait,
       lastEventId: metadata.lastEventId,
-      resumes: metadata.resumes,
+      stream: isResumable(route) ? streamOf(metadata, service, team) : undefined,
       profile: {
         // Callers may reuse an id; the decision core needs a unique one for each request.
         requestId: `${metadata.requestId}#${this.nextId}`,
@@ -153,8 +189,26 @@
   readonly maximumRequests: number;
 }
 
-function isRepeatable({ kind, isResumable }: routes.Route): boolean {
-  return kind === routes.RouteKind.Idempotent || (kind === routes.RouteKind.Stream && isResumable);
+function isRepeatable(route: routes.Route): boolean {
+  return route.kind === routes.RouteKind.Idempotent || isResumable(route);
+}
+
+function isResumable(route: routes.Route): boolean {
+  return route.kind === routes.RouteKind.Stream && route.isResumable;
+}
+
+/** Whether the caller has already received a part of the stream. */
+function isTakenUp({ lastEventId, resumes }: headerCodec.CallerMetadata): boolean {
+  return lastEventId !== undefined || resumes !== undefined;
+}
+
+function streamOf(
+  metadata: headerCodec.CallerMetadata,
+  service: string,
+  team: routes.RoutedTeam | undefined,
+): streamOrigins.StreamIdentity {
+  const own = isTakenUp(metadata) ? undefined : metadata.requestId;
+  return { service, team: team?.name ?? '', firstRequestId: metadata.resumes ?? own };
 }
 
 /** All teams share cached prompt parts, except the isolated ones. */
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -9,6 +9,7 @@
 import * as answerReceiver from './answer-receiver';
 import type * as relayContext from './relay-context';
 import type * as relayReply from './relay-reply';
+import type * as streamOrigins from './stream-origins';
 
 /** A request after admission to the gateway. */
 export interface RelayCall {
@@ -27,8 +28,8 @@
   readonly deadline: number;
   /** Last event that the caller received before it sent the request again. */
   readonly lastEventId?: number;
-  /** Id of the caller's earlier request that brought the first event of the stream. */
-  readonly resumes?: string;
+  /** Present if the caller may take up the answer again at any gateway. */
+  readonly stream?: streamOrigins.StreamIdentity;
 }
 
 /** Runs one request: relays its unchanged content between the caller and the servers that the core selected. */
@@ -37,6 +38,8 @@
 
   private readonly timer: clock.Timer;
 
+  private isOriginKnown = false;
+
   /** The attempt whose events the core was told of last, and when. */
   private reportedEvents: { readonly attemptId?: string; readonly at: number } = { at: 0 };
 
@@ -154,7 +157,7 @@
       service: profile.service,
       backendServer: effect.serverId,
       attempt: effect.attemptId,
-      softwareVersion: server?.softwareVersion,
+      softwareVersion: effect.softwareVersion,
       weightsVersion,
       supersededMilliseconds:
         weightsVersion === undefined
@@ -165,7 +168,10 @@
       cacheSource: effect.cacheSource,
       resumeFrom: effect.resumeFrom,
       lastEventId: this.deliveryProgress.lastEventId,
-      resumes: this.call.resumes,
+      resumes:
+        this.call.stream?.firstRequestId === requestId
+          ? undefined
+          : this.call.stream?.firstRequestId,
     });
   }
 
@@ -199,6 +205,7 @@
   /** Reports the first event of an attempt at once and later ones together, several times a second. */
   private reportEvent(effect: decision.Dispatch): void {
     this.meter.pieceReceived();
+    this.rememberOrigin(effect);
     const { task } = this.context;
     const at = task.now();
     const isFirst = this.reportedEvents.attemptId !== effect.attemptId;
@@ -215,6 +222,14 @@
     });
   }
 
+  /** Remembers the version that began the stream before the caller receives an event. */
+  private rememberOrigin({ softwareVersion }: decision.Dispatch): void {
+    if (!this.isOriginKnown && this.call.stream !== undefined) {
+      this.isOriginKnown = true;
+      this.context.streamOrigins.begin(this.call.stream, softwareVersion);
+    }
+  }
+
   /** Ignores the load of engines, which the daemons exchange themselves, including the memory that requests use. */
   private reportLoad(machine: backend.MachineRecord, load: backend.RelayLoad): void {
     if (machine.kind === backend.BackendKind.ModelEngine) {
@@ -236,6 +251,9 @@
 
   private finish(effect: decision.Dispatch): void {
     if (this.finishAttempt(effect)) {
+      if (this.call.stream !== undefined) {
+        this.context.streamOrigins.complete(this.call.stream);
+      }
       this.deliveryProgress.complete?.({ backendServer: effect.serverId });
     }
   }
--- /dev/null
+++ b/src/gateway/stream-origins.ts
@@ -0,0 +1,312 @@
+import * as crypto from 'node:crypto';
+import * as results from 'ts-results';
+import * as clock from '../clock';
+import * as control from '../control';
+import * as logging from '../logging';
+import * as verdict from '../verdict';
+
+/** Identifies a stream over all tries of its caller. */
+export interface StreamIdentity {
+  readonly service: string;
+  readonly team: string;
+  /** Id of the caller's attempt that brought the first event; absent if the caller does not tell it. */
+  readonly firstRequestId?: string;
+}
+
+/** Dependencies of the origins. */
+export interface StreamOriginPorts {
+  readonly plane: Pick<control.ControlPlane, 'propose' | 'register' | 'onRegister'>;
+  readonly time: clock.Clock;
+  /** Software versions of a service's servers in this daemon's list, dead and leaving ones too. */
+  readonly listedVersions: (service: string) => readonly string[];
+}
+
+/** The software version that may go on with a stream; without a version every server may. */
+export type Origin = results.Result<string | undefined, verdict.RequestFailure>;
+
+interface OwnStream {
+  readonly service: string;
+  readonly softwareVersion: string;
+  readonly begunAt: number;
+  /** Whether the log has a record of the stream. */
+  isRecorded: boolean;
+}
+
+/** How the software version of a stream was found. */
+enum OriginSource {
+  Own = 'own',
+  OnlyVersion = 'only-version',
+  Log = 'log',
+}
+
+/**
+ * Knows which software version began a stream, so that a caller can take it up again at any gateway, also after all of them
+ * have lost power. While only one version can have begun the recent streams of a service, there is nothing to remember. With
+ * several versions each stream is recorded in the replicated log when its first event is delivered, and a gateway that does
+ * not know a stream asks the leader. A stream that nobody knows does not go on.
+ */
+export class StreamOrigins {
+  private readonly own = new Map<string, OwnStream>();
+
+  /** Keys of the streams that are still to be recorded in the log. */
+  private readonly unrecorded = new Set<string>();
+
+  private readonly lookups = new Map<string, ((origin: Origin) => void)[]>();
+
+  private recordTimer: clock.Timer | undefined;
+
+  private lookupTimer: clock.Timer | undefined;
+
+  private isRecording = false;
+
+  private isClosed = false;
+
+  private readonly unsubscribe: () => void;
+
+  constructor(private readonly ports: StreamOriginPorts) {
+    this.unsubscribe = ports.plane.onRegister(() => this.recordMixed());
+  }
+
+  /** Remembers the version of a stream; called before its first event is delivered. */
+  begin(stream: StreamIdentity, softwareVersion: string | undefined): void {
+    const key = keyOf(stream);
+    if (key === undefined || softwareVersion === undefined) {
+      return;
+    }
+    const begunAt = this.ports.time.monotonic();
+    const { service } = stream;
+    this.forgetOld(begunAt);
+    this.own.delete(key);
+    this.own.set(key, { service, softwareVersion, begunAt, isRecorded: false });
+    if (this.possibleVersions(service).length > 1) {
+      this.unrecorded.add(key);
+      this.scheduleRecord(COLLECTION_MILLISECONDS);
+    }
+  }
+
+  /** Forgets a stream whose caller has received all of it. */
+  complete(stream: StreamIdentity): void {
+    const key = keyOf(stream);
+    if (key !== undefined) {
+      this.own.delete(key);
+      this.unrecorded.delete(key);
+    }
+  }
+
+  /** The version that may go on with a stream which a caller takes up; a failure if it cannot be told. */
+  async find(stream: StreamIdentity): Promise<Origin> {
+    const key = keyOf(stream);
+    const own = key === undefined ? undefined : this.own.get(key);
+    if (own !== undefined) {
+      return foundOrigin(stream, OriginSource.Own, own.softwareVersion);
+    }
+    const versions = this.possibleVersions(stream.service);
+    if (versions.length <= 1) {
+      return foundOrigin(stream, OriginSource.OnlyVersion, versions.at(0));
+    }
+    const startedAt = this.ports.time.monotonic();
+    const origin = key === undefined ? new results.Err(UNKNOWN) : await this.lookUp(key);
+    const milliseconds = Math.round(this.ports.time.monotonic() - startedAt);
+    if (origin.ok) {
+      return foundOrigin(stream, OriginSource.Log, origin.val, milliseconds);
+    }
+    logger.information('software version of a stream is not known; the stream does not go on', {
+      ...stream,
+      versions: versions.join(','),
+      reason: origin.val.message,
+      milliseconds,
+    });
+    return origin;
+  }
+
+  close(): void {
+    this.isClosed = true;
+    this.unsubscribe();
+    this.recordTimer?.cancel();
+    this.lookupTimer?.cancel();
+    this.lookups.forEach((waiting) => waiting.forEach((settle) => settle(UNREACHABLE_ORIGIN)));
+    this.lookups.clear();
+  }
+
+  /** Versions that may have begun a stream which is not complete yet. */
+  private possibleVersions(service: string): readonly string[] {
+    const registered = this.ports.plane.register().softwareVersions.get(service) ?? [];
+    return [...new Set([...registered, ...this.ports.listedVersions(service)])];
+  }
+
+  /** Records streams that began when their service had one version and that now are not the only kind any more. */
+  private recordMixed(): void {
+    const services = new Set([...this.own.values()].map(({ service }) => service));
+    const mixed = new Set([...services].filter((name) => this.possibleVersions(name).length > 1));
+    this.own.forEach(({ service, isRecorded }, key) => {
+      if (!isRecorded && mixed.has(service)) {
+        this.unrecorded.add(key);
+      }
+    });
+    if (this.unrecorded.size > 0) {
+      this.scheduleRecord(0);
+    }
+  }
+
+  private scheduleRecord(milliseconds: number): void {
+    if (this.recordTimer === undefined && !this.isRecording && !this.isClosed) {
+      this.recordTimer = this.ports.time.setTimer(milliseconds, () => {
+        this.recordTimer = undefined;
+        this.record();
+      });
+    }
+  }
+
+  /** Records one batch; a batch without an answer is sent again, as a stream that is recorded twice does no harm. */
+  private async record(): Promise<void> {
+    this.isRecording = true;
+    const batch = [...this.unrecorded].slice(0, MAXIMUM_BATCH);
+    const keysByVersion = new Map<string, string[]>();
+    batch.forEach((key) => {
+      const version = this.own.get(key)?.softwareVersion;
+      if (version !== undefined) {
+        keysByVersion.set(version, [...(keysByVersion.get(version) ?? []), key]);
+      }
+    });
+    const begun = [...keysByVersion].map(([softwareVersion, keys]) => ({ softwareVersion, keys }));
+    const kind = control.CommandKind.RecordStreams;
+    const result = await this.ports.plane.propose({ kind, begun }, RECORD_MILLISECONDS);
+    this.isRecording = false;
+    if (result.ok) {
+      batch.forEach((key) => {
+        this.unrecorded.delete(key);
+        const stream = this.own.get(key);
+        if (stream !== undefined) {
+          stream.isRecorded = true;
+        }
+      });
+    } else {
+      logger.warning('streams could not be recorded; they are sent again', {
+        streams: batch.length,
+        reason: result.val,
+      });
+    }
+    if (this.unrecorded.size > 0) {
+      this.scheduleRecord(result.ok ? COLLECTION_MILLISECONDS : RETRY_MILLISECONDS);
+    }
+  }
+
+  private lookUp(key: string): Promise<Origin> {
+    return new Promise((resolve) => {
+      this.lookups.set(key, [...(this.lookups.get(key) ?? []), resolve]);
+      this.lookupTimer ??= this.ports.time.setTimer(LOOKUP_COLLECTION_MILLISECONDS, () => {
+        this.lookupTimer = undefined;
+        this.askLeader();
+      });
+    });
+  }
+
+  /** Looks up all waiting streams together: after a failure of many gateways many streams are taken up at once. */
+  private async askLeader(): Promise<void> {
+    const asked = [...this.lookups].slice(0, MAXIMUM_BATCH);
+    asked.forEach(([key]) => this.lookups.delete(key));
+    if (this.lookups.size > 0) {
+      this.lookupTimer = this.ports.time.setTimer(0, () => {
+        this.lookupTimer = undefined;
+        this.askLeader();
+      });
+    }
+    const kind = control.CommandKind.FindStreams;
+    const keys = asked.map(([key]) => key);
+    const result = await this.ports.plane.propose({ kind, keys }, LOOKUP_MILLISECONDS);
+    const origins = originsIn(result);
+    asked.forEach(([key, waiting]) => waiting.forEach((settle) => settle(origins(key))));
+  }
+
+  private forgetOld(now: number): void {
+    for (const [key, { begunAt }] of this.own) {
+      if (now - begunAt <= RETENTION_MILLISECONDS && this.own.size < MAXIMUM_OWN_STREAMS) {
+        return;
+      }
+      this.own.delete(key);
+      this.unrecorded.delete(key);
+    }
+  }
+}
+
+function foundOrigin(
+  stream: StreamIdentity,
+  source: OriginSource,
+  softwareVersion: string | undefined,
+  milliseconds = 0,
+): Origin {
+  logger.information('stream is taken up', { ...stream, softwareVersion, source, milliseconds });
+  return new results.Ok(softwareVersion);
+}
+
+function originsIn(
+  result: results.Result<control.CommandResult, control.ProposalFailure>,
+): (key: string) => Origin {
+  if (result.err || result.val.kind !== control.CommandResultKind.StreamsFound) {
+    return () => UNREACHABLE_ORIGIN;
+  }
+  const versions = new Map(
+    result.val.begun.flatMap(({ softwareVersion, keys }) =>
+      keys.map((key) => [key, softwareVersion]),
+    ),
+  );
+  return (key) => {
+    const version = versions.get(key);
+    return version === undefined ? new results.Err(UNKNOWN) : new results.Ok(version);
+  };
+}
+
+/** A short hash, since callers choose ids of any length; other teams and services do not share it. */
+function keyOf({ service, team, firstRequestId }: StreamIdentity): string | undefined {
+  return firstRequestId === undefined
+    ? undefined
+    : crypto
+        .createHash('sha1')
+        .update(JSON.stringify([service, team, firstRequestId]))
+        .digest('base64')
+        .slice(0, KEY_CHARACTERS);
+}
+
+const logger = new logging.Logger('streams');
+
+/** 72 bits: no two of the streams of a minute have the same key. */
+const KEY_CHARACTERS = 12;
+
+/** As long as the log keeps records. */
+const RETENTION_MILLISECONDS = 60_000;
+
+/** Far above the streams of one daemon in that time. */
+const MAXIMUM_OWN_STREAMS = 20_000;
+
+/** Several streams begin within this time, and few are lost with a daemon before they are recorded. */
+const COLLECTION_MILLISECONDS = 25;
+
+const LOOKUP_COLLECTION_MILLISECONDS = 5;
+
+const MAXIMUM_BATCH = 1_000;
+
+/** A leader is elected in about 1 s. */
+const RECORD_MILLISECONDS = 1_500;
+
+const RETRY_MILLISECONDS = 250;
+
+/** A caller whose stream cannot be told in this time comes back sooner than it would be served here. */
+const LOOKUP_MILLISECONDS = 1_200;
+
+const { FailureReason, Verdict } = verdict;
+
+const UNKNOWN = verdict.failure(
+  FailureReason.StreamOriginUnknown,
+  Verdict.NotRun,
+  'The software version that began this stream is not known; begin the stream anew.',
+  { retryAfterMilliseconds: 2_000 },
+);
+
+const UNREACHABLE_ORIGIN: Origin = new results.Err(
+  verdict.failure(
+    FailureReason.StreamOriginUnknown,
+    Verdict.NotRun,
+    'The software version that began this stream cannot be looked up now.',
+    { retryAfterMilliseconds: 300 },
+  ),
+);
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -83,6 +83,14 @@
     return membership.eligibleServer(this.view, serverId);
   }
 
+  /** Software versions of a service's servers in the list, dead and leaving ones too. */
+  softwareVersions(service: string): readonly string[] {
+    const versions = (this.list ?? [])
+      .filter((machine) => machine.service === service)
+      .flatMap(({ softwareVersion = [] }) => softwareVersion);
+    return [...new Set(versions)];
+  }
+
   /** Applies the result of a probe that another task of this daemon made. */
   recordProbe(serverId: string, startedAt: number, report: backend.ProbeReport): void {
     const kind = membership.MembershipEventKind.ProbeSucceeded;
--- /dev/null
+++ b/test/gateway/stream-origins.test.ts
@@ -0,0 +1,207 @@
+import * as results from 'ts-results';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as clock from '../../src/clock';
+import * as control from '../../src/control';
+import * as stateMachine from '../../src/control/state-machine';
+import * as streamOrigins from '../../src/gateway/stream-origins';
+import * as verdict from '../../src/verdict';
+
+const suite = uvu.suite('software versions of streams over several tries');
+
+const SERVICE = 'desk';
+
+function stream(firstRequestId: string, team = 'depot'): streamOrigins.StreamIdentity {
+  return { service: SERVICE, team, firstRequestId };
+}
+
+/** The replicated log of several gateways, which a test can make unreachable. */
+class Log {
+  readonly time = new clock.ManualClock();
+
+  readonly proposals: control.Command[] = [];
+
+  isReachable = true;
+
+  listed: readonly string[] = [];
+
+  private state = stateMachine.EMPTY_CONTROL_STATE;
+
+  private readonly listeners = new Set<(register: control.Register) => void>();
+
+  /** A gateway that has just started. */
+  startGateway(): streamOrigins.StreamOrigins {
+    return new streamOrigins.StreamOrigins({
+      plane: {
+        propose: async (command) => {
+          this.proposals.push(command);
+          return this.isReachable
+            ? new results.Ok(this.apply(command))
+            : new results.Err(control.ProposalFailure.NoLeader);
+        },
+        register: () => this.state.register,
+        onRegister: (listener) => {
+          this.listeners.add(listener);
+          return () => this.listeners.delete(listener);
+        },
+      },
+      time: this.time,
+      listedVersions: () => this.listed,
+    });
+  }
+
+  setVersions(...versions: string[]): this {
+    const service = SERVICE;
+    const before = this.state.register.softwareVersions.get(service, []);
+    const removed = before.filter((version) => !versions.includes(version));
+    const kind = control.CommandKind.ChangeSoftwareVersions;
+    this.apply({ kind, service, added: versions, removed });
+    this.listeners.forEach((listener) => listener(this.state.register));
+    this.listed = versions;
+    return this;
+  }
+
+  /** Lets timers and answers of the log arrive. */
+  async advance(milliseconds: number): Promise<void> {
+    for (let passed = 0; passed < milliseconds; passed += 5) {
+      this.time.advance(5);
+      await settle();
+    }
+  }
+
+  private apply(command: control.Command): control.CommandResult {
+    const applied = stateMachine.apply(this.state, command, this.time.now());
+    this.state = applied.state;
+    return applied.result;
+  }
+}
+
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) {
+    await Promise.resolve();
+  }
+}
+
+/** The version that a gateway finds; a failure reason if it refuses to go on. */
+async function find(log: Log, gateway: streamOrigins.StreamOrigins, id: string, team?: string) {
+  const found = gateway.find(stream(id, team));
+  await settle();
+  await log.advance(20);
+  const origin = await found;
+  return origin.ok ? origin.val : origin.val.reason;
+}
+
+const UNKNOWN = verdict.FailureReason.StreamOriginUnknown;
+
+// Guards against text joined from two versions after all gateways lost power at once.
+suite(
+  'a stream is known to a gateway that has started after the loss of all gateways',
+  async () => {
+    const log = new Log().setVersions('v1', 'v2');
+    const lost = log.startGateway();
+    lost.begin(stream('first'), 'v1');
+    lost.begin(stream('second'), 'v2');
+    await log.advance(50);
+    const started = log.startGateway();
+    assert.is(await find(log, started, 'first'), 'v1');
+    assert.is(await find(log, started, 'second'), 'v2');
+  },
+);
+
+// Guards against an old version that is forgotten as soon as its servers have left the list.
+suite(
+  'a stream of a version that has left the list is not taken for one of the new version',
+  async () => {
+    const log = new Log().setVersions('v1', 'v2');
+    log.listed = ['v2'];
+    const lost = log.startGateway();
+    lost.begin(stream('first'), 'v1');
+    await log.advance(50);
+    const started = log.startGateway();
+    assert.is(await find(log, started, 'first'), 'v1');
+    assert.is(await find(log, started, 'unrecorded'), UNKNOWN);
+  },
+);
+
+// Guards against streams that are lost because they began before the second version came.
+suite('streams that began before a second version came are recorded when it comes', async () => {
+  const log = new Log().setVersions('v1');
+  const lost = log.startGateway();
+  lost.begin(stream('first'), 'v1');
+  lost.begin(stream('complete'), 'v1');
+  lost.complete(stream('complete'));
+  await log.advance(50);
+  assert.equal(log.proposals, []);
+  log.setVersions('v1', 'v2');
+  await log.advance(50);
+  assert.is(await find(log, log.startGateway(), 'first'), 'v1');
+});
+
+// Guards against refusals, messages and waits while nothing can be joined wrongly.
+suite('with one version every stream goes on without a message', async () => {
+  const log = new Log().setVersions('v1');
+  log.isReachable = false;
+  log.startGateway().begin(stream('first'), 'v1');
+  await log.advance(50);
+  assert.is(await find(log, log.startGateway(), 'first'), 'v1');
+  assert.is(await find(log, log.startGateway(), 'unrecorded'), 'v1');
+  assert.equal(log.proposals, []);
+});
+
+// Guards against a copy of the list that shows a new version sooner than the register.
+suite('a version that only the list shows counts as a second one', async () => {
+  const log = new Log().setVersions('v1');
+  log.listed = ['v1', 'v2'];
+  assert.is(await find(log, log.startGateway(), 'unrecorded'), UNKNOWN);
+});
+
+// Guards against a caller that waits for an answer which nobody can give.
+suite('a stream is refused at once if the leader cannot be asked', async () => {
+  const log = new Log().setVersions('v1', 'v2');
+  const gateway = log.startGateway();
+  gateway.begin(stream('own'), 'v2');
+  log.isReachable = false;
+  assert.is(await find(log, gateway, 'own'), 'v2');
+  assert.is(await find(log, gateway, 'other'), UNKNOWN);
+});
+
+// Guards against records that are lost while there is no leader.
+suite('records that were not accepted are sent again until they are', async () => {
+  const log = new Log().setVersions('v1', 'v2');
+  log.isReachable = false;
+  log.startGateway().begin(stream('first'), 'v1');
+  await log.advance(1_000);
+  log.isReachable = true;
+  await log.advance(1_000);
+  assert.is(await find(log, log.startGateway(), 'first'), 'v1');
+  const sent = log.proposals.length;
+  await log.advance(5_000);
+  assert.is(log.proposals.length, sent);
+});
+
+// Guards against callers who learn of streams of another team or take its version for theirs.
+suite('the same id of another team is another stream', async () => {
+  const log = new Log().setVersions('v1', 'v2');
+  log.startGateway().begin(stream('first', 'depot'), 'v1');
+  await log.advance(50);
+  assert.is(await find(log, log.startGateway(), 'first', 'market'), UNKNOWN);
+});
+
+// Load pattern: all gateways have lost power, and the streams of thousands of callers are taken up within a second.
+suite('streams that begin or are taken up together cost one message', async () => {
+  const log = new Log().setVersions('v1', 'v2');
+  const lost = log.startGateway();
+  const ids = Array.from({ length: 200 }, (_, index) => `stream-${index}`);
+  ids.forEach((id) => lost.begin(stream(id), 'v1'));
+  await log.advance(50);
+  assert.is(log.proposals.length, 1);
+  const bytes = Buffer.byteLength(JSON.stringify(log.proposals[0]));
+  assert.ok(bytes < 200 * 24, `${bytes} bytes`);
+  const started = log.startGateway();
+  const found = ids.map((id) => started.find(stream(id)));
+  await log.advance(50);
+  assert.ok((await Promise.all(found)).every((origin) => origin.ok && origin.val === 'v1'));
+  assert.is(log.proposals.length, 2);
+});
+
+suite.run();
--- a/test/platform/fake-backend-server.ts
+++ b/test/platform/fake-backend-server.ts
@@ -26,6 +26,7 @@
   constructor(
     readonly id: string,
     private readonly behaviours: ServerBehaviour[],
+    readonly softwareVersion?: string,
   ) {
     this.server.on('connection', () => {
       this.connections += 1;
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -25,6 +25,7 @@
 export interface TestServer {
   readonly id: string;
   readonly port: number;
+  readonly softwareVersion?: string;
   listen(): Promise<void>;
   close(): Promise<void>;
 }
@@ -204,6 +205,7 @@
     kind: backend.BackendKind.ModelEngine,
     phase: backend.MachinePhase.Live,
     incarnation: `${server.id}@1`,
+    softwareVersion: server.softwareVersion,
     weightsVersion: '3',
   };
 }
