Backend: do not take a repeated refusal for the answer of another attempt

Operators of other systems saw that callers were told 'not run' for requests that had run, or that such a request ran at a second server: a faulty server wrote an earlier refusal once more on a kept connection.

A refusal names the request, but the same request is sent again on the connection on which it was refused when no other server is left; the copy of the first refusal then counted as the answer, and the charge ran three times. And a refusal without an id counted as the answer to whatever was sent last; the charge ran at each of three attempts and its caller was told that it had not run.

A connection now remembers the requests that were refused on it and is not used for them again, and a refusal without an id counts only as the first answer of its connection. Every other copy fails the check of the id and is 'may have run'. Ruled out: closing a connection after each refusal, which costs a new one for each request that meets a full server.

--- a/src/backend/connection-pool.ts
+++ b/src/backend/connection-pool.ts
@@ -17,9 +17,12 @@
     private readonly time: clock.Clock,
   ) {}
 
-  /** Returns the most recently used idle connection, or a new one when none is idle or `fresh` is set. */
-  acquire(fresh: boolean): connection.Connection {
-    const reused = fresh ? undefined : this.popReusable();
+  /**
+   * Returns the most recently used idle connection, or a new one when none is idle or `fresh` is set. A connection on
+   * which the same request was refused is not used for it again: the earlier refusal could be taken for its answer.
+   */
+  acquire(fresh: boolean, requestId: string): connection.Connection {
+    const reused = fresh ? undefined : this.takeReusable(requestId);
     return reused ?? this.open();
   }
 
@@ -40,14 +43,10 @@
     [...this.all].forEach((open) => open.destroy());
   }
 
-  private popReusable(): connection.Connection | undefined {
-    for (let next = this.idle.pop(); next !== undefined; next = this.idle.pop()) {
-      if (next.isReusable) {
-        return next;
-      }
-      next.destroy();
-    }
-    return undefined;
+  private takeReusable(requestId: string): connection.Connection | undefined {
+    this.idle.filter((idle) => !idle.isReusable).forEach((idle) => idle.destroy());
+    const position = this.idle.findLastIndex((idle) => !idle.hasRefused(requestId));
+    return position < 0 ? undefined : this.idle.splice(position, 1)[0];
   }
 
   private open(): connection.Connection {
--- a/src/backend/connection.ts
+++ b/src/backend/connection.ts
@@ -26,6 +26,11 @@
 
   private expectedAnswer: ExpectedAnswer | undefined;
 
+  private answers = 0;
+
+  /** Ids of the requests that the server refused on this connection. */
+  private readonly refusedIds = new Set<string>();
+
   /** Received bytes of the socket that were counted already. */
   private countedBytes = 0;
 
@@ -56,6 +61,7 @@
     const { socket } = this;
     return (
       !this.destroyed &&
+      this.refusedIds.size < MAXIMUM_REFUSED_IDS &&
       socket !== undefined &&
       !socket.destroyed &&
       !socket.readableEnded &&
@@ -97,9 +103,25 @@
     this.bodyBytes += bytes;
   }
 
+  /** Whether no answer has ended on this connection yet, so that all bytes belong to its first request. */
+  get isOnFirstAnswer(): boolean {
+    return this.answers === 0;
+  }
+
+  /** Remembers that the server refused a request, because a faulty server may write the refusal once more. */
+  recordRefusal(requestId: string): void {
+    this.refusedIds.add(requestId);
+  }
+
+  /** Whether a refusal of this request may come again on this connection. */
+  hasRefused(requestId: string): boolean {
+    return this.refusedIds.has(requestId);
+  }
+
   /** Expects no more bytes: any byte received from now on closes the connection. */
   endAnswer(): void {
     this.expectedAnswer = undefined;
+    this.answers += 1;
     this.countedBytes = this.receivedBytes;
     this.bodyBytes = 0;
   }
@@ -189,6 +211,9 @@
   readonly onExcess: () => void;
 }
 
+/** A connection with more refusals is closed, so that it does not remember any number of ids. */
+const MAXIMUM_REFUSED_IDS = 100;
+
 /** Servers ignore a blank line before a request (RFC 9112, section 2.2). */
 const BLANK_LINE = '\r\n';
 
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -46,7 +46,8 @@
       return;
     }
     signal?.addEventListener('abort', this.onAbort);
-    this.connection = this.pool.acquire(this.request.freshConnection);
+    const { freshConnection, requestId } = this.request;
+    this.connection = this.pool.acquire(freshConnection, requestId);
     this.dispatch(this.connection);
   }
 
@@ -165,6 +166,7 @@
     if (!refused) {
       return undefined;
     }
+    this.recordRefusal();
     const leaving = head.headers[headerName.HeaderName.BackendState] === headerName.LEAVING;
     return this.failure(
       leaving ? verdict.FailureReason.BackendLeaving : verdict.FailureReason.BackendRefused,
@@ -189,6 +191,16 @@
     return this.connection?.hasClosedCleanly === true;
   }
 
+  /** Whether bytes of earlier answers cannot arrive on the connection. */
+  protected get isFirstOnConnection(): boolean {
+    return this.connection?.isOnFirstAnswer === true;
+  }
+
+  /** Remembers at the connection that this request was refused on it. */
+  protected recordRefusal(): void {
+    this.connection?.recordRefusal(this.request.requestId);
+  }
+
   protected sentHeaders(): Readonly<Record<string, string>> {
     return { ...this.request.headers, [headerName.HeaderName.RequestId]: this.request.requestId };
   }
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -76,8 +76,10 @@
   protected override isOwnAnswer(head: httpRequest.HttpHead): boolean {
     this.metadata = this.readMetadata(head);
     const { requestId, refusal } = this.metadata;
-    // A server that refuses a request before reading it may not have the id.
-    return requestId === this.relayRequest.requestId || (requestId === undefined && !!refusal);
+    // A server that refuses a request before reading it may not have the id. After another answer on the connection, such
+    // a refusal may be an earlier one that a faulty server has written once more.
+    const isNameless = requestId === undefined && refusal !== undefined && this.isFirstOnConnection;
+    return requestId === this.relayRequest.requestId || isNameless;
   }
 
   protected override receiveHead(head: httpRequest.HttpHead): void {
@@ -105,6 +107,7 @@
       this.end();
       return;
     }
+    this.recordRefusal();
     const message = 'The backend server did not run the request.';
     this.receiver.onFailure(this.failure(refusal, verdict.Verdict.NotRun, message), load);
   }
--- /dev/null
+++ b/test/platform/raw-server.ts
@@ -0,0 +1,80 @@
+import * as net from 'node:net';
+
+/** One request as it arrived on a connection. */
+export interface RawRequest {
+  readonly id: string;
+  /** Number of requests that arrived on the connection before this one. */
+  readonly earlierOnConnection: number;
+}
+
+/** The bytes that answer a request. */
+export type RawAnswer = (request: RawRequest) => string;
+
+/** A backend server that writes whatever bytes a test wants, for requests without a body. */
+export class RawServer {
+  /** Ids of the requests that arrived, except probes. */
+  readonly requests: RawRequest[] = [];
+
+  private readonly sockets = new Set<net.Socket>();
+
+  private readonly server = net.createServer((socket) => this.serve(socket));
+
+  constructor(
+    readonly id: string,
+    private readonly answer: RawAnswer,
+  ) {}
+
+  get port(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  async listen(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.sockets.forEach((socket) => socket.destroy());
+    await new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+  }
+
+  private serve(socket: net.Socket): void {
+    let text = '';
+    let count = 0;
+    this.sockets.add(socket);
+    socket.on('error', () => {});
+    socket.on('data', (chunk) => {
+      text += chunk.toString();
+      for (let end = text.indexOf('\r\n\r\n'); end >= 0; end = text.indexOf('\r\n\r\n')) {
+        const head = text.slice(0, end);
+        text = text.slice(end + 4);
+        socket.write(head.includes('/-/report') ? REPORT : this.receive(head, count));
+        count += 1;
+      }
+    });
+  }
+
+  private receive(head: string, earlierOnConnection: number): string {
+    const [, id = ''] = /^x-figline-request-id: (\S+)/im.exec(head) ?? [];
+    const request = { id, earlierOnConnection };
+    this.requests.push(request);
+    return this.answer(request);
+  }
+}
+
+/** A refusal which states that the request did not run; without an id if none is given. */
+export function refusal(id?: string): string {
+  const echo = id === undefined ? '' : `X-Figline-Request-Id: ${id}\r\n`;
+  return `HTTP/1.1 503 Busy\r\n${echo}X-Figline-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+}
+
+/** A complete, genuine answer. */
+export function success(id: string): string {
+  return `HTTP/1.1 200 OK\r\nX-Figline-Request-Id: ${id}\r\nX-Figline-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok`;
+}
+
+const REPORT_BODY = '{"models":[{"name":"desk-model","version":3}],"busy":false,"seq":0,"born":1}';
+const REPORT = `HTTP/1.1 200 OK\r\nContent-Length: ${REPORT_BODY.length}\r\n\r\n${REPORT_BODY}`;
