Gateway: an error behind a stream that has begun is no sign of a crash

Callers whose stream broke off and whose next server answered with an error got no more events until their deadline: the request was held as one that may crash servers.

Cause: the failure for an answer that does not go on with the stream had the reason of a broken stream, one of the signs of a crash, so that a lost connection and an error counted as two crashes. A server that answers has not crashed, so that the reason is 'backend_error' now; verdict and status stay.

--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -249,8 +249,9 @@
   'The stream ended inside an event.',
 );
 
+/** The server has answered, so that this is no sign of a crash. */
 const NOT_RESUMED = verdict.failure(
-  FailureReason.StreamBroken,
+  FailureReason.BackendError,
   Verdict.MayHaveRun,
   'The backend server did not go on with the stream.',
 );
