Gateway: recognize a second answer behind a stream without a length

A faulty server writes a second answer behind its first one. A stream without a length ends with its connection, so that all bytes count as its events: callers found the whole head of a refusal or an error in their stream, and the stream ended as complete.

A status line is no field of an event. Such a stream is broken there: the events before it are delivered, and another server goes on. Two tests, of an error and of a refusal, failed before; with chunks the HTTP parser already refused the bytes.

--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -143,7 +143,13 @@
   private receiveEvents(splitter: eventSplitter.EventSplitter, chunk: Buffer): void {
     this.idleBytes += chunk.length;
     try {
-      this.deliver(this.newEvents(splitter.push(chunk)));
+      const received = splitter.push(chunk);
+      const foreign = received.findIndex(({ isAnswerHead }) => isAnswerHead === true);
+      this.deliver(this.newEvents(foreign < 0 ? received : received.slice(0, foreign)));
+      if (foreign >= 0) {
+        this.reject(SECOND_ANSWER);
+        return;
+      }
     } catch {
       this.reject(TOO_LARGE_EVENT);
       return;
@@ -263,6 +269,13 @@
   { malformed: true },
 );
 
+const SECOND_ANSWER = verdict.failure(
+  FailureReason.BackendError,
+  Verdict.MayHaveRun,
+  'Another answer follows the events of the stream.',
+  { malformed: true },
+);
+
 const NO_EVENTS = verdict.failure(
   FailureReason.BackendError,
   Verdict.MayHaveRun,
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -7,6 +7,8 @@
   readonly id?: number;
   /** False for blank lines and comments, which carry no data. */
   readonly hasFields: boolean;
+  /** Set if a line of it begins another HTTP answer, which a faulty server has written behind a stream without a length. */
+  readonly isAnswerHead?: true;
 }
 
 /** Splits a stream into complete events, so that a caller never gets a partial one. */
@@ -67,6 +69,9 @@
 
 const EMPTY = Buffer.alloc(0);
 
+/** A status line; no field of an event has such a name. */
+const ANSWER_HEAD = /^HTTP\/1\.[01] \d{3}/m;
+
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
 const COLON = 58;
@@ -106,8 +111,14 @@
   if (!hasFields(bytes)) {
     return { bytes, hasFields: false };
   }
-  const found = /^id: ?(\d{1,15})\r?$/m.exec(bytes.toString('latin1'));
-  return { bytes, id: found === null ? undefined : Number(found[1]), hasFields: true };
+  const text = bytes.toString('latin1');
+  const found = /^id: ?(\d{1,15})\r?$/m.exec(text);
+  return {
+    bytes,
+    id: found === null ? undefined : Number(found[1]),
+    hasFields: true,
+    ...(ANSWER_HEAD.test(text) ? { isAnswerHead: true } : {}),
+  };
 }
 
 /** Whether any line is neither blank nor a comment. */
--- a/test/platform/error-in-stream.test.ts
+++ b/test/platform/error-in-stream.test.ts
@@ -57,6 +57,26 @@
       assert.is(answer.isComplete, false);
     });
   });
+
+  // Guards against the head of a second answer that becomes a part of the stream.
+  [rawServer.serverError('request-1'), rawServer.refusal('request-1')].forEach((second) => {
+    const [title] = second.split('\r\n');
+    suite(`a second answer (${title}) is no part of a stream ${framing}`, async () => {
+      const doubled: rawServer.RawAnswer = ({ id }) => ({
+        bytes:
+          rawServer.streamHead(id, isChunked) +
+          rawServer.events(isChunked, 1, 2) +
+          second +
+          (isChunked ? '0\r\n\r\n' : ''),
+        then: 'end',
+      });
+      await new builder.GatewayBuilder(createServers(doubled, goOn)).run(async (gateway) => {
+        const answer = await gateway.send('POST', '/reply/7');
+        assert.not.match(answer.text, /HTTP|server error|Figline/);
+        assertEventsOnly(answer, 4);
+      });
+    });
+  });
 });
 
 suite.run();
