Gateways: hand requests to other gateways while all servers are out of reach

When a server fails, up to four others in several availability zones are probed at once on new connections. If none answers, the gateway is cut off until a probe succeeds: failed probes say nothing about servers then, new requests go to another gateway, and so do those that wait or get no data, unless they may have run and must not run again. Streams on connections that live on stay where they are. The leader answers the report that each gateway sends every 2 s with eight gateways near it; the last answer is kept without a leader. Requests pass over HTTP between internal ports with body, deadline, credential, cancellation, back pressure, seal and events unchanged. The second gateway admits, counts and retries them as its own, refuses them if it is cut off too or has an older routing document, and never passes them on.

Weighed: leaving the balancer (a refused connection is a failed try of a caller, and a zone may be cut off as a whole); the links over the control daemons (their three VMs would carry all bytes); a list of all gateways at each gateway (14 KB to each of 360). Ruled out as signs of a cut: data on open connections, which live on in one kind of cut, and the number of dead servers, which is known only after a second.

--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -299,7 +299,13 @@
 /** Error messages of undici for unrequested answers with status 100 or 101 and for bytes before a request. */
 const UNEXPECTED_ANSWERS = new Set(['bad response', 'bad upgrade']);
 
-function retryAfterMilliseconds(head: httpRequest.HttpHead): number | undefined {
-  const text = head.headers['retry-after'] ?? '';
-  return /^\d{1,6}$/.test(text) ? Number(text) * 1_000 : undefined;
+/**
+ * The time of a `Retry-After` header, which may have fractions of a second.
+ *
+ * @example
+ * retryAfterMilliseconds({ status: 503, headers: { 'retry-after': '0.3' } }); // 300
+ */
+export function retryAfterMilliseconds({ headers }: httpRequest.HttpHead): number | undefined {
+  const text = headers['retry-after'] ?? '';
+  return /^\d{1,6}(\.\d{1,6})?$/.test(text) ? Number(text) * 1_000 : undefined;
 }
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -16,6 +16,8 @@
   readonly load?: relayServer.RelayLoad;
   /** Requests a second that the server takes from all daemons together; absent if it names no limit. */
   readonly requestsPerSecond?: number;
+  /** When a refused request may be sent again, if the answer says so to the caller. */
+  readonly retryAfterMilliseconds?: number;
 }
 
 /** Reads the metadata from the status and headers of an answer. */
@@ -102,14 +104,15 @@
   }
 
   protected override complete(): void {
-    const { refusal, load } = this.metadata ?? {};
+    const { refusal, load, retryAfterMilliseconds } = this.metadata ?? {};
     if (refusal === undefined) {
       this.end();
       return;
     }
     this.recordRefusal();
     const message = 'The backend server did not run the request.';
-    this.receiver.onFailure(this.failure(refusal, verdict.Verdict.NotRun, message), load);
+    const { NotRun } = verdict.Verdict;
+    this.receiver.onFailure(this.failure(refusal, NotRun, message, retryAfterMilliseconds), load);
   }
 
   private async end(): Promise<void> {
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -23,6 +23,8 @@
   Machines = 'machines',
   /** Requests in flight at backend servers. */
   Load = 'load',
+  /** Gateways that take the requests of others. */
+  Gateways = 'gateways',
 }
 
 export enum ReplicaRole {
--- a/src/gateway/caller-request-handler.ts
+++ b/src/gateway/caller-request-handler.ts
@@ -9,23 +9,28 @@
 export class CallerRequestHandler {
   constructor(
     private readonly gateway: gatewayModule.Gateway,
-    private readonly readiness: daemon.Readiness,
-    private readonly time: clock.Clock,
+    protected readonly readiness: daemon.Readiness,
+    protected readonly time: clock.Clock,
   ) {}
 
   handle(request: http.IncomingMessage, response: http.ServerResponse, body: Buffer): void {
-    const { readiness } = this;
-    const reply = new relayReply.RelayReply(response, this.time, () => !readiness.isReady);
-    readiness.requestStarted();
-    response.once('close', () => readiness.requestEnded());
-    if (!readiness.acceptsRequests) {
+    const { method = 'GET', url: path = '/', headers } = request;
+    const reply = new relayReply.RelayReply(response, this.time, () => !this.readiness.isReady);
+    this.accept({ method, path, headers, body }, response, reply);
+  }
+
+  protected accept(
+    incoming: gatewayModule.IncomingCall,
+    response: http.ServerResponse,
+    reply: relayReply.RelayReply,
+  ): void {
+    this.readiness.requestStarted();
+    response.once('close', () => this.readiness.requestEnded());
+    if (this.readiness.acceptsRequests) {
+      this.gateway.handle(incoming, reply);
+    } else {
       reply.fail(NOT_ACCEPTING);
-      return;
     }
-    this.gateway.handle(
-      { method: request.method ?? 'GET', path: request.url ?? '/', headers: request.headers, body },
-      reply,
-    );
   }
 }
 
--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -10,6 +10,7 @@
 import * as routing from '../routing';
 import * as controlService from './control-service';
 import * as crashEvidenceExchange from './crash-evidence-exchange';
+import * as gatewayRegistry from './gateway-registry';
 import * as loadExchange from './load-exchange';
 import * as placementBuffer from './placement-buffer';
 import * as requestLimitExchange from './request-limit-exchange';
@@ -81,6 +82,8 @@
     registerResource('crash evidence', () => evidence.close());
     const limits = new requestLimitExchange.RequestLimitExchange({ plane, time }, () => {});
     registerResource('request limits', () => limits.close());
+    const gateways = new gatewayRegistry.GatewayRegistry({ plane, time });
+    registerResource('registry of gateways', () => gateways.close());
     this.orders = new orders.OrderTask(
       {
         plane: {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -16,6 +16,12 @@
 import * as callerRequestHandler from './caller-request-handler';
 import * as nestModule from './gateway-module';
 import * as bufferBudget from './buffer-budget';
+import * as cutDetector from './cut-detector';
+import * as forwardedRequestHandler from './forwarded-request-handler';
+import * as forwarder from './forwarder';
+import type * as peerGatewayMessage from './peer-gateway-message';
+import * as peerGatewayDirectory from './peer-gateway-directory';
+import * as connectivityObserver from './connectivity-observer';
 import * as crashEvidenceExchange from './crash-evidence-exchange';
 import * as loadExchange from './load-exchange';
 import type * as loadTable from './load-table';
@@ -47,6 +53,8 @@
   readonly zone: string;
   readonly region: string;
   readonly listen: { readonly host: string; readonly port: number };
+  /** Where requests of other gateways are accepted; absent if there are none. */
+  readonly forwardListen?: { readonly host: string; readonly port: number };
   readonly limits: daemon.ListenerLimits;
   readonly stop: gracefulStop.StopTimes;
   readonly engineProperties: routes.EngineProperties;
@@ -77,8 +85,17 @@
 
   private readonly evidenceExchange: crashEvidenceExchange.CrashEvidenceExchange;
 
+  private readonly detector: cutDetector.CutDetector;
+
+  private readonly directory: peerGatewayDirectory.PeerGatewayDirectory;
+
   private listener: daemon.HttpListener | undefined;
 
+  /** `host:port` of the listener for other gateways. */
+  private forwardAddress: string | undefined;
+
+  private handOverTimer: clock.Timer | undefined;
+
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -97,7 +114,15 @@
     const source = new softwareVersionList.SoftwareVersionList(ports.list, plane);
     const list = new sharedMachineList.SharedMachineList({ plane, source, time });
     this.membership = new routing.MembershipTask(
-      { list, pool, plane, task: this.task, time, random },
+      {
+        list,
+        pool,
+        plane,
+        task: this.task,
+        time,
+        random,
+        isCutOff: () => this.detector.isCutOff,
+      },
       LIST_INTERVAL_MILLISECONDS,
       false,
     );
@@ -141,17 +166,42 @@
       listedVersions: (service) => membership.softwareVersions(service),
     });
     this.lifecycle.register('stream origins', () => origins.close());
-    const detector = new stallDetector.StallDetector(time, membership);
-    this.lifecycle.register('silence watch', () => detector.close());
+    this.detector = new cutDetector.CutDetector({
+      time,
+      random,
+      servers: () => membership.servers(),
+      probe: (serverId) => this.probe(pool, serverId),
+      onChange: () => this.connectivityChanged(),
+    });
+    this.lifecycle.register('cut detector', () => this.detector.close());
+    const observer = new connectivityObserver.ConnectivityObserver(membership, this.detector);
+    const stalls = new stallDetector.StallDetector(time, observer);
+    this.lifecycle.register('silence watch', () => stalls.close());
+    this.directory = new peerGatewayDirectory.PeerGatewayDirectory({
+      plane,
+      time,
+      report: () => this.ownReport(),
+    });
+    this.lifecycle.register('directory of gateways', () => this.directory.close());
+    const requestForwarder = new forwarder.Forwarder({
+      time,
+      random,
+      headerCodec: ports.headerCodec,
+      gateways: () => this.directory.near,
+      isCutOff: () => this.detector.isCutOff,
+      place: options,
+    });
+    this.lifecycle.register('forwarder', () => requestForwarder.close());
     this.gateway = new gatewayModule.Gateway(
       {
         task,
         pool,
-        observer: membership,
+        observer,
         meter,
         time,
         headerCodec: ports.headerCodec,
-        stallDetector: detector,
+        stallDetector: stalls,
+        forwarder: requestForwarder,
         bufferBudget: new bufferBudget.BufferBudget(),
         placementBuffer: buffer,
         streamOrigins: origins,
@@ -177,6 +227,7 @@
   static async start(ports: GatewayPorts, options: GatewayOptions): Promise<GatewayDaemon> {
     const started = new GatewayDaemon(ports, options);
     await started.listen();
+    await started.listenForGateways();
     started.becomeReady();
     return started;
   }
@@ -186,6 +237,11 @@
     return this.listener?.port ?? 0;
   }
 
+  /** `host:port` at which other gateways reach this one; absent while it does not listen for them. */
+  get addressForGateways(): string | undefined {
+    return this.forwardAddress;
+  }
+
   /** Drains the open requests and stops; later calls return the same promise. */
   stop(): Promise<void> {
     this.stopping ??= this.stopGracefully();
@@ -280,21 +336,84 @@
     this.lifecycle.register('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
   }
 
+  /** Accepts requests of other gateways. Without this listener the gateway serves its own callers as before. */
+  private async listenForGateways(): Promise<void> {
+    const { forwardListen, limits } = this.options;
+    if (forwardListen === undefined) {
+      return;
+    }
+    const handler = new forwardedRequestHandler.ForwardedRequestHandler(
+      this.gateway,
+      this.readiness,
+      this.ports.time,
+    );
+    try {
+      const module = nestModule.GatewayModule.with(handler);
+      const filter = new daemon.FailureFilter(() => 0);
+      const listener = await daemon.listen(module, forwardListen, limits, filter);
+      this.forwardAddress = `${forwardListen.host}:${listener.port}`;
+      const close = () => listener.close();
+      this.lifecycle.register('listener for gateways', close, LISTENER_CLOSE_MILLISECONDS);
+    } catch (error) {
+      logger.error('cannot listen for other gateways; their requests are not accepted', {
+        ...forwardListen,
+        reason: (error as Error).message,
+      });
+    }
+    this.directory.report();
+  }
+
+  private ownReport(): peerGatewayMessage.GatewayReport | undefined {
+    const { zone, region } = this.options;
+    const { daemonId } = this.ports.plane.status();
+    const isAvailable = this.readiness.isReady && !this.detector.isCutOff;
+    return this.forwardAddress === undefined
+      ? undefined
+      : { daemonId, address: this.forwardAddress, zone, region, isAvailable };
+  }
+
+  /** Probes a server on a new connection; a success is news for the membership task too. */
+  private async probe(pool: routing.BackendPool, serverId: string): Promise<boolean> {
+    const startedAt = this.ports.time.monotonic();
+    const lease = pool.server(serverId);
+    const outcome = await lease?.client.probe();
+    lease?.release();
+    if (outcome?.ok === true) {
+      this.membership.recordProbe(serverId, startedAt, outcome.val);
+    }
+    return outcome?.ok === true;
+  }
+
+  private connectivityChanged(): void {
+    this.directory.report();
+    this.handOverWaiting();
+  }
+
+  /** Hands requests that get no answer over to other gateways, as long as this one is cut off. */
+  private handOverWaiting(): void {
+    this.handOverTimer?.cancel();
+    if (this.detector.isCutOff) {
+      this.task.connectivityLost();
+      const repeat = () => this.handOverWaiting();
+      this.handOverTimer = this.ports.time.setTimer(HAND_OVER_INTERVAL_MILLISECONDS, repeat);
+    }
+  }
+
   private async becomeReady(): Promise<void> {
     await Promise.all([this.ports.plane.ready(), this.membership.start()]);
     while (this.gateway.tableVersion === undefined && this.stopping === undefined) {
       await this.ports.time.sleep(TABLE_POLL_MILLISECONDS);
     }
     this.readiness.advance(daemon.DaemonStage.Ready);
+    this.directory.report();
     logger.information('ready', { version: this.gateway.tableVersion });
   }
 
   private async stopGracefully(): Promise<void> {
-    const interrupted = await gracefulStop.drain(
-      this.readiness,
-      this.options.stop,
-      this.ports.time,
-    );
+    const draining = gracefulStop.drain(this.readiness, this.options.stop, this.ports.time);
+    this.directory.report();
+    const interrupted = await draining;
+    this.handOverTimer?.cancel();
     this.task.abortAll(INTERRUPTED);
     await this.lifecycle.close();
     logger.information('graceful shutdown ended', { interrupted });
@@ -333,3 +452,5 @@
 const TABLE_POLL_MILLISECONDS = 20;
 
 const LISTENER_CLOSE_MILLISECONDS = 500;
+
+const HAND_OVER_INTERVAL_MILLISECONDS = 200;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,8 @@
 import * as decision from '../decision';
 import * as routes from '../routes';
 import * as verdict from '../verdict';
+import * as forwardExecution from './forward-execution';
+import type * as forwardHeader from './forward-header';
 import type * as headerCodec from './header-codec';
 import type * as relayContext from './relay-context';
 import * as relayExecution from './relay-execution';
@@ -19,6 +21,8 @@
   readonly path: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: Uint8Array;
+  /** Present if another gateway has forwarded the request. */
+  readonly forwarded?: forwardHeader.ForwardMetadata;
 }
 
 interface Admitted {
@@ -95,7 +99,10 @@
         outputTokens: metadata.outputTokens,
       },
     });
-    if (admitted.err) {
+    const refusal = this.refusalOfForwarded(incoming);
+    if (refusal !== undefined) {
+      reply.fail(refusal);
+    } else if (admitted.err) {
       reply.fail(admitted.val);
     } else if (requestId === undefined) {
       reply.fail(NO_REQUEST_ID);
@@ -103,7 +110,9 @@
       reply.fail(TOO_MANY_REQUESTS);
     } else {
       const call = this.callOf(incoming, { ...metadata, requestId }, admitted.val);
-      if (call.stream !== undefined && isTakenUp(metadata)) {
+      if (!call.isForwarded && this.context.forwarder.isActive) {
+        this.forward(call, reply);
+      } else if (call.stream !== undefined && isTakenUp(metadata)) {
         this.takeUp(call, call.stream, reply);
       } else {
         this.submit(call, reply);
@@ -111,6 +120,22 @@
     }
   }
 
+  /** Refuses what another gateway can do better: it has a newer routing document, or reaches the servers. */
+  private refusalOfForwarded({ forwarded }: IncomingCall): verdict.RequestFailure | undefined {
+    if (forwarded === undefined) {
+      return undefined;
+    }
+    if ((this.tableVersion ?? Number.NEGATIVE_INFINITY) < forwarded.routingVersion) {
+      return OLDER_TABLE;
+    }
+    return this.context.forwarder.isCutOff ? CUT_OFF : undefined;
+  }
+
+  private forward(call: relayExecution.RelayCall, reply: relayReply.RelayReply): void {
+    const start = { progress: { events: 0, lastEventId: call.lastEventId }, runs: 0 };
+    new forwardExecution.ForwardExecution(call, this.context, reply, start).run();
+  }
+
   private get openRequests(): number {
     return this.context.task.activeRequests + this.lookups;
   }
@@ -142,7 +167,7 @@
   }
 
   private callOf(
-    { method, path, headers, body }: IncomingCall,
+    { method, path, headers, body, forwarded }: IncomingCall,
     metadata: headerCodec.CallerMetadata & { readonly requestId: string },
     { route, team }: Admitted,
   ): relayExecution.RelayCall {
@@ -162,6 +187,8 @@
       cacheNamespace,
       deadline: now + wait,
       lastEventId: metadata.lastEventId,
+      routingVersion: this.tableVersion ?? 0,
+      isForwarded: forwarded !== undefined,
       stream: isResumable(route) ? streamOf(metadata, service, team) : undefined,
       profile: {
         // Callers may reuse an id; the decision core needs a unique one for each request.
@@ -175,7 +202,7 @@
         expectedOutputTokens: metadata.outputTokens,
         idempotent: isRepeatable(route),
         isStreamed: route.kind === routes.RouteKind.Stream,
-        maximumAttempts: route.maximumAttempts,
+        maximumAttempts: Math.max(1, route.maximumAttempts - (forwarded?.runs ?? 0)),
         priority: team?.priority ?? route.priority,
         firstTokenDeadline: now + wait,
         fingerprint: fingerprintOf(team?.name, method, path, body),
@@ -287,6 +314,20 @@
   'The request has no id.',
 );
 
+const OLDER_TABLE = verdict.failure(
+  FailureReason.ShuttingDown,
+  Verdict.NotRun,
+  'This router has an older routing table than the one that forwarded the request.',
+  { retryAfterMilliseconds: 200 },
+);
+
+const CUT_OFF = verdict.failure(
+  FailureReason.NoBackendServer,
+  Verdict.NotRun,
+  'This router cannot reach the backend servers.',
+  { retryAfterMilliseconds: 300 },
+);
+
 const TOO_MANY_REQUESTS = verdict.failure(
   FailureReason.Overloaded,
   Verdict.NotRun,
--- a/src/gateway/header-codec.ts
+++ b/src/gateway/header-codec.ts
@@ -44,6 +44,15 @@
   readonly resumeAfter?: number;
 }
 
+/** What has changed since a caller has sent its request. */
+export interface ForwardedProgress {
+  readonly remainingMilliseconds: number;
+  /** Last event that the caller has received. */
+  readonly lastEventId?: number;
+  /** Id of the attempt of the caller that brought the first event. */
+  readonly resumes?: string;
+}
+
 /** Translates between the headers of a platform and the router's types; it makes no decisions. */
 export abstract class HeaderCodec {
   abstract readCaller(headers: http.IncomingHttpHeaders): CallerMetadata;
@@ -54,5 +63,11 @@
     metadata: AttemptMetadata,
   ): Readonly<Record<string, string>>;
 
+  /** The headers of a request that another gateway runs: those of the caller, with what has changed since. */
+  abstract forwardHeaders(
+    caller: http.IncomingHttpHeaders,
+    metadata: ForwardedProgress,
+  ): Readonly<Record<string, string>>;
+
   abstract readAnswer(head: backend.HttpHead): backend.AnswerMetadata;
 }
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -3,6 +3,7 @@
 import type * as headerCodec from './header-codec';
 import type * as bufferBudget from './buffer-budget';
 import type * as requestLimitExchange from './request-limit-exchange';
+import type * as forwarder from './forwarder';
 import type * as streamOrigins from './stream-origins';
 import type * as placementBuffer from './placement-buffer';
 import type * as stallDetector from './stall-detector';
@@ -14,6 +15,7 @@
   readonly bufferBudget: bufferBudget.BufferBudget;
   readonly requestLimits: requestLimitExchange.RequestLimitExchange;
   readonly streamOrigins: streamOrigins.StreamOrigins;
+  readonly forwarder: forwarder.Forwarder;
   readonly placementBuffer: placementBuffer.PlacementBuffer;
   /** The current record of a backend server in the membership task. */
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -7,6 +7,7 @@
 import * as routing from '../routing';
 import * as verdict from '../verdict';
 import * as answerReceiver from './answer-receiver';
+import * as forwardExecution from './forward-execution';
 import type * as relayContext from './relay-context';
 import type * as relayReply from './relay-reply';
 import type * as streamOrigins from './stream-origins';
@@ -28,6 +29,10 @@
   readonly deadline: number;
   /** Last event that the caller received before it sent the request again. */
   readonly lastEventId?: number;
+  /** Version of the routing document by which the route was chosen. */
+  readonly routingVersion: number;
+  /** Whether another gateway has sent the request, which must not be forwarded again. */
+  readonly isForwarded: boolean;
   /** Present if the caller may take up the answer again at any gateway. */
   readonly stream?: streamOrigins.StreamIdentity;
 }
@@ -40,6 +45,12 @@
 
   private isOriginKnown = false;
 
+  /** Monotonic time in milliseconds at which the last bytes arrived, or the last attempt was sent. */
+  private lastArrivalAt = Number.NEGATIVE_INFINITY;
+
+  /** Ended attempts that may have run. */
+  private runs = 0;
+
   /** The attempt whose events the core was told of last, and when. */
   private reportedEvents: { readonly attemptId?: string; readonly at: number } = { at: 0 };
 
@@ -56,13 +67,31 @@
   }
 
   override fail(failure: verdict.RequestFailure): void {
-    if (!this.isOver) {
-      this.end();
+    if (this.isOver) {
+      return;
+    }
+    this.end();
+    if (this.mayForward(failure.verdict)) {
+      this.forward();
+    } else {
       this.meter.failed(failure);
       this.reply.fail(failure);
     }
   }
 
+  /** Lets another gateway run the request if it waits here, or if nothing arrives from its server. */
+  override connectivityLost(): void {
+    const { MayHaveRun, NotRun } = verdict.Verdict;
+    const { isRunning } = this;
+    const silentMilliseconds = this.context.time.monotonic() - this.lastArrivalAt;
+    const isAlive = isRunning && silentMilliseconds < SILENCE_MILLISECONDS;
+    if (!this.isOver && !isAlive && this.mayForward(isRunning ? MayHaveRun : NotRun)) {
+      this.runs += isRunning ? 1 : 0;
+      this.abandon();
+      this.forward();
+    }
+  }
+
   /** Stops every attempt and notifies the core, because the caller has closed its connection. */
   cancel(): void {
     if (!this.isOver) {
@@ -70,6 +99,21 @@
     }
   }
 
+  private mayForward(outcome: verdict.Verdict): boolean {
+    const combined = this.runs > 0 ? verdict.Verdict.MayHaveRun : outcome;
+    return (
+      this.context.forwarder.isActive &&
+      !this.call.isForwarded &&
+      this.deliveryProgress.isStarted !== true &&
+      verdict.mayRetry(combined, this.profile.idempotent)
+    );
+  }
+
+  private forward(): void {
+    const start = { progress: this.deliveryProgress, runs: this.runs };
+    new forwardExecution.ForwardExecution(this.call, this.context, this.reply, start).run();
+  }
+
   protected override end(): void {
     super.end();
     this.timer.cancel();
@@ -84,6 +128,7 @@
       this.attemptFailed(effect, routing.SERVER_GONE);
       return;
     }
+    this.lastArrivalAt = this.context.time.monotonic();
     this.context.stallDetector.attemptSent(effect.serverId);
     try {
       const server = this.context.server(effect.serverId);
@@ -116,7 +161,10 @@
           isCurrent: () => !signal.aborted && !this.isOver,
           onEvent: () => this.reportEvent(effect),
           bufferBudget: context.bufferBudget,
-          onArrival: () => context.stallDetector.dataReceived(effect.serverId),
+          onArrival: () => {
+            this.lastArrivalAt = context.time.monotonic();
+            context.stallDetector.dataReceived(effect.serverId);
+          },
           onLoad: (load) => this.reportLoad(lease.machine, load),
           onLimit: (perSecond) => context.requestLimits.observe(effect.serverId, perSecond),
         },
@@ -270,7 +318,7 @@
   }
 
   private get wasSent(): boolean {
-    return this.deliveryProgress.events > 0 || this.mayHaveRun;
+    return this.deliveryProgress.events > 0 || this.runs > 0;
   }
 
   /** A crash by a prompt part shows in the requests at the crashed server that had received no piece. */
@@ -278,13 +326,11 @@
     return { ...super.progressFields(), pieces: this.deliveryProgress.events };
   }
 
-  private mayHaveRun = false;
-
   protected override attemptFailed(
     effect: decision.Dispatch,
     failure: verdict.RequestFailure,
   ): void {
-    this.mayHaveRun ||= failure.verdict !== verdict.Verdict.NotRun;
+    this.runs += failure.verdict === verdict.Verdict.NotRun ? 0 : 1;
     super.attemptFailed(effect, failure);
   }
 }
@@ -294,6 +340,9 @@
 /** The core averages the pauses between the events of this time. */
 const EVENT_REPORT_MILLISECONDS = 100;
 
+/** Above the usual time to the first token, and below the time in which callers give up. */
+const SILENCE_MILLISECONDS = 1_000;
+
 /** One-way delay from a server in another region. */
 const LOAD_AGE_MILLISECONDS = 10;
 
--- a/src/gateway/relay-reply.ts
+++ b/src/gateway/relay-reply.ts
@@ -5,6 +5,7 @@
 import * as logging from '../logging';
 import * as verdict from '../verdict';
 import * as answerTimings from './answer-timing';
+import * as forwardHeader from './forward-header';
 
 /** Fields that identify a reply in the logs. */
 export interface ReplyIdentity {
@@ -29,6 +30,8 @@
     private readonly time: clock.Clock,
     /** Called when the head is written: a stopping daemon closes connections, so that callers reconnect elsewhere. */
     private readonly closesConnection: () => boolean,
+    /** Present if another gateway has forwarded the request; it is echoed to that gateway. */
+    private readonly forwardId?: string,
   ) {
     this.timing = answerTimings.startTiming(time.monotonic());
     response.once('close', () => this.log());
@@ -63,7 +66,11 @@
 
   writeHead({ status, headers }: backend.HttpHead): void {
     if (!this.hasSentHeaders && !this.isClosed) {
-      this.response.writeHead(status, { ...answerHeaders(headers), ...this.connectionHeader() });
+      this.response.writeHead(status, {
+        ...answerHeaders(headers),
+        ...this.forwardHeaders(),
+        ...this.connectionHeader(),
+      });
     }
   }
 
@@ -92,6 +99,7 @@
       const length = hasBody(head) ? { 'content-length': String(body.length) } : {};
       this.response.writeHead(head.status, {
         ...answerHeaders(head.headers),
+        ...this.forwardHeaders(),
         ...length,
         ...this.connectionHeader(),
       });
@@ -113,12 +121,23 @@
         'content-type': 'application/json; charset=utf-8',
         'content-length': String(body.length),
         ...retryAfter(failure, retryAfterMilliseconds),
+        ...this.forwardHeaders(outcome),
         ...this.connectionHeader(),
       });
       this.response.end(body);
     }
   }
 
+  /** @param outcome verdict of a failure of this gateway; absent for the answers of backend servers */
+  private forwardHeaders(outcome?: verdict.Verdict): http.OutgoingHttpHeaders {
+    return this.forwardId === undefined
+      ? {}
+      : {
+          [forwardHeader.ForwardHeader.Id]: this.forwardId,
+          ...(outcome === undefined ? {} : { [forwardHeader.ForwardHeader.Verdict]: outcome }),
+        };
+  }
+
   private connectionHeader(): http.OutgoingHttpHeaders {
     return this.closesConnection() ? { connection: 'close' } : {};
   }
@@ -172,6 +191,7 @@
   'upgrade',
   'content-length',
   'date',
+  ...forwardHeader.FORWARD_HEADERS,
 ]);
 
 function answerHeaders(headers: Readonly<Record<string, string>>): Record<string, string> {
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -72,6 +72,8 @@
   readonly kind: MembershipEventKind.ProbeFailed;
   /** The server sent a malformed answer, so its process runs. */
   readonly answeredMalformed?: true;
+  /** The daemon reaches no server, so that the failure says nothing about this one. */
+  readonly isInconclusive?: boolean;
   readonly startedAt: number;
   readonly jitter: number;
 }
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -38,6 +38,11 @@
   probe: event.ProbeFailed,
   intervalMilliseconds: number,
 ): serverChange.ServerChange {
+  if (probe.isInconclusive === true) {
+    const nextProbeAt = probe.at + withJitter(DEAD_INTERVAL_MILLISECONDS, probe.jitter);
+    const ended = endProbe(server, probe, intervalMilliseconds);
+    return serverChange.unchanged({ ...ended, nextProbeAt });
+  }
   const { Dead, Suspected } = membershipView.ServerCondition;
   const failedProbes = server.failedProbes + 1;
   const isDead = failedProbes >= FAILED_PROBES_OF_A_DEAD_SERVER;
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -87,6 +87,11 @@
     this.executions.delete(requestId);
   }
 
+  /** Tells every request that this daemon cannot reach the backend servers. */
+  connectivityLost(): void {
+    [...this.executions.values()].forEach((execution) => execution.connectivityLost?.());
+  }
+
   /** Ends every request with a failure; used when the grace period of a shutdown has expired. */
   abortAll(failure: verdict.RequestFailure): void {
     [...this.executions.entries()].forEach(([requestId, execution]) => {
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -18,6 +18,8 @@
   readonly task: Pick<decisionTask.DecisionTask, 'feed' | 'now'>;
   readonly time: clock.Clock;
   readonly random: clock.RandomSource;
+  /** Whether this daemon reaches no server at all, so that a failed probe says nothing about its server. */
+  readonly isCutOff?: () => boolean;
 }
 
 /**
@@ -222,7 +224,8 @@
     const { ProbeFailed, ProbeSucceeded } = membership.MembershipEventKind;
     if (outcome.err) {
       const malformed = outcome.val.malformed === true ? { answeredMalformed: true as const } : {};
-      this.apply({ kind: ProbeFailed, ...base, ...malformed });
+      const isInconclusive = this.ports.isCutOff?.() === true;
+      this.apply({ kind: ProbeFailed, ...base, ...malformed, isInconclusive });
       return;
     }
     this.apply({ kind: ProbeSucceeded, ...base, ...outcome.val });
--- a/src/routing/request-execution.ts
+++ b/src/routing/request-execution.ts
@@ -13,6 +13,9 @@
 
   abstract cancelAttempt(attemptId: string): void;
 
+  /** This daemon cannot reach the backend servers; the request may be run in another way. */
+  connectivityLost?(): void;
+
   /** Ends the request; no attempt is running any more. */
   abstract fail(failure: verdict.RequestFailure): void;
 }
--- /dev/null
+++ b/test/platform/cut-off-gateway.test.ts
@@ -0,0 +1,301 @@
+import * as net from 'node:net';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as control from '../../src/control';
+import * as fakeBackendServer from './fake-backend-server';
+import * as builder from './gateway-builder';
+
+const suite = uvu.suite('gateways that are cut off from all servers');
+
+const FORWARD_LISTEN = { host: '127.0.0.1', port: 0 };
+
+/** Accepts connections and never answers on them, like a link that is cut silently. */
+class SilentServer {
+  private readonly sockets = new Set<net.Socket>();
+
+  private readonly server = net.createServer((socket) => {
+    this.sockets.add(socket);
+    socket.on('error', () => {});
+  });
+
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => {
+      this.server.listen(0, '127.0.0.1', resolve);
+    });
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  async close(): Promise<void> {
+    this.sockets.forEach((socket) => socket.destroy());
+    await new Promise((resolve) => {
+      this.server.close(resolve);
+    });
+  }
+}
+
+/** A gateway that reaches the servers and one that does not, and the servers of both. */
+interface Pair {
+  readonly cut: builder.GatewayBuilder;
+  readonly sound: builder.GatewayBuilder;
+  readonly servers: readonly fakeBackendServer.FakeBackendServer[];
+}
+
+interface PairOptions {
+  /** Port at which the gateway in the cut finds the servers; by default one that nobody listens on. */
+  readonly port?: number;
+  readonly behaviours?: fakeBackendServer.ServerBehaviour[];
+  /** Version of the routing document of the sound gateway. */
+  readonly soundVersion?: number;
+  readonly isSoundCutToo?: boolean;
+}
+
+async function withPair(
+  { port = 1, behaviours = [fakeBackendServer.answer('served')], ...options }: PairOptions,
+  work: (pair: Pair) => Promise<void>,
+): Promise<void> {
+  const servers = ['i-1', 'i-2', 'i-3', 'i-4'].map(
+    (id) => new fakeBackendServer.FakeBackendServer(id, [...behaviours]),
+  );
+  const changes = { forwardListen: FORWARD_LISTEN };
+  const build = (version: number, isCut: boolean) =>
+    new builder.GatewayBuilder(
+      isCut ? servers.map(withoutListening) : servers,
+      { ...builder.document(4_000), version },
+      control.EMPTY_REGISTER,
+      undefined,
+      isCut ? () => port : undefined,
+      changes,
+    );
+  const sound = build(options.soundVersion ?? 1, false);
+  const cut = build(1, true);
+  await sound.run(async () => {
+    if (options.isSoundCutToo === true) {
+      await Promise.all(servers.map((server) => server.close()));
+      await cutOff(sound);
+    }
+    await cut.run(async () => {
+      introduce(sound, cut);
+      await work({ cut, sound, servers });
+    });
+    if (options.isSoundCutToo === true) {
+      await Promise.all(servers.map((server) => server.listen()));
+    }
+  });
+}
+
+/** A server that only its list entry is needed of: another gateway's builder starts it. */
+function withoutListening({ id }: builder.TestServer): builder.TestServer {
+  return { id, port: 0, listen: async () => {}, close: async () => {} };
+}
+
+/** What the leader would answer to a report. */
+function introduce(known: builder.GatewayBuilder, to: builder.GatewayBuilder): void {
+  const near = [
+    {
+      daemonId: 'gateway-2',
+      address: known.addressForGateways,
+      zone: 'pl-caudan',
+      region: 'port-louis',
+    },
+  ];
+  to.plane.deliver(control.PeerTopic.Gateways, { near });
+}
+
+/** Lets a gateway notice that it is cut off, by a request that nobody can serve. */
+async function cutOff(gateway: builder.GatewayBuilder): Promise<void> {
+  await gateway.send('GET', '/balance/0', { 'x-figline-request-id': 'notice' });
+}
+
+/** Ids of the requests that servers ran, without the one by which a cut is noticed. */
+function runs(servers: readonly fakeBackendServer.FakeBackendServer[]): string[] {
+  return servers
+    .flatMap(({ requests }) => requests)
+    .map(({ headers }) => String(headers['x-figline-request-id']))
+    .filter((id) => id !== 'notice');
+}
+
+// Guards against callers who are refused at a gateway that has lost its links.
+suite('a request is served through another gateway, unchanged and once', async () => {
+  await withPair({}, async ({ cut, servers }) => {
+    await cutOff(cut);
+    const headers = { 'x-own': 'o', 'x-figline-tenant': 'market' };
+    const answer = await cut.send('POST', '/charge/7?a=%2F', headers, 'body');
+    assert.is(answer.status, 200);
+    assert.is(answer.text, 'served');
+    assert.is(answer.headers['x-figline-response-seal'], 'seal');
+    assert.is(answer.headers['figline-forward'], undefined);
+    assert.equal(runs(servers), ['request-1']);
+    const received = servers
+      .flatMap(({ requests }) => requests)
+      .find(({ path }) => path === '/charge/7?a=%2F')!;
+    assert.is(received.body, 'body');
+    assert.is(received.headers['x-own'], 'o');
+    assert.is(received.headers['x-figline-tenant'], 'depot');
+    assert.is(received.headers.authorization, undefined);
+    assert.is(received.headers['figline-forward'], undefined);
+    assert.ok(Number(received.headers['x-figline-deadline-ms']) <= 2_000);
+  });
+});
+
+// Guards against a first try that is lost while the gateway only begins to notice the cut.
+suite('the request that meets refused connections first is served too', async () => {
+  await withPair({}, async ({ cut, servers }) => {
+    const answer = await cut.send('POST', '/charge/7');
+    assert.is(answer.status, 200);
+    assert.equal(runs(servers), ['request-1']);
+  });
+});
+
+// Guards against requests that hang until their deadline when links are cut silently.
+suite('a request that waits at a silent server is served through another gateway', async () => {
+  const silent = new SilentServer();
+  const port = await silent.listen();
+  try {
+    await withPair({ port }, async ({ cut }) => {
+      const headers = { 'x-figline-deadline-ms': '4000' };
+      const answer = await cut.send('GET', '/balance/7', headers);
+      assert.is(answer.status, 200);
+      const second = await cut.send('GET', '/balance/8', headers);
+      assert.is(second.status, 200);
+    });
+  } finally {
+    await silent.close();
+  }
+});
+
+// Guards against a charge that runs at a server behind the cut and once more through another gateway.
+suite('a charge that may have reached a server is not sent through another gateway', async () => {
+  const silent = new SilentServer();
+  const port = await silent.listen();
+  try {
+    await withPair({ port }, async ({ cut, servers }) => {
+      const answer = await cut.send('POST', '/charge/7', { 'x-figline-deadline-ms': '3000' });
+      assert.ok([502, 504].includes(answer.status), `status ${answer.status}`);
+      assert.equal(runs(servers), []);
+    });
+  } finally {
+    await silent.close();
+  }
+});
+
+// Guards against streams that are joined, cut or changed on the way through a second gateway.
+suite('a stream passes through another gateway event by event', async () => {
+  await withPair({ behaviours: [fakeBackendServer.stream(5)] }, async ({ cut }) => {
+    await cutOff(cut);
+    const answer = await cut.send('POST', '/reply/7');
+    assert.ok(answer.isComplete);
+    assert.equal(
+      answer.text.match(/piece \d/g),
+      [1, 2, 3, 4, 5].map((id) => `piece ${id}`),
+    );
+  });
+});
+
+// Guards against work for callers who have left.
+suite('a caller who leaves is cancelled at the server behind the other gateway', async () => {
+  let closed = 0;
+  const hang: fakeBackendServer.ServerBehaviour = (_request, response) => {
+    response.on('close', () => {
+      closed += 1;
+    });
+  };
+  await withPair({ behaviours: [hang] }, async ({ cut }) => {
+    await cut.abandon('GET', '/balance/0', 300);
+    await cut.abandon('GET', '/balance/7', 300);
+    await cut.time.sleep(300);
+    assert.is(closed, 2);
+  });
+});
+
+// Guards against requests that wander between gateways, and against refusals that are not true.
+suite('a request is refused at once as not run when the other gateway is cut off too', async () => {
+  await withPair({ isSoundCutToo: true }, async ({ cut, servers }) => {
+    await cutOff(cut);
+    const startedAt = Date.now();
+    const answer = await cut.send('POST', '/charge/7');
+    assert.is(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.ok(Date.now() - startedAt < 1_000);
+    assert.equal(runs(servers), []);
+  });
+});
+
+// Guards against a route or a key that only an older routing document allows or denies.
+suite('a gateway with an older routing document does not run the request', async () => {
+  await withPair({ soundVersion: 0 }, async ({ cut, servers }) => {
+    await cutOff(cut);
+    assert.is((await cut.send('POST', '/charge/7')).status, 503);
+    assert.equal(runs(servers), []);
+  });
+});
+
+// Guards against 'not run' for a charge whose answer was lost with the connection between the gateways.
+suite('a charge whose answer is lost behind the other gateway may have run', async () => {
+  await withPair({ behaviours: [fakeBackendServer.hangUp] }, async ({ cut, servers }) => {
+    await cutOff(cut);
+    const answer = await cut.send('POST', '/charge/7');
+    assert.is(answer.status, 502);
+    assert.equal(runs(servers), ['request-1']);
+  });
+});
+
+/** A stream with an event each 100 ms. */
+const slowStream: fakeBackendServer.ServerBehaviour = (request, response) => {
+  response.writeHead(200, {
+    ...fakeBackendServer.sealed(request),
+    'content-type': 'text/event-stream',
+  });
+  let id = 0;
+  const timer = setInterval(() => {
+    id += 1;
+    response.write(`id: ${id}\ndata: piece ${id}\n\n`);
+    if (id === SLOW_PIECES) {
+      clearInterval(timer);
+      response.end();
+    }
+  }, 100);
+};
+
+const SLOW_PIECES = 15;
+
+// Guards against streams that are given up, or whose servers count as crashed, while only new connections are refused.
+suite('a stream on an open connection goes on while new connections are refused', async () => {
+  const create = () =>
+    ['i-1', 'i-2', 'i-3'].map(
+      (id) =>
+        new fakeBackendServer.FakeBackendServer(id, [
+          (request, response) =>
+            request.path.startsWith('/reply/')
+              ? slowStream(request, response)
+              : fakeBackendServer.answer('served')(request, response),
+        ]),
+    );
+  const [cutServers, soundServers] = [create(), create()];
+  const build = (servers: readonly builder.TestServer[]) =>
+    new builder.GatewayBuilder(
+      servers,
+      builder.document(4_000),
+      control.EMPTY_REGISTER,
+      undefined,
+      undefined,
+      { forwardListen: FORWARD_LISTEN },
+    );
+  const [cut, sound] = [build(cutServers), build(soundServers)];
+  await sound.run(() =>
+    cut.run(async () => {
+      introduce(sound, cut);
+      const streaming = cut.send('POST', '/reply/7', { 'x-figline-deadline-ms': '4000' });
+      await cut.time.sleep(300);
+      cutServers.forEach((server) => server.stopListening());
+      const charge = await cut.send('POST', '/charge/7', { 'x-figline-request-id': 'charge' });
+      assert.is(charge.status, 200);
+      assert.equal(runs(soundServers), ['charge']);
+      const answer = await streaming;
+      assert.ok(answer.isComplete);
+      assert.is(answer.text.match(/piece/g)?.length, SLOW_PIECES);
+      assert.equal(runs(soundServers), ['charge']);
+    }),
+  );
+});
+
+suite.run();
--- a/test/platform/fake-backend-server.ts
+++ b/test/platform/fake-backend-server.ts
@@ -19,6 +19,8 @@
 
   isDown = false;
 
+  private boundPort = 0;
+
   private readonly server = http.createServer((request, response) =>
     this.receive(request, response),
   );
@@ -33,14 +35,16 @@
     });
   }
 
+  /** The port of the last `listen`, also after the server has stopped listening. */
   get port(): number {
-    return (this.server.address() as net.AddressInfo).port;
+    return this.boundPort;
   }
 
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => {
       this.server.listen(0, '127.0.0.1', resolve);
     });
+    this.boundPort = (this.server.address() as net.AddressInfo).port;
   }
 
   async close(): Promise<void> {
@@ -50,6 +54,11 @@
     });
   }
 
+  /** Refuses new connections while requests on open ones go on. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   /** Answers a probe, or closes the connection if the simulated process has ended. */
   private report(response: http.ServerResponse): void {
     if (this.isDown) {
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -44,13 +44,24 @@
     private readonly content: object = document(),
     private readonly weights: control.Register = control.EMPTY_REGISTER,
     readonly time: clock.Clock = new clock.SystemClock(),
+    /** The port at which this gateway finds a server. */
+    private readonly portOf: (server: TestServer) => number = ({ port }) => port,
+    private readonly changes: Partial<gateway.GatewayOptions> = {},
   ) {}
 
+  /** `host:port` for other gateways. */
+  get addressForGateways(): string {
+    return this.daemon.addressForGateways ?? '';
+  }
+
   async run(work: (builder: GatewayBuilder) => Promise<void>): Promise<void> {
     await Promise.all(this.servers.map((server) => server.listen()));
     const text = JSON.stringify(this.content);
     this.plane.current = control.putRouting(this.weights, { version: 1, text });
-    this.daemon = await gateway.GatewayDaemon.start(this.ports(), OPTIONS);
+    this.daemon = await gateway.GatewayDaemon.start(this.ports(), {
+      ...OPTIONS,
+      ...this.changes,
+    });
     while (!this.daemon.readiness.isReady) {
       await this.time.sleep(5);
     }
@@ -122,6 +133,10 @@
     };
   }
 
+  private machines(): backend.MachineRecord[] {
+    return this.servers.map((server) => ({ ...machineOf(server), port: this.portOf(server) }));
+  }
+
   private ports(): gateway.GatewayPorts {
     const headerCodec = new platformHeaderCodec.PlatformHeaderCodec();
     const issuer = {
@@ -131,7 +146,7 @@
     };
     return {
       plane: this.plane,
-      list: { read: async () => new results.Ok(this.servers.map(machineOf)) },
+      list: { read: async () => new results.Ok(this.machines()) },
       backends: {
         open: (machine) => new serverClient.PlatformServer(machine, issuer, headerCodec, this.time),
       },
@@ -194,11 +209,10 @@
   };
 }
 
-function machineOf(server: TestServer): backend.MachineRecord {
+function machineOf(server: TestServer): Omit<backend.MachineRecord, 'port'> {
   return {
     id: server.id,
     host: '127.0.0.1',
-    port: server.port,
     zone: 'pl-caudan',
     region: 'port-louis',
     service: 'desk',
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -114,6 +114,11 @@
     this.configurationListeners.forEach((listener) => listener(snapshot));
   }
 
+  /** A message from the leader. */
+  deliver(topic: control.PeerTopic, payload: unknown): void {
+    this.receive(topic, payload, 'leader');
+  }
+
   private receive(topic: control.PeerTopic, payload: unknown, fromDaemonId: string): void {
     this.listeners.get(topic)?.forEach((listener) => listener(payload, fromDaemonId));
   }
