Gateway: drop requests whose callers left before they were read

Cause: a late process reads the request and runs it at once; only its next read shows that the caller has closed the connection in the meantime. A request now waits for one more turn of the event loop, in which everything that has arrived is read. The test sends a request and closes the connection at once; the request reached a server before.

--- a/src/gateway/caller-request-handler.ts
+++ b/src/gateway/caller-request-handler.ts
@@ -1,6 +1,7 @@
 import type * as http from 'node:http';
 import * as clock from '../clock';
 import * as daemon from '../daemon';
+import * as logging from '../logging';
 import * as verdict from '../verdict';
 import type * as gatewayModule from './gateway';
 import * as relayReply from './relay-reply';
@@ -26,14 +27,30 @@
   ): void {
     this.readiness.requestStarted();
     response.once('close', () => this.readiness.requestEnded());
-    if (this.readiness.acceptsRequests) {
-      this.gateway.handle(incoming, reply);
-    } else {
+    if (!this.readiness.acceptsRequests) {
       reply.fail(NOT_ACCEPTING);
+      return;
     }
+    afterNextRead(() => {
+      if (response.socket?.readableEnded === false) {
+        this.gateway.handle(incoming, reply);
+      } else {
+        logger.debug('caller has left before its request was read; it is dropped');
+      }
+    });
   }
 }
 
+const logger = new logging.Logger('caller');
+
+/**
+ * Calls a function once everything that has arrived so far is read. A busy process reads a request late, and only the next
+ * read shows that its caller has closed the connection meanwhile.
+ */
+function afterNextRead(call: () => void): void {
+  setImmediate(() => setImmediate(call));
+}
+
 const NOT_ACCEPTING = verdict.failure(
   verdict.FailureReason.ShuttingDown,
   verdict.Verdict.NotRun,
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import * as net from 'node:net';
 import * as results from 'ts-results';
 import * as backend from '../../src/backend';
 import * as clock from '../../src/clock';
@@ -112,6 +113,18 @@
     request.destroy();
   }
 
+  /** Sends a request and closes the connection at once, before the gateway can have read anything. */
+  async sendAndLeave(path: string): Promise<void> {
+    const { host, port, headers = {} } = this.requestOptions('GET', path, {});
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+    const socket = net.connect({ host: host!, port: Number(port) });
+    await new Promise<void>((resolve) => {
+      socket.once('connect', resolve);
+    });
+    socket.end(`GET ${path} HTTP/1.1\r\n${lines.join('\r\n')}\r\n\r\n`);
+    socket.destroySoon();
+  }
+
   private requestOptions(
     method: string,
     path: string,
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -355,4 +355,15 @@
   },
 );
 
+// Guards against work for callers who gave up while a busy gateway had not read their requests yet.
+suite('a request whose caller has left before it was read reaches no server', async () => {
+  const server = createServer(fakeBackendServer.answer('ok'));
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    await gateway.sendAndLeave('/balance/7');
+    await gateway.time.sleep(200);
+    assert.equal(server.requests, []);
+    assert.is((await gateway.send('GET', '/balance/8')).status, 200);
+  });
+});
+
 suite.run();
