Gateways: tell callers of streams that cannot go on to come back later

Streams whose software version has left, or is not known to anybody, were refused with a Retry-After of 1 and 2 s.

They are told 5 s now, and that the stream has to begin anew.

--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -49,7 +49,7 @@
     return;
   }
   if (!serviceAvailability.isAvailable(step, request)) {
-    ending.fail(step, request, serviceAvailability.unavailableFailure());
+    ending.fail(step, request, serviceAvailability.unavailableFailure(step, request));
     return;
   }
   if (status === health.QuarantineStatus.Held) {
--- a/src/decision/availability-check.ts
+++ b/src/decision/availability-check.ts
@@ -12,6 +12,6 @@
   ): verdict.RequestFailure | undefined {
     return serviceAvailability.isAvailable(step, request)
       ? undefined
-      : serviceAvailability.unavailableFailure();
+      : serviceAvailability.unavailableFailure(step, request);
   }
 }
--- a/src/decision/service-availability.ts
+++ b/src/decision/service-availability.ts
@@ -9,7 +9,7 @@
   const unavailable = [...step.state.requests.values()].filter(
     (request) => request.attempts.length === 0 && !isAvailable(step, request),
   );
-  unavailable.forEach((request) => ending.fail(step, request, unavailableFailure()));
+  unavailable.forEach((request) => ending.fail(step, request, unavailableFailure(step, request)));
 }
 
 /** Whether the request's service is configured and has a server that may get the request. */
@@ -20,14 +20,26 @@
   );
 }
 
-/** The failure of a request whose service is unavailable. */
-export function unavailableFailure(): verdict.RequestFailure {
-  return verdict.failure(
-    verdict.FailureReason.NoBackendServer,
-    verdict.Verdict.NotRun,
-    'No backend server of this service may get work at present.',
-    { retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS },
-  );
+/** The failure of a request that no server may get. */
+export function unavailableFailure(
+  step: steps.Step,
+  request: state.RequestState,
+): verdict.RequestFailure {
+  const isServiceUp = step.pool(request.profile.service).some((server) => server.eligible);
+  return request.softwareVersion !== undefined && isServiceUp ? VERSION_GONE : SERVICE_DOWN;
 }
 
-const RETRY_AFTER_MILLISECONDS = 1_000;
+/** A version that has left does not come back, so that callers gain nothing by coming back soon. */
+const VERSION_GONE = verdict.failure(
+  verdict.FailureReason.NoBackendServer,
+  verdict.Verdict.NotRun,
+  'No backend server of the version that began this stream is left; begin the stream anew.',
+  { retryAfterMilliseconds: 5_000 },
+);
+
+const SERVICE_DOWN = verdict.failure(
+  verdict.FailureReason.NoBackendServer,
+  verdict.Verdict.NotRun,
+  'No backend server of this service may get work at present.',
+  { retryAfterMilliseconds: 1_000 },
+);
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -299,7 +299,7 @@
   FailureReason.StreamOriginUnknown,
   Verdict.NotRun,
   'The software version that began this stream is not known; begin the stream anew.',
-  { retryAfterMilliseconds: 2_000 },
+  { retryAfterMilliseconds: 5_000 },
 );
 
 const UNREACHABLE_ORIGIN: Origin = new results.Err(
