Decision core: keep servers that may refuse little from falling over

Servers in need say how many requests each of them may refuse in a second before it falls over ('Server-Brittle'); the header was not read, and gateways tried full servers again and again.

While a service names a limit, each gateway keeps to its share of a server's slots (the whole part, at some servers one for the rest, at one server at least), fills no server beyond the requests that it runs at the same time, and sends a server that has refused nothing until its share of the refusals allows the next one. Requests wait in the gateway's queue meanwhile, or are refused at once if they cannot be in time.

--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -14,8 +14,7 @@
   /** Whether the headers prove that the body is the server's and unchanged; required of successful answers only. */
   readonly isGenuine: boolean;
   readonly load?: relayServer.RelayLoad;
-  /** Requests a second that the server takes from all daemons together; absent if it names no limit. */
-  readonly requestsPerSecond?: number;
+  readonly limits: relayServer.ServerLimits;
   /** When a refused request may be sent again, if the answer says so to the caller. */
   readonly retryAfterMilliseconds?: number;
 }
@@ -85,7 +84,7 @@
   }
 
   protected override receiveHead(head: httpRequest.HttpHead): void {
-    this.receiver.onLimit(this.metadata?.requestsPerSecond);
+    this.receiver.onLimits(this.metadata?.limits ?? {});
     if (this.metadata?.refusal !== undefined) {
       return;
     }
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -22,14 +22,25 @@
 
 /** Receives one answer: status and headers, data and end, or a failure in place of the remaining calls. */
 export interface RelayReceiver {
-  /** Called for each answer, refusals too, with the requests a second that the server takes, if it names a limit. */
-  onLimit(requestsPerSecond: number | undefined): void;
+  /** Called for each answer, refusals too. */
+  onLimits(limits: ServerLimits): void;
   onHead(head: httpRequest.HttpHead, load: RelayLoad | undefined): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
   onFailure(failure: verdict.RequestFailure, load: RelayLoad | undefined): void;
 }
 
+/** Limits that a server in need names in an answer. */
+export interface ServerLimits {
+  /** Requests a second that the server takes from all daemons together; absent if it names no limit. */
+  readonly requestsPerSecond?: number;
+  /**
+   * Requests that each server of the service may refuse in a second for want of room before it falls over, of all daemons
+   * together; absent if it names no limit.
+   */
+  readonly refusalsPerSecond?: number;
+}
+
 /** Load that a server reports in each answer. */
 export interface RelayLoad {
   readonly running: number;
--- a/src/decision/attempt-failure.ts
+++ b/src/decision/attempt-failure.ts
@@ -5,6 +5,7 @@
 import * as ending from './ending';
 import type * as event from './event';
 import * as progress from './progress';
+import * as refusalLimits from './refusal-limits';
 import * as slots from './slots';
 import type * as state from './state';
 import type * as steps from './step';
@@ -28,6 +29,7 @@
   failure: verdict.RequestFailure,
 ): void {
   recordConnectionLoss(step, request, attempt, failure);
+  refusalLimits.recordRefusal(step, request, attempt, failure);
   const failed: state.RequestState = {
     ...request,
     attempts: request.attempts.filter((other) => other !== attempt),
--- a/src/decision/candidate-filter.ts
+++ b/src/decision/candidate-filter.ts
@@ -13,8 +13,10 @@
   readonly suspect: boolean;
   /** Servers of the suspect partitions of other daemons; empty unless the request is a suspect. */
   readonly reserved: ReadonlySet<string>;
-  /** Whether the server has named a limit that leaves no request to this daemon now. */
+  /** Whether a limit that the server has named leaves no request to this daemon now. */
   readonly throttled: boolean;
+  /** False if the server would probably refuse the request, and its refusals are limited. */
+  readonly hasRoom: boolean;
   /** Servers with older weights get no requests; absent when all servers may. */
   readonly minimumWeights?: number;
   /** Whether a server has the request's weights, or will load them after a publish. */
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -45,8 +45,9 @@
 function passInputs({ state }: steps.Step): readonly unknown[] {
   const { servers, pendingLoads, queues, services, quarantine, crashEvidence, slowdowns } = state;
   const { suspicions } = crashEvidence;
-  const { requestLimits: limits } = state;
-  return [servers, pendingLoads, queues, services, quarantine, suspicions, slowdowns, limits];
+  const { requestLimits: limits, refusalLimits } = state;
+  const restrictions = [quarantine, suspicions, slowdowns, limits, refusalLimits];
+  return [servers, pendingLoads, queues, services, ...restrictions];
 }
 
 /** Starts an attempt at the chosen server. */
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -51,6 +51,7 @@
   AttemptFailed = 'attempt-failed',
   RequestCancelled = 'request-cancelled',
   ServerLimitChanged = 'server-limit-changed',
+  RefusalLimitChanged = 'refusal-limit-changed',
   LoadReported = 'load-reported',
   LoadsReported = 'loads-reported',
   CacheEvicted = 'cache-evicted',
@@ -167,6 +168,14 @@
   readonly requestsPerSecond?: number;
 }
 
+/** The servers of a service have named another limit of the requests that each of them may refuse, or no limit any more. */
+export interface RefusalLimitChanged extends EventBase {
+  readonly kind: DecisionEventKind.RefusalLimitChanged;
+  readonly service: string;
+  /** Refusals a second for want of room, of all daemons together; absent if there is no limit. */
+  readonly refusalsPerSecond?: number;
+}
+
 /** The load of all servers at one moment, from one message. */
 export interface LoadsReported extends EventBase {
   readonly kind: DecisionEventKind.LoadsReported;
@@ -244,6 +253,7 @@
   | AttemptFailed
   | RequestCancelled
   | ServerLimitChanged
+  | RefusalLimitChanged
   | LoadReported
   | LoadsReported
   | CacheEvicted
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -7,6 +7,7 @@
 import type * as event from './event';
 import * as homeOrders from './home-order';
 import * as cachedPrefixLookup from './cached-prefix-lookup';
+import * as refusalLimits from './refusal-limits';
 import * as requestLimits from './request-limits';
 import * as standardFilters from './standard-filters';
 import * as suspectPartition from './suspect-partition';
@@ -154,7 +155,10 @@
       cacheTokens,
       suspect,
       reserved,
-      throttled: requestLimits.isThrottled(step, server.record.id),
+      throttled:
+        requestLimits.isThrottled(step, server.record.id) ||
+        refusalLimits.isExcluded(step, server, slots),
+      hasRoom: refusalLimits.hasRoom(step, server, slots),
       weightsExpected,
       minimumWeights,
     };
--- a/src/decision/standard-filters.ts
+++ b/src/decision/standard-filters.ts
@@ -4,6 +4,7 @@
 import * as limitFilter from './limit-filter';
 import * as memoryFilter from './memory-filter';
 import * as prefillFilter from './prefill-filter';
+import * as roomFilter from './room-filter';
 import * as slotFilter from './slot-filter';
 import * as weightsFilter from './weights-filter';
 
@@ -20,4 +21,5 @@
   new slotFilter.SlotFilter(),
   new prefillFilter.PrefillFilter(),
   new memoryFilter.MemoryFilter(),
+  new roomFilter.RoomFilter(),
 ];
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -7,6 +7,7 @@
 import * as verdict from '../verdict';
 import type * as event from './event';
 import type * as options from './options';
+import * as refusalLimits from './refusal-limits';
 import * as suspectPartition from './suspect-partition';
 
 /** One dispatch of a request that has not ended yet. */
@@ -136,6 +137,7 @@
   readonly serviceTimings: immutable.Map<string, ServiceTiming>;
   readonly quarantine: health.Quarantine;
   readonly requestLimits: RequestLimits;
+  readonly refusalLimits: refusalLimits.RefusalLimits;
   /** Which parts of prompts crash servers. */
   readonly crashEvidence: health.CrashEvidence;
   /** Number of daemons that share the slack of the retry limits, once it is known. */
@@ -176,6 +178,7 @@
     serviceTimings: immutable.Map<string, ServiceTiming>(),
     quarantine: health.EMPTY_QUARANTINE,
     requestLimits: immutable.Map<string, admission.RateShare>(),
+    refusalLimits: refusalLimits.NO_REFUSAL_LIMITS,
     crashEvidence: health.EMPTY_CRASH_EVIDENCE,
     daemons: decisionOptions.retryLimits === undefined ? 1 : decisionOptions.daemons,
     retryBudgets: immutable.Map<string, admission.RetryBudget>(),
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -9,6 +9,7 @@
 import * as serverUpdates from './server-updates';
 import * as obsoleteAttempts from './obsolete-attempts';
 import * as progress from './progress';
+import * as refusalLimits from './refusal-limits';
 import * as requestLimits from './request-limits';
 import type * as state from './state';
 import * as steps from './step';
@@ -49,6 +50,8 @@
       return step.change({ daemons: decisionEvent.daemons });
     case event.DecisionEventKind.ServerLimitChanged:
       return requestLimits.applyLimit(step, decisionEvent);
+    case event.DecisionEventKind.RefusalLimitChanged:
+      return refusalLimits.applyRefusalLimit(step, decisionEvent);
     case event.DecisionEventKind.LoadReported:
       return serverUpdates.applyLoadReport(step, decisionEvent);
     case event.DecisionEventKind.LoadsReported:
--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -28,7 +28,7 @@
   /** Shared by all requests. */
   readonly bufferBudget: bufferBudget.BufferBudget;
   readonly onLoad: (load: backend.RelayLoad) => void;
-  readonly onLimit: (requestsPerSecond: number | undefined) => void;
+  readonly onLimits: (limits: backend.ServerLimits) => void;
 }
 
 /**
@@ -61,8 +61,8 @@
     private readonly onSettled: (failure?: verdict.RequestFailure) => void,
   ) {}
 
-  onLimit(requestsPerSecond: number | undefined): void {
-    this.ports.onLimit(requestsPerSecond);
+  onLimits(limits: backend.ServerLimits): void {
+    this.ports.onLimits(limits);
   }
 
   onHead(head: backend.HttpHead, load: backend.RelayLoad | undefined): void {
--- a/src/gateway/forward-execution.ts
+++ b/src/gateway/forward-execution.ts
@@ -102,7 +102,7 @@
           bufferBudget: context.bufferBudget,
           onArrival: () => {},
           onLoad: () => {},
-          onLimit: () => {},
+          onLimits: () => {},
         },
         resolve,
       );
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -113,6 +113,7 @@
     return {
       requestId,
       isGenuine,
+      limits: {},
       refusal: isRefused ? verdict.FailureReason.BackendRefused : undefined,
       retryAfterMilliseconds: backend.retryAfterMilliseconds(head),
     };
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -166,7 +166,7 @@
             context.stallDetector.dataReceived(effect.serverId);
           },
           onLoad: (load) => this.reportLoad(lease.machine, load),
-          onLimit: (perSecond) => context.requestLimits.observe(effect.serverId, perSecond),
+          onLimits: (limits) => this.reportLimits(effect, limits),
         },
         resolve,
       );
@@ -250,6 +250,26 @@
     };
   }
 
+  /** Reports what an answer says about limits: each gateway hears of a service's limit of refusals by itself within a second. */
+  private reportLimits(
+    { serverId }: decision.Dispatch,
+    { requestsPerSecond, refusalsPerSecond }: backend.ServerLimits,
+  ): void {
+    const { task, requestLimits } = this.context;
+    const { service } = this.profile;
+    requestLimits.observe(serverId, requestsPerSecond);
+    const { refusalLimits } = task.current as decision.DecisionState;
+    if (refusalLimits.perSecond.get(service) !== refusalsPerSecond) {
+      const kind = decision.DecisionEventKind.RefusalLimitChanged;
+      logger.information('limit of refusals of a service changed', {
+        service,
+        backendServer: serverId,
+        refusalsPerSecond: refusalsPerSecond ?? 'none',
+      });
+      task.feed({ kind, at: task.now(), service, refusalsPerSecond });
+    }
+  }
+
   /** Reports the first event of an attempt at once and later ones together, several times a second. */
   private reportEvent(effect: decision.Dispatch): void {
     this.meter.pieceReceived();
--- a/test/gateway/answer-receiver.test.ts
+++ b/test/gateway/answer-receiver.test.ts
@@ -63,7 +63,7 @@
         this.arrivals += 1;
       },
       onLoad: () => {},
-      onLimit: () => {},
+      onLimits: () => {},
       bufferBudget: budget,
     };
     this.receiver = new answerReceiver.AnswerReceiver(this.ports, (failure) => {
--- a/test/gateway/peer-gateways.test.ts
+++ b/test/gateway/peer-gateways.test.ts
@@ -21,11 +21,12 @@
 
   readonly directories = new Map<string, peerGatewayDirectory.PeerGatewayDirectory>();
 
+  readonly registry = new gatewayRegistry.GatewayRegistry({
+    plane: this.peers.plane('leader', Leader),
+    time: this.time,
+  });
+
   constructor(gatewaysInZone: number) {
-    new gatewayRegistry.GatewayRegistry({
-      plane: this.peers.plane('leader', Leader),
-      time: this.time,
-    });
     ZONES.forEach((zone) => {
       for (let index = 0; index < gatewaysInZone; index += 1) {
         this.add(`${zone}-${index}`, zone);
@@ -107,7 +108,7 @@
 suite('a gateway gets a short answer, and only when it changes', () => {
   const fleet = new Fleet(20);
   const before = fleet.peers.sent.get('leader') ?? 0;
-  const bytes = fleet.peers.bytes;
+  const { bytes } = fleet.peers;
   fleet.time.advance(4_000);
   const answers = (fleet.peers.sent.get('leader') ?? 0) - before;
   assert.ok(answers <= 120, `${answers} answers`);
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -88,6 +88,15 @@
   assert.equal(load, { running: 3, waiting: 1, slots: 8, slowness: 2.5 });
 });
 
+// Guards against servers in need whose limits nobody reads.
+suite('limits that servers name are read from any answer', () => {
+  const limits = (headers: Record<string, string>) =>
+    headerCodec.readAnswer({ status: 503, headers }).limits;
+  assert.is(limits({ 'server-brittle': '6' }).refusalsPerSecond, 6);
+  assert.is(limits({ 'server-limit': '1.2' }).requestsPerSecond, 1.2);
+  assert.is(limits({ 'server-brittle': 'much' }).refusalsPerSecond, undefined);
+});
+
 suite('an answer with an encoded body is not genuine', () => {
   const headers = { 'x-figline-response-seal': 's', 'content-encoding': 'gzip' };
   assert.is(headerCodec.readAnswer({ status: 200, headers }).isGenuine, false);
