Gateway: count a caller's deadline from the arrival of its headers

The new test sends a body 600 ms after its headers; the server was handed 2,000 ms before and gets at most 1,400 now. Checked by reading and found to hold: no deadline is longer than the caller's or the route's, and a second attempt gets what is left.

--- a/src/gateway/caller-request-handler.ts
+++ b/src/gateway/caller-request-handler.ts
@@ -8,16 +8,29 @@
 
 /** Accepts requests of callers while the daemon's stage allows it, and counts the open ones. */
 export class CallerRequestHandler {
+  /** Monotonic time in milliseconds at which the headers of a request arrived. */
+  private readonly arrivals = new WeakMap<http.IncomingMessage, number>();
+
   constructor(
     private readonly gateway: gatewayModule.Gateway,
     protected readonly readiness: daemon.Readiness,
     protected readonly time: clock.Clock,
   ) {}
 
+  /** Records that the headers of a request have arrived; its body may follow much later. */
+  headersArrived(request: http.IncomingMessage): void {
+    this.arrivals.set(request, this.time.monotonic());
+  }
+
+  protected arrivedAt(request: http.IncomingMessage): number {
+    return this.arrivals.get(request) ?? this.time.monotonic();
+  }
+
   handle(request: http.IncomingMessage, response: http.ServerResponse, body: Buffer): void {
     const { method = 'GET', url: path = '/', headers } = request;
     const reply = new relayReply.RelayReply(response, this.time, () => !this.readiness.isReady);
-    this.accept({ method, path, headers, body }, response, reply);
+    const arrivedAt = this.arrivedAt(request);
+    this.accept({ method, path, headers, body, arrivedAt }, response, reply);
   }
 
   protected accept(
--- a/src/gateway/forwarded-request-handler.ts
+++ b/src/gateway/forwarded-request-handler.ts
@@ -24,6 +24,7 @@
       forwarded.id,
     );
     const { method = 'GET', url: path = '/' } = request;
-    this.accept({ method, path, headers, body, forwarded }, response, reply);
+    const arrivedAt = this.arrivedAt(request);
+    this.accept({ method, path, headers, body, arrivedAt, forwarded }, response, reply);
   }
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -1,3 +1,4 @@
+import type * as fastify from 'fastify';
 import * as admission from '../admission';
 import * as backend from '../backend';
 import * as clock from '../clock';
@@ -331,6 +332,7 @@
       this.options.listen,
       this.options.limits,
       new daemon.FailureFilter(() => 0),
+      (server) => recordArrivals(server, callers),
     );
     this.listener = listener;
     this.lifecycle.register('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
@@ -350,7 +352,9 @@
     try {
       const module = nestModule.GatewayModule.with(handler);
       const filter = new daemon.FailureFilter(() => 0);
-      const listener = await daemon.listen(module, forwardListen, limits, filter);
+      const listener = await daemon.listen(module, forwardListen, limits, filter, (server) =>
+        recordArrivals(server, handler),
+      );
       this.forwardAddress = `${forwardListen.host}:${listener.port}`;
       const close = () => listener.close();
       this.lifecycle.register('listener for gateways', close, LISTENER_CLOSE_MILLISECONDS);
@@ -420,6 +424,16 @@
   }
 }
 
+function recordArrivals(
+  server: fastify.FastifyInstance,
+  callers: callerRequestHandler.CallerRequestHandler,
+): void {
+  server.addHook('onRequest', (request, _reply, done) => {
+    callers.headersArrived(request.raw);
+    done();
+  });
+}
+
 function coreOf(
   { zone, region, retryLimits, isFirstStart }: GatewayOptions,
   random: clock.RandomSource,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,8 @@
   readonly path: string;
   readonly headers: http.IncomingHttpHeaders;
   readonly body: Uint8Array;
+  /** Monotonic time in milliseconds at which the headers arrived; the caller's deadline counts from here. */
+  readonly arrivedAt: number;
   /** Present if another gateway has forwarded the request. */
   readonly forwarded?: forwardHeader.ForwardMetadata;
 }
@@ -167,11 +169,10 @@
   }
 
   private callOf(
-    { method, path, headers, body, forwarded }: IncomingCall,
+    { method, path, headers, body, arrivedAt, forwarded }: IncomingCall,
     metadata: headerCodec.CallerMetadata & { readonly requestId: string },
     { route, team }: Admitted,
   ): relayExecution.RelayCall {
-    const now = this.context.task.now();
     const wait = Math.min(route.timeoutMilliseconds, metadata.waitMilliseconds ?? Infinity);
     const service = routes.chooseService(route.shares, this.random.uniform());
     const engine = this.index?.service(service)?.engine;
@@ -185,7 +186,7 @@
       body,
       team: team?.name,
       cacheNamespace,
-      deadline: now + wait,
+      deadline: arrivedAt + wait,
       lastEventId: metadata.lastEventId,
       routingVersion: this.tableVersion ?? 0,
       isForwarded: forwarded !== undefined,
@@ -204,7 +205,7 @@
         isStreamed: route.kind === routes.RouteKind.Stream,
         maximumAttempts: Math.max(1, route.maximumAttempts - (forwarded?.runs ?? 0)),
         priority: team?.priority ?? route.priority,
-        firstTokenDeadline: now + wait,
+        firstTokenDeadline: arrivedAt + wait,
         fingerprint: fingerprintOf(team?.name, method, path, body),
       },
     };
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -90,6 +90,24 @@
     });
   }
 
+  /** Sends one request whose body follows its headers some time later. */
+  async sendSlowly(
+    method: string,
+    path: string,
+    body: string,
+    pauseMilliseconds: number,
+  ): Promise<void> {
+    const headers = { 'content-length': String(Buffer.byteLength(body)) };
+    const request = http.request(this.requestOptions(method, path, headers));
+    request.flushHeaders();
+    await this.time.sleep(pauseMilliseconds);
+    const answered = new Promise((resolve, reject) => {
+      request.on('response', resolve).on('error', reject);
+    });
+    request.end(body);
+    await answered;
+  }
+
   /** Sends one request; `read` consumes its response. */
   receive<Outcome>(
     path: string,
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -366,4 +366,15 @@
   });
 });
 
+// Guards against engines that work on after the caller's deadline because its body took long to arrive.
+suite('the time in which a body arrives is taken from the deadline', async () => {
+  const server = createServer(fakeBackendServer.answer('ok'));
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    await gateway.sendSlowly('POST', '/charge/7', 'body', 600);
+    const [{ headers }] = server.requests;
+    const milliseconds = Number(headers['x-figline-deadline-ms']);
+    assert.ok(milliseconds <= 1_400, `${milliseconds} ms`);
+  });
+});
+
 suite.run();
