Gateway: all tries of a stream get to the same service of a split route

Requests of a resumable stream are assigned by a hash of the id of the attempt that brought the first event, other ones at random as before; the weights hold. The new test had streams with pieces of two services before. Not covered: a change of the weights or of the route's service between two tries.

--- a/src/decision/refusal-limits.ts
+++ b/src/decision/refusal-limits.ts
@@ -75,7 +75,7 @@
 
 /** From 0 to 1, different for each daemon and server. */
 function positionOf(step: steps.Step, { record }: state.ServerState): number {
-  return placement.hashText(`${step.state.options.seed}/${record.id}`) / HASH_RANGE;
+  return placement.hashFraction(`${step.state.options.seed}/${record.id}`);
 }
 
 /** Closes a server that has refused a request, until this daemon may cause its next refusal. */
@@ -99,8 +99,6 @@
   });
 }
 
-const HASH_RANGE = 2 ** 32;
-
 const MINIMUM_SHARE = 0.01;
 
 /** The room of a server changes within seconds. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import * as clock from '../clock';
 import * as configuration from '../configuration';
 import * as decision from '../decision';
+import * as placement from '../placement';
 import * as routes from '../routes';
 import * as verdict from '../verdict';
 import * as forwardExecution from './forward-execution';
@@ -168,13 +169,27 @@
     }
   }
 
+  /**
+   * A number from 0 to 1 by which a request gets to one of the services of its route. All tries of a resumable stream get the
+   * same one, since another service cannot go on with it.
+   */
+  private shareOf(
+    route: routes.Route,
+    { requestId, resumes }: headerCodec.CallerMetadata,
+    team: routes.RoutedTeam | undefined,
+  ): number {
+    return isResumable(route)
+      ? placement.hashFraction(`${route.name}/${team?.name}/${resumes ?? requestId}`)
+      : this.random.uniform();
+  }
+
   private callOf(
     { method, path, headers, body, arrivedAt, forwarded }: IncomingCall,
     metadata: headerCodec.CallerMetadata & { readonly requestId: string },
     { route, team }: Admitted,
   ): relayExecution.RelayCall {
     const wait = Math.min(route.timeoutMilliseconds, metadata.waitMilliseconds ?? Infinity);
-    const service = routes.chooseService(route.shares, this.random.uniform());
+    const service = routes.chooseService(route.shares, this.shareOf(route, metadata, team));
     const engine = this.index?.service(service)?.engine;
     const cacheNamespace = engine === undefined ? undefined : cacheNamespaceOf(engine.model, team);
     this.nextId += 1;
--- a/src/placement/rendezvous.ts
+++ b/src/placement/rendezvous.ts
@@ -14,6 +14,16 @@
   return mix(hash);
 }
 
+/**
+ * A number from 0 (included) to 1 (excluded) that looks random and is the same on every daemon.
+ *
+ * @example
+ * hashFraction('request-1') < 0.5; // for about half of the texts
+ */
+export function hashFraction(text: string): number {
+  return hashText(text) / HASH_RANGE;
+}
+
 /**
  * Orders servers by their rendezvous weight for a key, highest first. When a server leaves, only the keys for
  * which it was the first move to another server.
@@ -80,6 +90,7 @@
   /* eslint-enable no-bitwise */
 }
 
+const HASH_RANGE = 2 ** 32;
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 /** More than the servers of the largest deployment; a replaced server gets a new id. */
--- a/test/platform/fake-backend-server.ts
+++ b/test/platform/fake-backend-server.ts
@@ -29,6 +29,7 @@
     readonly id: string,
     private readonly behaviours: ServerBehaviour[],
     readonly softwareVersion?: string,
+    readonly service?: string,
   ) {
     this.server.on('connection', () => {
       this.connections += 1;
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -27,6 +27,7 @@
   readonly id: string;
   readonly port: number;
   readonly softwareVersion?: string;
+  readonly service?: string;
   listen(): Promise<void>;
   close(): Promise<void>;
 }
@@ -246,7 +247,7 @@
     host: '127.0.0.1',
     zone: 'pl-caudan',
     region: 'port-louis',
-    service: 'desk',
+    service: server.service ?? 'desk',
     kind: backend.BackendKind.ModelEngine,
     phase: backend.MachinePhase.Live,
     incarnation: `${server.id}@1`,
--- a/test/platform/taken-up-stream.test.ts
+++ b/test/platform/taken-up-stream.test.ts
@@ -142,4 +142,38 @@
   });
 });
 
+// Guards against text joined from two services when the route splits its requests between them.
+suite('a stream of a split route is taken up at the service that began it', async () => {
+  const servers = ['desk', 'annex', 'desk', 'annex'].map(
+    (service, index) =>
+      new fakeBackendServer.FakeBackendServer(`i-${index}`, [versioned('v1')], 'v1', service),
+  );
+  const content = builder.document() as {
+    routes: { name: string; max_attempts: number; service?: string; traffic_split?: object[] }[];
+    services: { name: string }[];
+  };
+  const reply = content.routes.find(({ name }) => name === 'reply')!;
+  const split = [
+    { service: 'desk', weight: 1 },
+    { service: 'annex', weight: 1 },
+  ];
+  Object.assign(reply, { max_attempts: 1, service: undefined, traffic_split: split });
+  content.services.push({ ...content.services[0], name: 'annex' });
+  const servicesOf = (id: string) =>
+    new Set(
+      servers
+        .filter(({ requests }) => requests.some(({ path }) => path === `/reply/${id}`))
+        .map(({ service }) => service),
+    );
+  const gateway = new builder.GatewayBuilder(servers, content);
+  await gateway.run(async () => {
+    for (const id of IDS) {
+      await begin(gateway, id);
+      await takeUp(gateway, id);
+    }
+  });
+  assert.is(new Set(IDS.flatMap((id) => [...servicesOf(id)])).size, 2);
+  IDS.forEach((id) => assert.is(servicesOf(id).size, 1));
+});
+
 suite.run();
