Gateways in a cut report themselves more often

A gateway that cannot take requests reports each 0.4 s instead of 2 s, and so hears as often which of its neighbours can. The test failed with 2 s.

--- a/src/gateway/peer-gateway-directory.ts
+++ b/src/gateway/peer-gateway-directory.ts
@@ -36,7 +36,11 @@
     const report = this.ports.report();
     const isSent =
       report !== undefined && this.ports.plane.sendToLeader(control.PeerTopic.Gateways, { report });
-    const delay = isSent ? messages.REPORT_INTERVAL_MILLISECONDS : RETRY_MILLISECONDS;
+    const interval =
+      report?.isAvailable === true
+        ? messages.REPORT_INTERVAL_MILLISECONDS
+        : UNAVAILABLE_INTERVAL_MILLISECONDS;
+    const delay = isSent ? interval : RETRY_MILLISECONDS;
     this.timer = this.ports.time.setTimer(delay, () => this.report());
   }
 
@@ -57,5 +61,8 @@
 
 const logger = new logging.Logger('gateways');
 
+/** A gateway in a cut has to learn soon which of its neighbours are in the cut too. */
+const UNAVAILABLE_INTERVAL_MILLISECONDS = 400;
+
 /** Until there is a link to a leader. */
 const RETRY_MILLISECONDS = 250;
--- a/test/gateway/peer-gateways.test.ts
+++ b/test/gateway/peer-gateways.test.ts
@@ -83,6 +83,19 @@
   );
 });
 
+// Guards against requests that are tried at neighbours in the same cut for as long as two usual reports take.
+suite('a gateway in a cut learns soon that its neighbours are in it too', () => {
+  const fleet = new Fleet(3);
+  fleet.unavailable.add('r1a-0');
+  fleet.directories.get('r1a-0')!.report();
+  ['r1a-1', 'r1a-2'].forEach((id) => {
+    fleet.unavailable.add(id);
+    fleet.directories.get(id)!.report();
+  });
+  fleet.time.advance(500);
+  assert.not.ok(fleet.near('r1a-0').some(({ zone }) => zone === 'r1a'));
+});
+
 // Guards against a gateway that was stopped or lost and stays in the lists.
 suite('a gateway that does not report any more is left out', () => {
   const fleet = new Fleet(2);
