Relocation: move only as many streams as the retries can carry on

The reserve for failures did not grow with the streams on the move. Two retries are kept now for each stream that has not got a piece from its new server yet; the others follow within some tenths of a second, as soon as the first ones have. The tests of roll-out times pass as before.

--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -40,9 +40,9 @@
 }
 
 function relocate(step: steps.Step, request: state.RequestState): void {
-  if (
-    admission.retriesLeft(step.retryBudget(request.profile.service), step.at) < RESERVED_RETRIES
-  ) {
+  const { service } = request.profile;
+  const reserved = RESERVED_RETRIES + REFUSALS_OF_A_MOVE * unsettledStreams(step, service);
+  if (admission.retriesLeft(step.retryBudget(service), step.at) < reserved) {
     return;
   }
   const [attempt] = request.attempts;
@@ -50,6 +50,16 @@
   attemptFailure.continueAfterFailure(step, request, attempt, RELOCATED);
 }
 
+/** Started streams of a service that wait for a server or for the first piece of their new one, which may refuse them. */
+function unsettledStreams(step: steps.Step, service: string): number {
+  return step.state.requests.count(
+    ({ profile, nextPiece, attempts }) =>
+      profile.service === service &&
+      nextPiece > 0 &&
+      attempts.every(({ firstPieceAt }) => firstPieceAt === undefined),
+  );
+}
+
 const RELOCATED = verdict.failure(
   verdict.FailureReason.BackendLeaving,
   verdict.Verdict.MayHaveRun,
@@ -59,6 +69,9 @@
 /** A stream that had more attempts than this stays at its server. */
 const MAXIMUM_ATTEMPTS = 3;
 
+/** A stream that is moved may be refused by servers that are ordered to load weights a moment later. */
+const REFUSALS_OF_A_MOVE = 2;
+
 /** Retries that are left for failures. */
 const RESERVED_RETRIES = 2.5;
 
