Relocation: count streams on the move once for each change

The count went over all requests for each stream that might be moved; with hundreds of streams at an engine that loads weights it grew with their square. It is kept until a request changes.

--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -52,11 +52,14 @@
 
 /** Started streams of a service that wait for a server or for the first piece of their new one, which may refuse them. */
 function unsettledStreams(step: steps.Step, service: string): number {
-  return step.state.requests.count(
-    ({ profile, nextPiece, attempts }) =>
-      profile.service === service &&
-      nextPiece > 0 &&
-      attempts.every(({ firstPieceAt }) => firstPieceAt === undefined),
+  const { requests } = step.state;
+  return step.memoize(`unsettled/${service}`, [requests], () =>
+    requests.count(
+      ({ profile, nextPiece, attempts }) =>
+        profile.service === service &&
+        nextPiece > 0 &&
+        attempts.every(({ firstPieceAt }) => firstPieceAt === undefined),
+    ),
   );
 }
 
