Extract the connectivity of a gateway from the gateway daemon

The daemon had 470 lines and, beside the wiring of its tasks, the probes, reports and listener for gateways in a cut.

--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -1,4 +1,3 @@
-import type * as fastify from 'fastify';
 import * as admission from '../admission';
 import * as backend from '../backend';
 import * as clock from '../clock';
@@ -17,12 +16,8 @@
 import * as callerRequestHandler from './caller-request-handler';
 import * as nestModule from './gateway-module';
 import * as bufferBudget from './buffer-budget';
-import * as cutDetector from './cut-detector';
-import * as forwardedRequestHandler from './forwarded-request-handler';
-import * as forwarder from './forwarder';
-import type * as peerGatewayMessage from './peer-gateway-message';
-import * as peerGatewayDirectory from './peer-gateway-directory';
-import * as connectivityObserver from './connectivity-observer';
+import * as arrivalHook from './arrival-hook';
+import * as connectivityModule from './connectivity';
 import * as crashEvidenceExchange from './crash-evidence-exchange';
 import * as loadExchange from './load-exchange';
 import type * as loadTable from './load-table';
@@ -86,17 +81,10 @@
 
   private readonly evidenceExchange: crashEvidenceExchange.CrashEvidenceExchange;
 
-  private readonly detector: cutDetector.CutDetector;
-
-  private readonly directory: peerGatewayDirectory.PeerGatewayDirectory;
+  private readonly connectivity: connectivityModule.Connectivity;
 
   private listener: daemon.HttpListener | undefined;
 
-  /** `host:port` of the listener for other gateways. */
-  private forwardAddress: string | undefined;
-
-  private handOverTimer: clock.Timer | undefined;
-
   private stopping: Promise<void> | undefined;
 
   private constructor(
@@ -122,7 +110,7 @@
         task: this.task,
         time,
         random,
-        isCutOff: () => this.detector.isCutOff,
+        isCutOff: () => this.connectivity.isCutOff,
       },
       LIST_INTERVAL_MILLISECONDS,
       false,
@@ -167,32 +155,25 @@
       listedVersions: (service) => membership.softwareVersions(service),
     });
     this.lifecycle.register('stream origins', () => origins.close());
-    this.detector = new cutDetector.CutDetector({
-      time,
-      random,
-      servers: () => membership.servers(),
-      probe: (serverId) => this.probe(pool, serverId),
-      onChange: () => this.connectivityChanged(),
-    });
-    this.lifecycle.register('cut detector', () => this.detector.close());
-    const observer = new connectivityObserver.ConnectivityObserver(membership, this.detector);
-    const stalls = new stallDetector.StallDetector(time, observer);
-    this.lifecycle.register('silence watch', () => stalls.close());
-    this.directory = new peerGatewayDirectory.PeerGatewayDirectory({
+    this.connectivity = new connectivityModule.Connectivity({
       plane,
-      time,
-      report: () => this.ownReport(),
-    });
-    this.lifecycle.register('directory of gateways', () => this.directory.close());
-    const requestForwarder = new forwarder.Forwarder({
+      headerCodec: ports.headerCodec,
+      pool,
+      membership,
+      task,
+      readiness: this.readiness,
       time,
       random,
-      headerCodec: ports.headerCodec,
-      gateways: () => this.directory.near,
-      isCutOff: () => this.detector.isCutOff,
       place: options,
     });
-    this.lifecycle.register('forwarder', () => requestForwarder.close());
+    const { observer, forwarder } = this.connectivity;
+    this.lifecycle.register(
+      'connectivity',
+      () => this.connectivity.close(),
+      LISTENER_CLOSE_MILLISECONDS,
+    );
+    const stalls = new stallDetector.StallDetector(time, observer);
+    this.lifecycle.register('silence watch', () => stalls.close());
     this.gateway = new gatewayModule.Gateway(
       {
         task,
@@ -202,7 +183,7 @@
         time,
         headerCodec: ports.headerCodec,
         stallDetector: stalls,
-        forwarder: requestForwarder,
+        forwarder,
         bufferBudget: new bufferBudget.BufferBudget(),
         placementBuffer: buffer,
         streamOrigins: origins,
@@ -228,7 +209,10 @@
   static async start(ports: GatewayPorts, options: GatewayOptions): Promise<GatewayDaemon> {
     const started = new GatewayDaemon(ports, options);
     await started.listen();
-    await started.listenForGateways();
+    const { forwardListen, limits } = options;
+    if (forwardListen !== undefined) {
+      await started.connectivity.listen(started.gateway, forwardListen, limits);
+    }
     started.becomeReady();
     return started;
   }
@@ -240,7 +224,7 @@
 
   /** `host:port` at which other gateways reach this one; absent while it does not listen for them. */
   get addressForGateways(): string | undefined {
-    return this.forwardAddress;
+    return this.connectivity.address;
   }
 
   /** Drains the open requests and stops; later calls return the same promise. */
@@ -332,108 +316,32 @@
       this.options.listen,
       this.options.limits,
       new daemon.FailureFilter(() => 0),
-      (server) => recordArrivals(server, callers),
+      (server) => arrivalHook.recordArrivals(server, callers),
     );
     this.listener = listener;
     this.lifecycle.register('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
   }
 
-  /** Accepts requests of other gateways. Without this listener the gateway serves its own callers as before. */
-  private async listenForGateways(): Promise<void> {
-    const { forwardListen, limits } = this.options;
-    if (forwardListen === undefined) {
-      return;
-    }
-    const handler = new forwardedRequestHandler.ForwardedRequestHandler(
-      this.gateway,
-      this.readiness,
-      this.ports.time,
-    );
-    try {
-      const module = nestModule.GatewayModule.with(handler);
-      const filter = new daemon.FailureFilter(() => 0);
-      const listener = await daemon.listen(module, forwardListen, limits, filter, (server) =>
-        recordArrivals(server, handler),
-      );
-      this.forwardAddress = `${forwardListen.host}:${listener.port}`;
-      const close = () => listener.close();
-      this.lifecycle.register('listener for gateways', close, LISTENER_CLOSE_MILLISECONDS);
-    } catch (error) {
-      logger.error('cannot listen for other gateways; their requests are not accepted', {
-        ...forwardListen,
-        reason: (error as Error).message,
-      });
-    }
-    this.directory.report();
-  }
-
-  private ownReport(): peerGatewayMessage.GatewayReport | undefined {
-    const { zone, region } = this.options;
-    const { daemonId } = this.ports.plane.status();
-    const isAvailable = this.readiness.isReady && !this.detector.isCutOff;
-    return this.forwardAddress === undefined
-      ? undefined
-      : { daemonId, address: this.forwardAddress, zone, region, isAvailable };
-  }
-
-  /** Probes a server on a new connection; a success is news for the membership task too. */
-  private async probe(pool: routing.BackendPool, serverId: string): Promise<boolean> {
-    const startedAt = this.ports.time.monotonic();
-    const lease = pool.server(serverId);
-    const outcome = await lease?.client.probe();
-    lease?.release();
-    if (outcome?.ok === true) {
-      this.membership.recordProbe(serverId, startedAt, outcome.val);
-    }
-    return outcome?.ok === true;
-  }
-
-  private connectivityChanged(): void {
-    this.directory.report();
-    this.handOverWaiting();
-  }
-
-  /** Hands requests that get no answer over to other gateways, as long as this one is cut off. */
-  private handOverWaiting(): void {
-    this.handOverTimer?.cancel();
-    if (this.detector.isCutOff) {
-      this.task.connectivityLost();
-      const repeat = () => this.handOverWaiting();
-      this.handOverTimer = this.ports.time.setTimer(HAND_OVER_INTERVAL_MILLISECONDS, repeat);
-    }
-  }
-
   private async becomeReady(): Promise<void> {
     await Promise.all([this.ports.plane.ready(), this.membership.start()]);
     while (this.gateway.tableVersion === undefined && this.stopping === undefined) {
       await this.ports.time.sleep(TABLE_POLL_MILLISECONDS);
     }
     this.readiness.advance(daemon.DaemonStage.Ready);
-    this.directory.report();
+    this.connectivity.report();
     logger.information('ready', { version: this.gateway.tableVersion });
   }
 
   private async stopGracefully(): Promise<void> {
     const draining = gracefulStop.drain(this.readiness, this.options.stop, this.ports.time);
-    this.directory.report();
+    this.connectivity.report();
     const interrupted = await draining;
-    this.handOverTimer?.cancel();
     this.task.abortAll(INTERRUPTED);
     await this.lifecycle.close();
     logger.information('graceful shutdown ended', { interrupted });
   }
 }
 
-function recordArrivals(
-  server: fastify.FastifyInstance,
-  callers: callerRequestHandler.CallerRequestHandler,
-): void {
-  server.addHook('onRequest', (request, _reply, done) => {
-    callers.headersArrived(request.raw);
-    done();
-  });
-}
-
 function coreOf(
   { zone, region, retryLimits, isFirstStart }: GatewayOptions,
   random: clock.RandomSource,
@@ -466,5 +374,3 @@
 const TABLE_POLL_MILLISECONDS = 20;
 
 const LISTENER_CLOSE_MILLISECONDS = 500;
-
-const HAND_OVER_INTERVAL_MILLISECONDS = 200;
