Gateway: count forwarded requests towards the limit of open requests

A gateway in a cut held any number of requests that wait at other gateways, so that a burst could fill its memory. They count like its own now; the test, in which a fourth request is refused at once, failed before. A dropped request of a caller that has left also ends its response.

--- a/src/gateway/caller-request-handler.ts
+++ b/src/gateway/caller-request-handler.ts
@@ -49,6 +49,7 @@
         this.gateway.handle(incoming, reply);
       } else {
         logger.debug('caller has left before its request was read; it is dropped');
+        response.destroy();
       }
     });
   }
--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -48,6 +48,11 @@
     return this.ports.isCutOff() && this.ports.gateways().length > 0;
   }
 
+  /** Requests of this gateway that are in progress at others. */
+  get activeRequests(): number {
+    return [...this.clients.values()].reduce((sum, { requests }) => sum + requests, 0);
+  }
+
   /**
    * The gateway with the lowest cost that is not excluded: near ones first, but each request in progress there counts, so
    * that the requests spread when all gateways of a zone are cut off.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -140,7 +140,8 @@
   }
 
   private get openRequests(): number {
-    return this.context.task.activeRequests + this.lookups;
+    const { task, forwarder } = this.context;
+    return task.activeRequests + this.lookups + forwarder.activeRequests;
   }
 
   private submit(call: relayExecution.RelayCall, reply: relayReply.RelayReply): void {
--- a/test/platform/cut-off-gateway.test.ts
+++ b/test/platform/cut-off-gateway.test.ts
@@ -47,6 +47,7 @@
   /** Version of the routing document of the sound gateway. */
   readonly soundVersion?: number;
   readonly isSoundCutToo?: boolean;
+  readonly maximumRequests?: number;
 }
 
 async function withPair(
@@ -56,7 +57,8 @@
   const servers = ['i-1', 'i-2', 'i-3', 'i-4'].map(
     (id) => new fakeBackendServer.FakeBackendServer(id, [...behaviours]),
   );
-  const changes = { forwardListen: FORWARD_LISTEN };
+  const { maximumRequests = 100 } = options;
+  const changes = { forwardListen: FORWARD_LISTEN, maximumRequests };
   const build = (version: number, isCut: boolean) =>
     new builder.GatewayBuilder(
       isCut ? servers.map(withoutListening) : servers,
@@ -239,6 +241,21 @@
   });
 });
 
+// Guards against a gateway that fills its memory with requests that wait at other gateways.
+suite('forwarded requests count towards the limit of open requests', async () => {
+  const hang: fakeBackendServer.ServerBehaviour = () => {};
+  await withPair({ behaviours: [hang], maximumRequests: 3 }, async ({ cut }) => {
+    await cut.abandon('GET', '/balance/0', 300);
+    const headers = { 'x-figline-deadline-ms': '700' };
+    const open = ['1', '2', '3'].map((id) => cut.send('GET', `/balance/${id}`, headers));
+    await cut.time.sleep(200);
+    const startedAt = Date.now();
+    assert.is((await cut.send('GET', '/balance/4', headers)).status, 503);
+    assert.ok(Date.now() - startedAt < 200);
+    await Promise.all(open);
+  });
+});
+
 /** A stream with an event each 100 ms. */
 const slowStream: fakeBackendServer.ServerBehaviour = (request, response) => {
   response.writeHead(200, {
