Correct the test of the limit of forwarded requests

Only the gateway in the cut has the limit now: with forwarded requests left out of the count it fails, with them it passes.

--- a/test/platform/cut-off-gateway.test.ts
+++ b/test/platform/cut-off-gateway.test.ts
@@ -47,6 +47,7 @@
   /** Version of the routing document of the sound gateway. */
   readonly soundVersion?: number;
   readonly isSoundCutToo?: boolean;
+  /** Limit of open requests of the gateway in the cut. */
   readonly maximumRequests?: number;
 }
 
@@ -57,8 +58,6 @@
   const servers = ['i-1', 'i-2', 'i-3', 'i-4'].map(
     (id) => new fakeBackendServer.FakeBackendServer(id, [...behaviours]),
   );
-  const { maximumRequests = 100 } = options;
-  const changes = { forwardListen: FORWARD_LISTEN, maximumRequests };
   const build = (version: number, isCut: boolean) =>
     new builder.GatewayBuilder(
       isCut ? servers.map(withoutListening) : servers,
@@ -66,7 +65,10 @@
       control.EMPTY_REGISTER,
       undefined,
       isCut ? () => port : undefined,
-      changes,
+      {
+        forwardListen: FORWARD_LISTEN,
+        maximumRequests: isCut ? (options.maximumRequests ?? 100) : 100,
+      },
     );
   const sound = build(options.soundVersion ?? 1, false);
   const cut = build(1, true);
