--- a/test/gateway/stream-origins.test.ts
+++ b/test/gateway/stream-origins.test.ts
@@ -50,6 +50,21 @@
     });
   }
 
+  /** A gateway that has lost the leader: it keeps the register and the list of this moment and cannot ask. */
+  startOutOfTouch(): streamOrigins.StreamOrigins {
+    const { register } = this.state;
+    const { listed } = this;
+    return new streamOrigins.StreamOrigins({
+      plane: {
+        propose: async () => new results.Err(control.ProposalFailure.NoLeader),
+        register: () => register,
+        onRegister: () => () => {},
+      },
+      time: this.time,
+      listedVersions: () => listed,
+    });
+  }
+
   setVersions(...versions: string[]): this {
     const service = SERVICE;
     const before = this.state.register.softwareVersions.get(service, []);
@@ -187,6 +202,19 @@
   assert.is(await find(log, log.startGateway(), 'first', 'market'), UNKNOWN);
 });
 
+// Guards against text joined by a gateway that has not heard of a second version yet.
+suite(
+  'a gateway that has lost the leader does not take the version that it knows for the only one',
+  async () => {
+    const log = new Log().setVersions('v1');
+    const outOfTouch = log.startOutOfTouch();
+    log.setVersions('v1', 'v2');
+    log.startGateway().begin(stream('first'), 'v2');
+    await log.advance(1_500);
+    assert.is(await find(log, outOfTouch, 'first'), UNKNOWN);
+  },
+);
+
 // Load pattern: all gateways have lost power, and the streams of thousands of callers are taken up within a second.
 suite('streams that begin or are taken up together cost one message', async () => {
   const log = new Log().setVersions('v1', 'v2');
