--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -138,7 +138,7 @@
   }
 }
 
-/** A gateway in another region is chosen when one in the zone has this many more requests twice. */
+/** Another availability zone weighs as much as this many requests in progress, another region as much as twice as many. */
 const REQUESTS_PER_DISTANCE = 4;
 
 /** A lost SYN is sent again after 1 s, by which time another gateway can answer the request sooner. */
--- a/src/gateway/peer-gateway-directory.ts
+++ b/src/gateway/peer-gateway-directory.ts
@@ -30,7 +30,7 @@
     return this.gateways;
   }
 
-  /** Reports now and then at intervals; call it again after a change. */
+  /** Sends a report at once and repeats it at intervals; call it again after a change. */
   report(): void {
     this.timer?.cancel();
     const report = this.ports.report();
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -134,7 +134,7 @@
     return [...new Set([...registered, ...this.ports.listedVersions(service)])];
   }
 
-  /** Records streams that began when their service had one version and that now are not the only kind any more. */
+  /** Records the streams of services that have got a second version since. */
   private recordMixed(): void {
     const services = new Set([...this.own.values()].map(({ service }) => service));
     const mixed = new Set([...services].filter((name) => this.possibleVersions(name).length > 1));
