--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -317,7 +317,7 @@
 
 /**
  * Whether the eligible servers changed. Compares one server for most events: with thousands of servers and
- * many probes per second, comparing all of them would exceed the processor time budget of the daemon.
+ * many probes per second, comparing all of them would take more processor time than a daemon may use.
  */
 function changesServers(
   step: ReturnType<typeof membership.update>,
