Log why an attempt is given up, and what a cut stream could still use

Each cancelled attempt now carries its reason (request ended, another attempt delivered, server loads weights, weights too old, server crashed, malformed answers). A stream that is cut after its caller has received a part has a line of its own with its attempts, runs, retries left, servers that may go on and those of them that load weights. Counters: cancelled_attempts by reason, cut_streams.

--- a/src/decision/crash.ts
+++ b/src/decision/crash.ts
@@ -147,7 +147,9 @@
   if (current === undefined || !current.attempts.includes(attempt)) {
     return;
   }
-  ending.cancel(step, current, attempt);
+  const { AnswersMalformed, ServerCrashed } = effect.CancelReason;
+  const isCrash = reason === verdict.FailureReason.ConnectionLost;
+  ending.cancel(step, current, attempt, isCrash ? ServerCrashed : AnswersMalformed);
   attemptFailure.continueAfterFailure(
     step,
     current,
@@ -155,7 +157,7 @@
     verdict.failure(
       reason,
       verdict.Verdict.MayHaveRun,
-      reason === verdict.FailureReason.ConnectionLost
+      isCrash
         ? 'The server crashed while it was running the request.'
         : 'The server sends bytes that are no answer.',
       { backendServerId: attempt.serverId },
--- a/src/decision/effect.ts
+++ b/src/decision/effect.ts
@@ -26,11 +26,36 @@
   readonly cacheSource?: string;
 }
 
-/** Abort an attempt because another attempt delivered first or the request has ended. */
+/** Why an attempt is given up although it has not failed by itself. */
+export enum CancelReason {
+  RequestEnded = 'request-ended',
+  AnotherAttemptDelivered = 'another-attempt-delivered',
+  Relocated = 'relocated',
+  WeightsTooOld = 'weights-too-old',
+  ServerCrashed = 'server-crashed',
+  AnswersMalformed = 'answers-malformed',
+}
+
+/** Abort an attempt. */
 export interface CancelAttempt {
   readonly kind: DecisionEffectKind.CancelAttempt;
   readonly requestId: string;
   readonly attemptId: string;
+  readonly reason: CancelReason;
+}
+
+/** What a stream could still use when it was cut, for logs. */
+export interface CutStream {
+  /** Attempts of the stream so far. */
+  readonly attempts: number;
+  /** Attempts that may have run. */
+  readonly runs: number;
+  /** Retries that this daemon had left for the service; below 1 there was none. */
+  readonly retriesLeft: number;
+  /** Listed servers that may go on with the stream. */
+  readonly servers: number;
+  /** Those of them that load weights. */
+  readonly loadingServers: number;
 }
 
 /** End the request with a failure; none of its attempts runs any more. */
@@ -38,6 +63,8 @@
   readonly kind: DecisionEffectKind.Fail;
   readonly requestId: string;
   readonly failure: verdict.RequestFailure;
+  /** Present if the caller has received a part of the stream. */
+  readonly cutStream?: CutStream;
 }
 
 /** Report to the peers which fingerprints were in flight when a server crashed. */
--- a/src/decision/ending.ts
+++ b/src/decision/ending.ts
@@ -2,6 +2,7 @@
 import * as verdict from '../verdict';
 import * as effect from './effect';
 import * as slots from './slots';
+import * as softwareVersions from './software-version';
 import type * as state from './state';
 import type * as steps from './step';
 
@@ -19,6 +20,7 @@
     kind: effect.DecisionEffectKind.Fail,
     requestId,
     failure: { ...failure, verdict: combined },
+    ...(request.nextPiece > 0 ? { cutStream: describeCut(step, request) } : {}),
   });
 }
 
@@ -28,7 +30,9 @@
   if (request === undefined) {
     return;
   }
-  request.attempts.forEach((attempt) => cancel(step, request, attempt));
+  request.attempts.forEach((attempt) =>
+    cancel(step, request, attempt, effect.CancelReason.RequestEnded),
+  );
   if (request.entry !== undefined) {
     const { service } = request.profile;
     step.setQueue(service, admission.remove(step.queue(service), request.entry));
@@ -44,11 +48,27 @@
   step: steps.Step,
   request: state.RequestState,
   attempt: state.AttemptState,
+  reason: effect.CancelReason,
 ): void {
   slots.release(step, request, attempt);
   step.emit({
     kind: effect.DecisionEffectKind.CancelAttempt,
     requestId: request.profile.requestId,
     attemptId: attempt.attemptId,
+    reason,
   });
 }
+
+function describeCut(step: steps.Step, request: state.RequestState): effect.CutStream {
+  const { service } = request.profile;
+  const servers = softwareVersions
+    .compatibleServers(step, request)
+    .filter((server) => server.eligible);
+  return {
+    attempts: request.attemptCount,
+    runs: request.runCount ?? 0,
+    retriesLeft: admission.retriesLeft(step.retryBudget(service), step.at),
+    servers: servers.length,
+    loadingServers: servers.filter(({ record }) => record.loading === true).length,
+  };
+}
--- a/src/decision/obsolete-attempts.ts
+++ b/src/decision/obsolete-attempts.ts
@@ -1,5 +1,6 @@
 import * as configuration from '../configuration';
 import * as verdict from '../verdict';
+import * as effect from './effect';
 import * as ending from './ending';
 import * as attemptFailure from './attempt-failure';
 import type * as state from './state';
@@ -36,7 +37,7 @@
     .forEach((attempt) => {
       const current = step.state.requests.get(request.profile.requestId);
       if (current !== undefined) {
-        ending.cancel(step, current, attempt);
+        ending.cancel(step, current, attempt, effect.CancelReason.WeightsTooOld);
         attemptFailure.continueAfterFailure(step, current, attempt, WEIGHTS_TOO_OLD);
       }
     });
--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -3,6 +3,7 @@
 import * as placement from '../placement';
 import * as prefix from '../prefix';
 import * as arrival from './arrival';
+import * as effect from './effect';
 import * as ending from './ending';
 import type * as event from './event';
 import * as serverUpdates from './server-updates';
@@ -48,7 +49,9 @@
     recordFirstPiece(step, request, attempt);
     request.attempts
       .filter((other) => other !== attempt)
-      .forEach((slower) => ending.cancel(step, request, slower));
+      .forEach((slower) =>
+        ending.cancel(step, request, slower, effect.CancelReason.AnotherAttemptDelivered),
+      );
   } else if (pieceEvent.nextPiece > attempt.nextPiece) {
     const pieces = pieceEvent.nextPiece - attempt.nextPiece;
     const gap = (step.at - attempt.lastPieceAt) / pieces;
--- a/src/decision/relocation.ts
+++ b/src/decision/relocation.ts
@@ -1,5 +1,6 @@
 import * as admission from '../admission';
 import * as verdict from '../verdict';
+import * as effect from './effect';
 import * as ending from './ending';
 import * as attemptFailure from './attempt-failure';
 import * as softwareVersions from './software-version';
@@ -46,7 +47,7 @@
     return;
   }
   const [attempt] = request.attempts;
-  ending.cancel(step, request, attempt);
+  ending.cancel(step, request, attempt, effect.CancelReason.Relocated);
   attemptFailure.continueAfterFailure(step, request, attempt, RELOCATED);
 }
 
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -66,11 +66,12 @@
     this.timer = context.time.setTimer(remaining, () => this.expire());
   }
 
-  override fail(failure: verdict.RequestFailure): void {
+  override fail(failure: verdict.RequestFailure, cutStream?: decision.CutStream): void {
     if (this.isOver) {
       return;
     }
     this.end();
+    this.logCut(cutStream);
     if (this.mayForward(failure.verdict)) {
       this.forward();
     } else {
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -17,6 +17,10 @@
   Refusals = 'refusals',
   /** Attempts that failed because the server sent a malformed answer. */
   MalformedAnswers = 'garbled_answers',
+  /** Attempts that were given up although they had not failed by themselves. */
+  CancelledAttempts = 'cancelled_attempts',
+  /** Streams that no server went on with after their callers had received a part. */
+  CutStreams = 'cut_streams',
 }
 
 /** Names of the gauges, each with its unit. */
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -44,10 +44,24 @@
     });
   }
 
-  override cancelAttempt(attemptId: string): void {
+  override cancelAttempt(attemptId: string, reason: decision.CancelReason): void {
     this.attempts.get(attemptId)?.abort();
     if (this.attempts.delete(attemptId)) {
-      logger.information('attempt cancelled', { ...this.fields(), attempt: attemptId });
+      this.meter.attemptCancelled(reason);
+      logger.information('attempt cancelled', { ...this.fields(), attempt: attemptId, reason });
+    }
+  }
+
+  /** Logs why no server could go on with a stream that its caller has received a part of. */
+  protected logCut(cutStream: decision.CutStream | undefined): void {
+    if (cutStream !== undefined) {
+      const { retriesLeft, ...counts } = cutStream;
+      this.meter.streamCut();
+      logger.warning('stream is cut; no server goes on with it', {
+        ...this.fields(),
+        ...counts,
+        retriesLeft: Number(retriesLeft.toFixed(2)),
+      });
     }
   }
 
--- a/src/routing/decision-task.ts
+++ b/src/routing/decision-task.ts
@@ -179,11 +179,11 @@
         execution.dispatch(effect);
         break;
       case decision.DecisionEffectKind.CancelAttempt:
-        execution.cancelAttempt(effect.attemptId);
+        execution.cancelAttempt(effect.attemptId, effect.reason);
         break;
       default:
         this.forget(effect.requestId);
-        execution.fail(effect.failure);
+        execution.fail(effect.failure, effect.cutStream);
     }
   }
 
--- a/src/routing/engine-execution.ts
+++ b/src/routing/engine-execution.ts
@@ -42,13 +42,14 @@
     super(call.profile, context);
   }
 
-  override cancelAttempt(attemptId: string): void {
+  override cancelAttempt(attemptId: string, reason: decision.CancelReason): void {
     this.stopDelivering(attemptId);
-    super.cancelAttempt(attemptId);
+    super.cancelAttempt(attemptId, reason);
   }
 
-  override fail(failure: verdict.RequestFailure): void {
+  override fail(failure: verdict.RequestFailure, cutStream?: decision.CutStream): void {
     this.end();
+    this.logCut(cutStream);
     this.meter.failed(failure);
     this.sink.fail(failure);
   }
--- a/src/routing/request-execution.ts
+++ b/src/routing/request-execution.ts
@@ -11,11 +11,15 @@
   /** Starts an attempt. Unless it is cancelled, it ends with `AttemptFinished` or `AttemptFailed`. */
   abstract dispatch(effect: decision.Dispatch): void;
 
-  abstract cancelAttempt(attemptId: string): void;
+  abstract cancelAttempt(attemptId: string, reason: decision.CancelReason): void;
 
   /** This daemon cannot reach the backend servers; the request may be run in another way. */
   connectivityLost?(): void;
 
-  /** Ends the request; no attempt is running any more. */
-  abstract fail(failure: verdict.RequestFailure): void;
+  /**
+   * Ends the request; no attempt is running any more.
+   *
+   * @param cutStream present if the caller has received a part of a stream, for the log
+   */
+  abstract fail(failure: verdict.RequestFailure, cutStream?: decision.CutStream): void;
 }
--- a/src/routing/request-meter.ts
+++ b/src/routing/request-meter.ts
@@ -67,6 +67,16 @@
     }
   }
 
+  /** Counts attempts that were given up although they had not failed by themselves. */
+  attemptCancelled(reason: decision.CancelReason): void {
+    this.meter.count(metrics.Counter.CancelledAttempts, { ...this.tags, reason });
+  }
+
+  /** Counts streams that no server went on with after their callers had received a part. */
+  streamCut(): void {
+    this.meter.count(metrics.Counter.CutStreams, this.tags);
+  }
+
   failed(failure: verdict.RequestFailure): void {
     const counter =
       failure.verdict === verdict.Verdict.NotRun
