Relocation: keep a stream's run until another server has taken the stream over

Their runs were well; the gateway closed both at the same moment, two further engines refused the streams, and 12 ms after the second refusal the callers' connections were closed.

Cause: 600 ms after an order to load weights a gateway cancelled the running attempt of each stream that may be resumed, and looked for another server only then. Until one took the stream there was no offer, no reserved room and no way back. Each refusal costs a retry, and the retries of a gateway are a ratio of its own requests of the last 10 s: after SIGTERM it gets no new ones, while its streams still need them. The target was the cheapest engine, also one that the roll-out orders next.

On the code before 4 of 6 tests of decision/relocation failed (among them "streams go on at their engine when the retries run out after new requests have ended": the streams failed with backend_refused) and 4 of 5 of platform/relocated-stream.

Fix: a move is an offer. The decision core starts a second attempt and cancels the first one when the second delivers a piece; if the offer is refused, fails or is late, the stream has lost nothing, whatever retries are left. Before an offer is sent, the server is asked to reserve room, so that the caller does not wait for one that is full. The pieces of the running attempt are held back for at most 150 ms from when the offer is sent: only then does the other server go on exactly behind the last delivered piece, and there are never two runs of a stream side by side for longer. A server that was late has read the prompt by then and is asked once more, with which the stream runs at no more servers than before. Targets are servers with the desired weights, or those that are ordered last.

Ways that were weighed: overlapping runs with events dropped by id need a common boundary, and events may hold several tokens; moving KV cache between engines is not allowed between versions of weights; a reservation alone leaves no way back if the server is ordered in between.

Changed test: decision/update "a long stream moves from a server that loads weights" asked that the first attempt is cancelled together with the dispatch of the second, which is the fault. It now asks that it is not, and that it is when the second one delivers. Not seen failing first: "a stream moves to engines that have the desired weights, or load them last" (the cheapest server happened to be allowed).

--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -64,6 +64,14 @@
   reject(fault: AnswerFault): void;
 }
 
+/** Room for one request that a server is asked to keep. */
+export interface Room {
+  /** Tokens of the prompt and of the longest answer. */
+  readonly tokens: number;
+  /** Time in which the request will arrive. */
+  readonly milliseconds: number;
+}
+
 /** Port for one backend server, engine or plain service, whose requests pass unchanged. */
 export abstract class RelayServer {
   /** Sends the request once; the receiver gets either an end or a failure. */
@@ -73,6 +81,12 @@
     order: modelEngine.EngineOrder,
   ): Promise<results.Result<modelEngine.OrderOutcome, verdict.RequestFailure>>;
 
+  /**
+   * Reserves room for a request, which the server then runs ahead of those that wait. Returns the id of the reservation, or
+   * `undefined` if the server cannot reserve room; `Err` if it has none or does not answer.
+   */
+  abstract reserve(room: Room): Promise<results.Result<string | undefined, verdict.RequestFailure>>;
+
   /** Probes on a new connection, since a silent old connection does not mean that the server is dead. */
   abstract probe(): Promise<results.Result<probeReport.ProbeReport, verdict.RequestFailure>>;
 
--- a/src/decision/attempt-failure.ts
+++ b/src/decision/attempt-failure.ts
@@ -34,7 +34,7 @@
     ...request,
     attempts: request.attempts.filter((other) => other !== attempt),
     verdict: verdict.combine(request.verdict, failure.verdict),
-    runCount: runCountOf(request) + (failure.verdict === verdict.Verdict.NotRun ? 0 : 1),
+    ...recordRun(request, attempt, failure.verdict),
     failedServers: [...request.failedServers, attempt.serverId],
   };
   step.setRequest(failed);
@@ -70,6 +70,19 @@
   return admission.retriesLeft(step.retryBudget(profile.service), step.at, usedFraction) >= 1;
 }
 
+function recordRun(
+  request: state.RequestState,
+  { serverId }: state.AttemptState,
+  outcome: verdict.Verdict,
+): Pick<state.RequestState, 'runCount' | 'triedServers'> {
+  return outcome === verdict.Verdict.NotRun
+    ? {}
+    : {
+        runCount: runCountOf(request) + 1,
+        triedServers: [...(request.triedServers ?? []), serverId],
+      };
+}
+
 /** Ended attempts that may have run; attempts that certainly did not run are not counted. */
 function runCountOf(request: state.RequestState): number {
   return request.runCount ?? 0;
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -50,16 +50,28 @@
   return [servers, pendingLoads, queues, services, ...restrictions];
 }
 
+/** Why an attempt is started. */
+export enum AttemptKind {
+  /** The request has no other attempt. */
+  Only,
+  /** The first piece of another attempt is late; the first one to deliver a piece continues. */
+  Hedge,
+  /** Another attempt delivers pieces and goes on unless this one takes the stream over. */
+  Offer,
+}
+
 /** Starts an attempt at the chosen server. */
 export function dispatch(
   step: steps.Step,
   request: state.RequestState,
   choice: serverSelection.Choice,
-  hedge: boolean,
+  attemptKind: AttemptKind,
 ): void {
   const { requestId, prefixChain } = request.profile;
   const { incarnation } = choice.server;
   const serverId = choice.server.record.id;
+  const hedge = attemptKind === AttemptKind.Hedge;
+  const offer = attemptKind === AttemptKind.Offer ? { offer: true as const } : {};
   const attempt: state.AttemptState = {
     attemptId: `${requestId}/${request.attemptCount}`,
     serverId,
@@ -67,6 +79,7 @@
     softwareVersion: choice.server.record.softwareVersion,
     dispatchedAt: step.at,
     hedge,
+    ...offer,
     suspect: serverSelection.isSuspect(step, request),
     expectedMilliseconds: choice.expectedMilliseconds,
     prefillTokens: Math.max(0, request.profile.promptTokens - choice.cachedTokens),
@@ -96,6 +109,7 @@
     softwareVersion: attempt.softwareVersion,
     resumeFrom: request.nextPiece,
     hedge,
+    ...offer,
     queuedMilliseconds: step.at - request.arrivedAt,
     expectedCachedTokens: choice.cachedTokens,
     ...(cacheSource === undefined ? {} : { cacheSource }),
@@ -148,7 +162,7 @@
   }
   serviceTiming.lowerWaitSafetyFactor(step, service);
   step.setQueue(service, admission.dequeue(step.queue(service), entry));
-  dispatch(step, request, choice, false);
+  dispatch(step, request, choice, AttemptKind.Only);
   return true;
 }
 
--- a/src/decision/effect.ts
+++ b/src/decision/effect.ts
@@ -20,6 +20,11 @@
   readonly resumeFrom: number;
   /** True for a second attempt while a late first one runs; the first one to deliver a piece continues. */
   readonly hedge: boolean;
+  /**
+   * Set if the request's run at another server goes on until this attempt delivers a piece. The adapter fails the attempt if
+   * that takes too long.
+   */
+  readonly offer?: true;
   readonly queuedMilliseconds: number;
   readonly expectedCachedTokens: number;
   /** Server from which the chosen server copies cached blocks of the prompt. */
--- a/src/decision/hedging.ts
+++ b/src/decision/hedging.ts
@@ -42,7 +42,7 @@
     return;
   }
   step.change({ hedgeBudget: admission.spend(step.state.hedgeBudget) });
-  dispatching.dispatch(step, request, choice, true);
+  dispatching.dispatch(step, request, choice, dispatching.AttemptKind.Hedge);
 }
 
 const STRAGGLER_LATENESS_MILLISECONDS = 400;
--- a/src/decision/progress.ts
+++ b/src/decision/progress.ts
@@ -45,13 +45,13 @@
     return;
   }
   const { request, attempt } = found;
-  if (attempt.lastPieceAt === undefined) {
+  const others = request.attempts.filter((other) => other !== attempt);
+  const isFirst = attempt.lastPieceAt === undefined;
+  if (isFirst) {
+    const { AnotherAttemptDelivered, Relocated } = effect.CancelReason;
+    const reason = attempt.offer === true ? Relocated : AnotherAttemptDelivered;
     recordFirstPiece(step, request, attempt);
-    request.attempts
-      .filter((other) => other !== attempt)
-      .forEach((slower) =>
-        ending.cancel(step, request, slower, effect.CancelReason.AnotherAttemptDelivered),
-      );
+    others.forEach((other) => ending.cancel(step, request, other, reason));
   } else if (pieceEvent.nextPiece > attempt.nextPiece) {
     const pieces = pieceEvent.nextPiece - attempt.nextPiece;
     const gap = (step.at - attempt.lastPieceAt) / pieces;
@@ -74,14 +74,21 @@
     lastPieceAt: step.at,
     nextPiece: pieceEvent.nextPiece,
   };
+  // A stream that is offered to another server runs at its own one until the other delivers.
+  const ended = isFirst ? others : [];
   step.setRequest({
     ...request,
-    attempts: [advanced],
+    attempts: isFirst ? [advanced] : [...others, advanced],
+    runCount: (request.runCount ?? 0) + ended.filter(hasDelivered).length,
     softwareVersion: request.softwareVersion ?? attempt.softwareVersion,
     nextPiece: Math.max(request.nextPiece, pieceEvent.nextPiece),
   });
 }
 
+function hasDelivered({ firstPieceAt }: state.AttemptState): boolean {
+  return firstPieceAt !== undefined;
+}
+
 /** Ends a request whose whole answer arrived. */
 export function applyFinish(step: steps.Step, finishEvent: event.AttemptFinished): void {
   const found = findAttempt(step, finishEvent.requestId, finishEvent.attemptId);
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -29,13 +29,19 @@
 /**
  * The cheapest server with room for the request now. Undefined when there is none, or when it is cheaper
  * to wait for a busy server, because the prefill of the prefix elsewhere would delay other requests longer.
+ *
+ * @param servers the servers to choose from
  */
-export function choose(step: steps.Step, request: state.RequestState): Choice | undefined {
+export function choose(
+  step: steps.Step,
+  request: state.RequestState,
+  servers = softwareVersions.compatibleServers(step, request),
+): Choice | undefined {
   const permitted = filterServers(
     standardFilters.PERMISSION_FILTERS,
     step,
     request,
-    preferUnsuspected(softwareVersions.compatibleServers(step, request)),
+    preferUnsuspected(servers),
   );
   const ready = filterServers(standardFilters.READINESS_FILTERS, step, request, permitted);
   if (ready.length === 0) {
@@ -46,8 +52,8 @@
   if (probe !== undefined) {
     return evaluate(step, context, request, probe);
   }
-  const evaluateAll = (servers: readonly state.ServerState[]) =>
-    servers.map((server) => evaluate(step, context, request, server));
+  const evaluateAll = (candidates: readonly state.ServerState[]) =>
+    candidates.map((server) => evaluate(step, context, request, server));
   const best = pickCheapest(step, evaluateAll(ready));
   const mayWait =
     request.attemptCount === 0 &&
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -20,6 +20,8 @@
   readonly softwareVersion?: string;
   readonly dispatchedAt: number;
   readonly hedge: boolean;
+  /** Set if the attempt was started to take a stream over from a server at which it ran well. */
+  readonly offer?: true;
   /** Whether the fingerprint was suspected at the dispatch. */
   readonly suspect: boolean;
   /** Time to the first piece as expected at the dispatch, corrected by the headers of the answer. */
@@ -51,12 +53,16 @@
   readonly attemptCount: number;
   /** Ended attempts that may have run. */
   readonly runCount?: number;
+  /** Servers whose ended attempts may have run, except the one whose run the caller receives. */
+  readonly triedServers?: readonly string[];
   /** Combined verdict of all ended attempts. */
   readonly verdict: verdict.Verdict;
   /** Number of the first piece that is not yet delivered. */
   readonly nextPiece: number;
   /** Software version of the server that wrote the pieces that the caller has; absent before the first one. */
   readonly softwareVersion?: string;
+  /** When the stream was last offered to another server. */
+  readonly offeredAt?: number;
   /** Servers at which an attempt failed; used again only when no other is left. */
   readonly failedServers: readonly string[];
 }
--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -56,6 +56,12 @@
 
   private isSettled = false;
 
+  /** Parts that arrived while they are held back; absent while parts are delivered as they arrive. */
+  private held: Buffer[] | undefined;
+
+  /** Whether the caller has to read before more is written. */
+  private isBlocked = false;
+
   constructor(
     private readonly ports: ReceiverPorts,
     private readonly onSettled: (failure?: verdict.RequestFailure) => void,
@@ -78,10 +84,31 @@
     }
   }
 
+  /** Keeps what arrives until `release`. */
+  hold(): void {
+    this.held ??= [];
+  }
+
+  /** Delivers what was held back, and from now on all that arrives. */
+  release(): void {
+    const { held } = this;
+    if (held !== undefined) {
+      this.held = undefined;
+      held.forEach((part) => this.onData(part));
+      if (!this.isBlocked) {
+        this.handle?.resume();
+      }
+    }
+  }
+
   onData(chunk: Buffer): void {
     if (this.isSettled || !this.ports.isCurrent()) {
       return;
     }
+    if (this.held !== undefined) {
+      this.keep(this.held, chunk);
+      return;
+    }
     if (this.splitter !== undefined) {
       this.receiveEvents(this.splitter, chunk);
     } else {
@@ -91,6 +118,7 @@
 
   onEnd(): void {
     const { progress, reply } = this.ports;
+    this.release();
     if (this.splitter !== undefined) {
       if (this.splitter.pendingBytes > 0) {
         this.end(CUT_INSIDE_EVENT);
@@ -117,6 +145,14 @@
     this.end(failure);
   }
 
+  private keep(held: Buffer[], chunk: Buffer): void {
+    held.push(chunk);
+    this.ports.onArrival();
+    if (held.reduce((sum, { length }) => sum + length, 0) > MAXIMUM_EVENT_BYTES) {
+      this.handle?.pause();
+    }
+  }
+
   private receiveBody(chunk: Buffer): void {
     this.ports.onArrival();
     this.bodyBytes += chunk.length;
@@ -193,7 +229,12 @@
   }
 
   private forward(bytes: Buffer): void {
-    if (!this.ports.reply.write(bytes, () => this.handle?.resume())) {
+    const isAccepted = this.ports.reply.write(bytes, () => {
+      this.isBlocked = false;
+      this.handle?.resume();
+    });
+    if (!isAccepted) {
+      this.isBlocked = true;
       this.handle?.pause();
     }
   }
--- a/src/gateway/header-codec.ts
+++ b/src/gateway/header-codec.ts
@@ -40,6 +40,8 @@
   readonly cacheSource?: string;
   /** `host:port` of the store that gets a copy of the parts. */
   readonly cacheStore?: string;
+  /** Reserved room at the server, if there is any. */
+  readonly reservation?: string;
   /** Id of the last delivered event, if a broken stream is resumed. */
   readonly resumeAfter?: number;
 }
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -1,4 +1,5 @@
 import type * as http from 'node:http';
+import * as results from 'ts-results';
 import * as backend from '../backend';
 import * as clock from '../clock';
 import * as decision from '../decision';
@@ -38,13 +39,16 @@
 }
 
 /** Runs one request: relays its unchanged content between the caller and the servers that the core selected. */
-export class RelayExecution extends routing.AttemptExecution {
+export class RelayExecution extends routing.StreamExecution {
   private readonly deliveryProgress: answerReceiver.DeliveryProgress;
 
   private readonly timer: clock.Timer;
 
   private isOriginKnown = false;
 
+  /** Receivers of the running attempts. */
+  private readonly receivers = new Set<answerReceiver.AnswerReceiver>();
+
   /** Monotonic time in milliseconds at which the last bytes arrived, or the last attempt was sent. */
   private lastArrivalAt = Number.NEGATIVE_INFINITY;
 
@@ -133,7 +137,13 @@
     this.context.stallDetector.attemptSent(effect.serverId);
     try {
       const server = this.context.server(effect.serverId);
-      const outcome = await this.relay(effect, lease, server, signal);
+      const reservation = await this.reserveRoom(effect, lease);
+      if (signal.aborted) {
+        return;
+      }
+      const outcome = reservation.err
+        ? reservation.val
+        : await this.relay(effect, lease, server, signal, reservation.val);
       if (outcome === undefined) {
         this.finish(effect);
       } else {
@@ -150,8 +160,12 @@
     lease: routing.BackendLease<backend.RelayServer>,
     server: membership.EligibleServer | undefined,
     signal: AbortSignal,
+    reservation: string | undefined,
   ): Promise<verdict.RequestFailure | undefined> {
     const { call, context } = this;
+    if (effect.offer === true && this.isRunningElsewhere(effect)) {
+      this.beginOffer(effect);
+    }
     this.logDispatch(effect, server);
     this.announcePrefixes(effect.serverId, server);
     return new Promise((resolve) => {
@@ -169,7 +183,10 @@
           onLoad: (load) => this.reportLoad(lease.machine, load),
           onLimits: (limits) => this.reportLimits(effect, limits),
         },
-        resolve,
+        (failure) => {
+          this.receivers.delete(receiver);
+          resolve(failure);
+        },
       );
       const remaining = Math.floor(call.deadline - context.time.monotonic());
       const request: backend.RelayRequest = {
@@ -183,6 +200,7 @@
           remainingMilliseconds: Math.max(1, remaining),
           priority: call.profile.priority,
           resumeAfter: this.deliveryProgress.lastEventId,
+          reservation,
           ...this.cacheMetadata(effect, server),
         }),
         body: call.body,
@@ -190,10 +208,28 @@
         timeoutMilliseconds: Math.max(1, remaining),
         signal,
       };
+      this.receivers.add(receiver);
       receiver.handle = lease.client.relay(request, receiver);
     });
   }
 
+  /** An offer is sent only to a server that keeps room for it: the caller has to wait until that one answers. */
+  private async reserveRoom(
+    effect: decision.Dispatch,
+    lease: routing.BackendLease<backend.RelayServer>,
+  ): Promise<results.Result<string | undefined, verdict.RequestFailure>> {
+    if (effect.offer !== true) {
+      return new results.Ok(undefined);
+    }
+    const { promptTokens, expectedOutputTokens } = this.profile;
+    const reserved = await lease.client.reserve({
+      tokens: promptTokens + expectedOutputTokens,
+      milliseconds: RESERVATION_MILLISECONDS,
+    });
+    // Whatever became of the reservation, the request itself was not sent.
+    return reserved.mapErr((failure) => ({ ...failure, verdict: verdict.Verdict.NotRun }));
+  }
+
   /** Logs the inputs of the decision that selected the server. */
   private logDispatch(
     effect: decision.Dispatch,
@@ -213,6 +249,7 @@
           ? undefined
           : this.context.supersededMilliseconds(profile.service, weightsVersion),
       queuedMilliseconds: Math.round(effect.queuedMilliseconds),
+      offer: effect.offer,
       expectedCachedTokens: effect.expectedCachedTokens,
       cacheSource: effect.cacheSource,
       resumeFrom: effect.resumeFrom,
@@ -274,6 +311,7 @@
   /** Reports the first event of an attempt at once and later ones together, several times a second. */
   private reportEvent(effect: decision.Dispatch): void {
     this.meter.pieceReceived();
+    this.attemptDelivers(effect.attemptId);
     this.rememberOrigin(effect);
     const { task } = this.context;
     const at = task.now();
@@ -318,6 +356,14 @@
     });
   }
 
+  protected override holdDelivery(): void {
+    this.receivers.forEach((receiver) => receiver.hold());
+  }
+
+  protected override releaseDelivery(): void {
+    this.receivers.forEach((receiver) => receiver.release());
+  }
+
   private finish(effect: decision.Dispatch): void {
     if (this.finishAttempt(effect)) {
       if (this.call.stream !== undefined) {
@@ -358,6 +404,9 @@
 
 const logger = new logging.Logger('gateway');
 
+/** Above the time in which a request reaches a server in another region. */
+const RESERVATION_MILLISECONDS = 500;
+
 /** The core averages the pauses between the events of this time. */
 const EVENT_REPORT_MILLISECONDS = 100;
 
--- a/src/routing/attempt-execution.ts
+++ b/src/routing/attempt-execution.ts
@@ -52,6 +52,21 @@
     }
   }
 
+  protected isAttemptRunning(attemptId: string): boolean {
+    return this.attempts.has(attemptId);
+  }
+
+  /** Whether the request has another running attempt. */
+  protected isRunningElsewhere({ attemptId }: decision.Dispatch): boolean {
+    return [...this.attempts.keys()].some((other) => other !== attemptId);
+  }
+
+  /** Stops an attempt that has not failed by itself, and reports the failure. */
+  protected abortAttempt(effect: decision.Dispatch, failure: verdict.RequestFailure): void {
+    this.attempts.get(effect.attemptId)?.abort();
+    this.attemptFailed(effect, failure);
+  }
+
   /** Logs why no server could go on with a stream that its caller has received a part of. */
   protected logCut(cutStream: decision.CutStream | undefined): void {
     if (cutStream !== undefined) {
--- a/src/routing/engine-execution.ts
+++ b/src/routing/engine-execution.ts
@@ -5,6 +5,7 @@
 import type * as answerSink from './answer-sink';
 import * as attemptExecution from './attempt-execution';
 import type * as executionContext from './execution-context';
+import * as streamExecution from './stream-execution';
 
 /** A generation request after admission to the router. */
 export interface EngineCall {
@@ -27,13 +28,18 @@
  * One generation request: streams pieces from the servers that the decision core chose into one sink. The
  * sink receives each piece once and in order, also when attempts fail.
  */
-export class EngineExecution extends attemptExecution.AttemptExecution {
+export class EngineExecution extends streamExecution.StreamExecution {
   /** Delivery progress of the answer over all attempts. */
   private delivered = stream.initialState();
 
   /** Id of the attempt whose pieces are delivered; another attempt may replace it after a failure. */
   private deliveringAttempt: string | undefined;
 
+  /** Settles when the pieces of the delivering attempt are no longer held back. */
+  private delivery: Promise<void> = Promise.resolve();
+
+  private settleDelivery: (() => void) | undefined;
+
   constructor(
     private readonly call: EngineCall,
     context: executionContext.ExecutionContext,
@@ -71,6 +77,9 @@
       return;
     }
     try {
+      if (effect.offer === true && this.isRunningElsewhere(effect)) {
+        this.beginOffer(effect);
+      }
       const from = this.startingPiece(effect);
       const started = await lease.client.start(this.engineRequest(effect, from, signal));
       if (started.err) {
@@ -124,6 +133,9 @@
     }
     this.answerStarted(attempt.effect, answer.head);
     for await (const received of answer.pieces()) {
+      if (this.deliveringAttempt === attempt.effect.attemptId) {
+        await this.delivery;
+      }
       if (attempt.signal.aborted || this.isOver) {
         return undefined;
       }
@@ -152,22 +164,39 @@
       this.delivered = stream.resume(this.delivered, from);
     }
     if (this.deliveringAttempt !== effect.attemptId) {
-      return true;
+      if (effect.offer !== true) {
+        return true;
+      }
+      if (piece.number < this.delivered.nextPiece) {
+        return repeatsDelivered(stream.resume(this.delivered, from), piece);
+      }
     }
     const step = stream.accept(this.delivered, piece);
-    this.delivered = step.state;
     if (step.effects.some(({ kind }) => kind === stream.StreamEffectKind.Break)) {
       return false;
     }
+    this.deliveringAttempt = effect.attemptId;
+    this.delivered = step.state;
     if (step.state.ended) {
       this.finish(effect);
     } else if (step.effects.length > 0) {
+      this.attemptDelivers(effect.attemptId);
       this.reportPiece(effect);
       await this.sink.writePiece(piece.data);
     }
     return true;
   }
 
+  protected override holdDelivery(): void {
+    this.delivery = new Promise((resolve) => {
+      this.settleDelivery = resolve;
+    });
+  }
+
+  protected override releaseDelivery(): void {
+    this.settleDelivery?.();
+  }
+
   private reportPiece(effect: decision.Dispatch): void {
     this.meter.pieceReceived();
     const { task } = this.context;
@@ -218,6 +247,12 @@
   }
 }
 
+/** Whether an attempt that is offered a stream begins with the same text as the run that it may take over from. */
+function repeatsDelivered(resumed: stream.StreamState, piece: backend.StreamPiece): boolean {
+  const { effects } = stream.accept(resumed, piece);
+  return !effects.some(({ kind }) => kind === stream.StreamEffectKind.Break);
+}
+
 const { FailureReason, Verdict } = verdict;
 
 const BROKEN_STREAM = verdict.failure(
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,6 +1,7 @@
 /** Connects the decision core with the daemon: execution of requests, claims, membership and load polls. */
 export * from './answer-sink';
 export * from './attempt-execution';
+export * from './stream-execution';
 export * from './backend-factory';
 export * from './backend-pool';
 export * from './catalog';
--- a/test/platform/fake-backend-server.ts
+++ b/test/platform/fake-backend-server.ts
@@ -19,6 +19,11 @@
 
   isDown = false;
 
+  /** Whether the server grants reservations. */
+  hasRoom = true;
+
+  reservations = 0;
+
   private boundPort = 0;
 
   private readonly server = http.createServer((request, response) =>
@@ -83,6 +88,12 @@
       this.report(response);
       return;
     }
+    if (url === '/-/hold-take') {
+      this.reservations += 1;
+      response.writeHead(this.hasRoom ? 200 : 503);
+      response.end(JSON.stringify({ hold: `hold-${this.reservations}` }));
+      return;
+    }
     const received = { method, path: url, headers, body: Buffer.concat(chunks).toString() };
     this.requests.push(received);
     response.on('error', () => {});
