Decision core: keep streams whose pieces arrive at a server that looks dead

What callers may see: all streams of a server are given up at the same moment, and those that no other server takes, or for which no retry is left, are cut.

Cause: two failed probes, or two malformed answers to probes, make a server dead, and a dead server's attempts were all cancelled before other servers had taken them. But a server that has too many connections resets new ones, so that probes fail while its streams go on.

Fix: an attempt that delivered a piece within the last 500 ms is kept. If its server stays silent after that and answers no probe, it is given up as before. Servers that died close their connections, which ends the attempt by itself.

Evidence: decision/doubtful-server, 4 of 4 tests fail on the code before.

--- a/src/decision/crash.ts
+++ b/src/decision/crash.ts
@@ -12,7 +12,8 @@
 
 /**
  * Drops the cache entries and timings of a crashed server, suspects the requests that were in flight there,
- * retries or resumes them at other servers, and reports the crash to the peers.
+ * retries or resumes them at other servers, and reports the crash to the peers. A stream whose pieces still arrive goes on:
+ * a server that resets new connections, because it has too many, also looks dead to probes.
  */
 export function applyCrash(step: steps.Step, crashEvent: event.ServerCrashed): void {
   const server = step.state.servers.get(crashEvent.serverId);
@@ -21,7 +22,11 @@
   }
   const incarnation = crashedIncarnation(step, server);
   const crashId = health.crashIdOf(crashEvent.serverId, incarnation);
-  const lostAttempts = attemptsAt(step, crashEvent.serverId, incarnation);
+  const inFlight = attemptsAt(step, crashEvent.serverId, incarnation);
+  const lostAttempts = inFlight.filter(({ attempt }) => !isDelivering(step, attempt));
+  inFlight
+    .filter((found) => !lostAttempts.includes(found))
+    .forEach(({ request, attempt }) => markDoubtful(step, request, attempt));
   const suspects = [
     ...lostAttempts.map((lost) => lost.request.profile.fingerprint),
     ...health.fingerprintsOfLostConnections(step.state.quarantine, crashId, step.at),
@@ -41,6 +46,18 @@
   lostAttempts.forEach(({ request, attempt }) => loseAttempt(step, request, attempt, reason));
 }
 
+/** Gives up the streams whose server was found dead before and that have gone silent since. */
+export function loseSilent(step: steps.Step): void {
+  [...step.state.requests.values()].forEach((request) =>
+    request.attempts
+      .filter((attempt) => attempt.isDoubtful === true && !isDelivering(step, attempt))
+      .filter(({ serverId }) => !isAlive(step.state.servers.get(serverId)))
+      .forEach((attempt) =>
+        loseAttempt(step, request, attempt, verdict.FailureReason.ConnectionLost),
+      ),
+  );
+}
+
 /** Fails requests that must not run, also those that wait in a server, before they crash it. */
 export function failRefused(step: steps.Step): void {
   if (step.state.crashEvidence.suspicions.isEmpty()) {
@@ -70,6 +87,26 @@
   return [...new Set([...inFlight, ...lost])];
 }
 
+function isDelivering(step: steps.Step, { lastPieceAt }: state.AttemptState): boolean {
+  return lastPieceAt !== undefined && step.at - lastPieceAt < SILENCE_MILLISECONDS;
+}
+
+/** Whether the server has answered a probe since. */
+function isAlive(server: state.ServerState | undefined): boolean {
+  return server !== undefined && server.eligible && !server.record.suspected;
+}
+
+function markDoubtful(
+  step: steps.Step,
+  request: state.RequestState,
+  doubtful: state.AttemptState,
+): void {
+  const attempts = request.attempts.map((attempt) =>
+    attempt === doubtful ? { ...attempt, isDoubtful: true as const } : attempt,
+  );
+  step.setRequest({ ...request, attempts });
+}
+
 function recordCauses(step: steps.Step, serverId: string, causes: readonly string[]): void {
   const report = { serverId, at: step.at, causes };
   step.change({ crashEvidence: health.addCrash(step.state.crashEvidence, report) });
@@ -164,3 +201,6 @@
     ),
   );
 }
+
+/** Above the usual pauses between the pieces of a stream, and below the time in which two probes fail without an answer. */
+const SILENCE_MILLISECONDS = 500;
--- a/src/decision/periodic-tasks.ts
+++ b/src/decision/periodic-tasks.ts
@@ -20,6 +20,7 @@
     stragglers.refresh(step);
     hedging.hedgeLate(step);
     relocation.relocateFromLoading(step);
+    crash.loseSilent(step);
     crash.failRefused(step);
   }
   if (step.at - step.state.prunedAt >= PRUNE_INTERVAL_MILLISECONDS) {
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -36,6 +36,8 @@
   readonly hasBegunSafely?: true;
   /** When the last piece arrived. */
   readonly lastPieceAt?: number;
+  /** Set if the server was found dead while pieces of this attempt still arrived. */
+  readonly isDoubtful?: true;
   /** Number of the next piece of this attempt. */
   readonly nextPiece: number;
 }
--- /dev/null
+++ b/test/decision/doubtful-server.test.ts
@@ -0,0 +1,61 @@
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as decision from '../../src/decision';
+import * as builder from './builder';
+
+const suite = uvu.suite('streams of a server that is found dead');
+
+const { ServerCrashed, ServersChanged } = decision.DecisionEventKind;
+const { CancelAttempt, Dispatch, Fail } = decision.DecisionEffectKind;
+
+/** A stream whose server is found dead just after a piece has arrived. */
+function findDead(isProcessAlive?: true): {
+  driver: builder.DecisionDriver;
+  running: decision.Dispatch;
+} {
+  const driver = builder.createDriver(2);
+  const [running] = driver.arrive('stream', { isStreamed: true }).takeEffects(Dispatch);
+  driver.receivePiece(running, 3).wait(200).receivePiece(running, 9);
+  driver.apply({ kind: ServerCrashed, at: driver.at, serverId: running.serverId, isProcessAlive });
+  return { driver, running };
+}
+
+// Guards against streams that are given up, all at once, because a busy server resets the connections of its probes.
+([undefined, true] as const).forEach((isProcessAlive) => {
+  const what = isProcessAlive === true ? 'answers of probes are malformed' : 'probes fail';
+  suite(`a stream whose pieces arrive goes on although the ${what}`, () => {
+    const { driver, running } = findDead(isProcessAlive);
+    for (let piece = 10; piece < 30; piece += 1) {
+      driver.wait(100).receivePiece(running, piece);
+    }
+    assert.equal(driver.takeEffects(CancelAttempt), []);
+    driver.finish(running);
+    assert.equal(driver.takeEffects(Fail), []);
+    assert.is(driver.state.requests.size, 0);
+  });
+});
+
+// Guards against a stream that waits for a dead server until its deadline.
+suite('a stream goes on elsewhere once its dead server is silent', () => {
+  const { driver, running } = findDead();
+  assert.equal(driver.wait(400).takeEffects(CancelAttempt), []);
+  driver.wait(200);
+  assert.equal(
+    driver.takeEffects(CancelAttempt).map(({ attemptId, reason }) => [attemptId, reason]),
+    [[running.attemptId, decision.CancelReason.ServerCrashed]],
+  );
+  const [resumed] = driver.takeEffects(Dispatch);
+  assert.is.not(resumed.serverId, running.serverId);
+  assert.is(resumed.resumeFrom, 9);
+});
+
+// Guards against a stream that is given up in a pause although its server has answered a probe since.
+suite('a stream may pause once its server answers probes again', () => {
+  const { driver } = findDead();
+  const servers = builder.listServers(2).map((server) => ({ ...server, suspected: false }));
+  driver.apply({ kind: ServersChanged, at: driver.at, servers });
+  driver.wait(2_000);
+  assert.equal(driver.takeEffects(CancelAttempt), []);
+});
+
+suite.run();
