Gateway: log the end of requests that a stop interrupts before the process ends

Streams that were still running when a gateway ended after SIGTERM had no line "request ended": the line waited for the close of the connection, and the process ended first. The line is now written when the connection is destroyed, and only once.

--- a/src/gateway/relay-reply.ts
+++ b/src/gateway/relay-reply.ts
@@ -23,6 +23,8 @@
 
   private timing: answerTimings.AnswerTiming;
 
+  private isLogged = false;
+
   private outcome: logging.LogFields = { reason: verdict.FailureReason.CallerGone };
 
   constructor(
@@ -113,6 +115,7 @@
     this.outcome = { reason, verdict: outcome, backendServer: backendServerId };
     if (this.hasSentHeaders) {
       this.response.destroy();
+      this.log();
       return;
     }
     if (!this.isClosed) {
@@ -142,7 +145,12 @@
     return this.closesConnection() ? { connection: 'close' } : {};
   }
 
+  /** Logs the end once: a process that stops may end before a destroyed connection is closed. */
   private log(): void {
+    if (this.isLogged) {
+      return;
+    }
+    this.isLogged = true;
     logger.information('request ended', {
       ...this.identity,
       status: this.response.statusCode,
