--- a/test/platform/raw-server.ts
+++ b/test/platform/raw-server.ts
@@ -3,6 +3,8 @@
 /** One request as it arrived on a connection. */
 export interface RawRequest {
   readonly id: string;
+  /** Request line and headers. */
+  readonly head: string;
   /** Number of requests that arrived on the connection before this one. */
   readonly earlierOnConnection: number;
 }
@@ -20,6 +22,9 @@
   /** Ids of the requests that arrived, except probes. */
   readonly requests: RawRequest[] = [];
 
+  /** Start of the simulated process, as its probes report it. */
+  born = 1;
+
   private readonly sockets = new Set<net.Socket>();
 
   private readonly server = net.createServer((socket) => this.serve(socket));
@@ -56,15 +61,21 @@
       for (let end = text.indexOf('\r\n\r\n'); end >= 0; end = text.indexOf('\r\n\r\n')) {
         const head = text.slice(0, end);
         text = text.slice(end + 4);
-        write(socket, head.includes('/-/report') ? REPORT : this.receive(head, count));
+        write(socket, head.includes('/-/report') ? this.report() : this.receive(head, count));
         count += 1;
       }
     });
   }
 
+  private report(): string {
+    const models = [{ name: 'desk-model', version: 3 }];
+    const body = JSON.stringify({ models, busy: false, seq: 0, born: this.born });
+    return `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+  }
+
   private receive(head: string, earlierOnConnection: number): string | RawBytes {
     const [, id = ''] = /^x-figline-request-id: (\S+)/im.exec(head) ?? [];
-    const request = { id, earlierOnConnection };
+    const request = { id, head, earlierOnConnection };
     this.requests.push(request);
     return this.answer(request);
   }
@@ -108,6 +119,3 @@
 export function serverError(id: string): string {
   return `HTTP/1.1 500 Error\r\nX-Figline-Request-Id: ${id}\r\nX-Figline-Response-Seal: s\r\nContent-Length: 12\r\n\r\nserver error`;
 }
-
-const REPORT_BODY = '{"models":[{"name":"desk-model","version":3}],"busy":false,"seq":0,"born":1}';
-const REPORT = `HTTP/1.1 200 OK\r\nContent-Length: ${REPORT_BODY.length}\r\n\r\n${REPORT_BODY}`;
