--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -36,7 +36,7 @@
     time: clock.Clock,
     private readonly readMetadata: AnswerMetadataReader,
     private readonly receiver: relayServer.RelayReceiver,
-    /** Checks whether the server still runs, since a process that ends also closes its connections cleanly. */
+    /** Checks whether the server's process still runs, since a process that ends also closes its connections cleanly. */
     private readonly isAlive: () => Promise<boolean>,
   ) {
     super(relayRequest, serverId, pool, time);
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -13,6 +13,8 @@
   readonly path: string;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
+  /** Run of the server's process that is expected to answer; absent if none is known. */
+  readonly incarnation?: string;
   /** Sends the request on a new connection. */
   readonly freshConnection: boolean;
   /** Time limit for the complete answer. */
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -204,6 +204,7 @@
           ...this.cacheMetadata(effect, server),
         }),
         body: call.body,
+        incarnation: server?.incarnation,
         freshConnection: false,
         timeoutMilliseconds: Math.max(1, remaining),
         signal,
--- a/test/platform/cut-answer.test.ts
+++ b/test/platform/cut-answer.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as cutCases from './cut-cases';
+import * as builder from './gateway-builder';
 import * as rawServer from './raw-server';
 
 const suite = uvu.suite('streams, interim answers and bodiless answers that break off');
@@ -106,4 +107,44 @@
   });
 });
 
+// Guards against a part of an answer without a length that looks whole: its server ended and was started again at once.
+[cutCases.Kind.NotIdempotent, cutCases.Kind.Stream].forEach((kind) => {
+  suite(
+    `an answer without a length of a server that has restarted is not complete (${kind})`,
+    async () => {
+      const part = cutCases.isStream(kind) ? rawServer.events(false, 1) : 'seven';
+      const server: rawServer.RawServer = new rawServer.RawServer('i-1', ({ id }) => {
+        server.born += 1;
+        return { bytes: cutCases.headOf(id, cutCases.Framing.Close, kind) + part, then: 'end' };
+      });
+      await new builder.GatewayBuilder([server]).run(async (gateway) => {
+        const answer = await gateway.send('POST', `${kind}7`);
+        assert.ok(!answer.isComplete || answer.status === 502, `${answer.status} ${answer.text}`);
+      });
+    },
+  );
+});
+
+// Guards against a restarted server whose answers without a length are never taken again.
+suite('answers without a length of a server that restarted earlier are complete', async () => {
+  const kind = cutCases.Kind.NotIdempotent;
+  const server: rawServer.RawServer = new rawServer.RawServer('i-1', ({ id }) => {
+    server.born = 2;
+    return {
+      bytes: cutCases.headOf(id, cutCases.Framing.Close, kind) + cutCases.TEXT,
+      then: 'end',
+    };
+  });
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    const first = await gateway.send('POST', `${kind}0`);
+    assert.is(first.status, 502);
+    let isTaken = false;
+    for (let turn = 1; turn <= 100 && !isTaken; turn += 1) {
+      const { status, text } = await gateway.send('POST', `${kind}${turn}`);
+      isTaken = status === 200 && text === cutCases.TEXT;
+    }
+    assert.ok(isTaken);
+  });
+});
+
 suite.run();
