Gateway: take no forwarded answer without a length for whole

Another gateway ends a forwarded answer with a length or chunks. One that came with neither was taken for whole as soon as its connection had been closed in order, without any look at the gateway, although a process that ends closes its connections in order too. A caller would have got a 200 that looks complete with any part of the body (MIXED).

Such an answer is now a lost connection: a request that may run again goes to the next gateway, others get 502.

Test: `platform/cut-forward`, "no cut of a forwarded answer with neither length nor chunks is a success".

--- a/src/gateway/forwarder.ts
+++ b/src/gateway/forwarder.ts
@@ -104,8 +104,8 @@
       this.ports.time,
       (head) => this.readAnswer(head),
       receiver,
-      // The answers of gateways have a length or chunks.
-      async () => true,
+      // The answers of gateways have a length or chunks; one that has neither is not whole.
+      async () => false,
     );
     exchange.start();
     return exchange;
--- a/test/platform/cut-forward.test.ts
+++ b/test/platform/cut-forward.test.ts
@@ -63,7 +63,7 @@
 }));
 
 // Guards against a forwarded answer that broke off between two gateways and looks whole.
-[cutCases.Framing.Length, cutCases.Framing.Chunks].forEach((framing) => {
+[cutCases.Framing.Length, cutCases.Framing.Chunks, cutCases.Framing.Close].forEach((framing) => {
   suite(`no cut of a forwarded answer with ${framing} is a success`, async () => {
     const lists = cutCases.KINDS.flatMap((kind) =>
       cutCases.ENDINGS.flatMap((ending) => {
@@ -71,6 +71,8 @@
           forwardedHead(id, framing, kind) + cutCases.framedBody(framing, kind);
         const { length } = bytesOf(cutCases.ID_PATTERN);
         const places = cutCases.everyNth(cutCases.range(0, length), 2);
+        // Gateways send a length or chunks, so that even all bytes of an answer without both are not whole.
+        const unframed = framing === cutCases.Framing.Close ? [length] : [];
         const later = (id: string): rawServer.RawAnswer[] => [
           () => forwardedHead(id, cutCases.Framing.Length, kind) + cutCases.bodyOf(kind),
         ];
@@ -78,7 +80,7 @@
           name: `${framing}, forwarded`,
           kind,
           ending,
-          places,
+          places: [...places, ...unframed],
           bytesOf,
         };
         return cutCases.cutCases(cutCases.isRepeated(kind) ? { ...cuts, later } : cuts);
