Gateway: write nothing of an attempt that was cancelled while its end was checked

The end of an answer without a length is known only after a probe of up to 0.8 s. An attempt that was cancelled in this time (its server was found dead, or its weights had become too old) still wrote the head of its answer to the caller, and its comments, when the probe succeeded. The events of the next attempt followed under the head and the seal of the cancelled one, and a refusal of it could no longer be sent: the connection was closed in place of a 503.

Cause: the receiver checks at each part of a body whether its attempt is still current, and did not at the end. Answers with a length or chunks end in the same turn as their last bytes, so that they were not affected.

Test: `gateway/answer-receiver`, "an attempt that was cancelled before its end was known writes nothing". On the code before, 1 of 14 failed: one head was written (0 expected); 14 of 14 pass now.

--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -117,7 +117,11 @@
   }
 
   onEnd(): void {
-    const { progress, reply } = this.ports;
+    const { progress, reply, isCurrent } = this.ports;
+    if (!isCurrent()) {
+      this.end();
+      return;
+    }
     this.release();
     if (this.splitter !== undefined) {
       if (this.splitter.pendingBytes > 0) {
--- a/test/gateway/answer-receiver.test.ts
+++ b/test/gateway/answer-receiver.test.ts
@@ -15,6 +15,10 @@
 
   cancelled = 0;
 
+  heads = 0;
+
+  settled = 0;
+
   pauses = 0;
 
   resumes = 0;
@@ -29,7 +33,9 @@
 
   readonly progress: answerReceiver.DeliveryProgress = { events: 0 };
 
-  readonly ports: answerReceiver.ReceiverPorts;
+  readonly ports: {
+    -readonly [Name in keyof answerReceiver.ReceiverPorts]: answerReceiver.ReceiverPorts[Name];
+  };
 
   readonly receiver: answerReceiver.AnswerReceiver;
 
@@ -38,7 +44,9 @@
     readonly budget = new bufferBudget.BufferBudget(),
   ) {
     const reply = {
-      writeHead: () => {},
+      writeHead: () => {
+        this.heads += 1;
+      },
       write: (bytes: Buffer, onDrained: () => void) => {
         this.written += bytes.toString();
         this.drained = onDrained;
@@ -67,6 +75,7 @@
       bufferBudget: budget,
     };
     this.receiver = new answerReceiver.AnswerReceiver(this.ports, (failure) => {
+      this.settled += 1;
       this.failure = failure;
     });
     this.receiver.handle = {
@@ -240,4 +249,19 @@
   assert.is(received.cancelled, 1);
 });
 
+// Guards against the head of a cancelled attempt before the events of the next one.
+suite('an attempt that was cancelled before its end was known writes nothing', () => {
+  const received = new Received();
+  let isCurrent = true;
+  received.ports.isCurrent = () => isCurrent;
+  received.start(EVENTS);
+  received.receiver.onData(Buffer.from(': wait\n\n'));
+  isCurrent = false;
+  received.receiver.onEnd();
+  assert.is(received.heads, 0);
+  assert.is(received.written, '');
+  assert.is(received.progress.complete, undefined);
+  assert.is(received.settled, 1);
+});
+
 suite.run();
