Backend: end an exchange as not sent when its connection cannot be opened

A server whose address is no valid URL (port 70000 or -1, an empty host, a host with a blank, a bracket or a slash) made every call throw: undici's client parses the origin in its constructor, which runs inside `Exchange.run`. A probe threw instead of failing, so that its caller kept the lease and never probed again, and a request that was dispatched there ended as "may have run", although nothing had been sent: an idempotent one cost a retry, and another one was lost.

The failure to open a connection now ends the exchange like an unreachable server: "connect failed", verdict "not run", with a log line that names the server. That holds for any reason for which a connection cannot be opened, and for probes, orders, the list of VMs and requests, which all are exchanges.

--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -46,9 +46,12 @@
       return;
     }
     signal?.addEventListener('abort', this.onAbort);
-    const { freshConnection, requestId } = this.request;
-    this.connection = this.pool.acquire(freshConnection, requestId);
-    this.dispatch(this.connection);
+    this.connection = this.acquire();
+    if (this.connection === undefined) {
+      this.abandon(verdict.FailureReason.ConnectFailed, UNREACHABLE);
+    } else {
+      this.dispatch(this.connection);
+    }
   }
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -103,7 +106,7 @@
     if (!this.mayHaveSent && error instanceof undici.errors.InvalidArgumentError) {
       this.abandon(verdict.FailureReason.BadRequest, 'The request cannot be sent over HTTP.');
     } else if (!this.mayHaveSent) {
-      this.abandon(verdict.FailureReason.ConnectFailed, 'The backend server is not reachable.');
+      this.abandon(verdict.FailureReason.ConnectFailed, UNREACHABLE);
     } else if (isProtocolError(error)) {
       this.abandonMalformed('The backend server broke the protocol.');
     } else {
@@ -221,6 +224,21 @@
   /** Called once when the exchange has failed, instead of `complete`. */
   protected abstract fail(failure: verdict.RequestFailure): void;
 
+  /** A connection from the pool; `undefined` if none can be opened, as with an address that is not valid. */
+  private acquire(): connection.Connection | undefined {
+    const { freshConnection, requestId } = this.request;
+    try {
+      return this.pool.acquire(freshConnection, requestId);
+    } catch (error) {
+      logger.warning('connection cannot be opened', {
+        backendServer: this.serverId,
+        requestId,
+        reason: String(error),
+      });
+      return undefined;
+    }
+  }
+
   private dispatch(used: connection.Connection): void {
     const { method, path, body, freshConnection } = this.request;
     const options = {
@@ -258,6 +276,7 @@
 
 const FIRST_FINAL_STATUS = 200;
 const FIRST_ERROR_STATUS = 400;
+const UNREACHABLE = 'The backend server is not reachable.';
 const ABORTED = 'The request was cancelled.';
 const MISMATCH = 'The backend server answered another request.';
 const EXCESS = 'The backend server sent bytes that are no answer.';
