Routing: treat a call to a server or a read of the list that throws as failed

One exception in a read of the list of VMs ended the reading for ever: the timer that repeats it is set after the read, and the rejection went to the process's handler, which only logs it. Such a daemon follows the list no longer; if it leads, so do all others. An exception in a probe left its server unprobed for ever, with a lease that is never released; in a read-back or an order of weights likewise, so that the engine got no orders until another daemon led.

`guardedCall` turns an exception of a call into a failure with a log line. The probes of the membership task and of the cut detector go through `BackendPool.probe`, which releases its lease in any case; read-backs and orders use it too (an order that throws may have arrived). A list that was read but could not be applied is applied again at the next read.

--- a/src/backend/index.ts
+++ b/src/backend/index.ts
@@ -13,6 +13,7 @@
 export * from './http-machine-list';
 export * from './file-machine-list';
 export * from './connection-pool';
+export * from './guarded-call';
 export { retryAfterMilliseconds } from './exchange';
 export * from './relay-exchange';
 export * from './relay-server';
--- a/src/gateway/connectivity.ts
+++ b/src/gateway/connectivity.ts
@@ -133,9 +133,7 @@
   private async probe(serverId: string): Promise<boolean> {
     const { pool, membership, time } = this.ports;
     const startedAt = time.monotonic();
-    const lease = pool.server(serverId);
-    const outcome = await lease?.client.probe();
-    lease?.release();
+    const outcome = await pool.probe(serverId);
     if (outcome?.ok === true) {
       membership.recordProbe(serverId, startedAt, outcome.val);
     }
--- a/src/orders/order-task.ts
+++ b/src/orders/order-task.ts
@@ -260,12 +260,8 @@
       namingAgeMilliseconds: missedVersionAgeMilliseconds,
     });
     const kind = backend.OrderKind.LoadWeights;
-    const answer = await lease.client.order({
-      kind,
-      fencingNumber,
-      value: weightsVersion,
-      expectedOrders,
-    });
+    const content = { kind, fencingNumber, value: weightsVersion, expectedOrders };
+    const answer = await backend.guardedCall(serverId, () => lease.client.order(content));
     lease.release();
     const base = { at: this.now(), serverId, orderId };
     if (answer.err) {
@@ -279,7 +275,7 @@
   private async readBack(serverId: string): Promise<void> {
     const startedAt = this.now();
     const lease = this.ports.engine(serverId);
-    const outcome = await lease?.client.probe();
+    const outcome = lease && (await backend.guardedCall(serverId, () => lease.client.probe()));
     lease?.release();
     if (this.isClosed) {
       return;
--- a/src/routing/backend-pool.ts
+++ b/src/routing/backend-pool.ts
@@ -1,4 +1,6 @@
+import type * as results from 'ts-results';
 import * as backend from '../backend';
+import type * as verdict from '../verdict';
 import type * as backendFactory from './backend-factory';
 
 /** Use of one client, which stays open until `release` is called. */
@@ -70,6 +72,19 @@
     return entry === undefined ? undefined : lease(entry, entry.client);
   }
 
+  /**
+   * Probes a server on a new connection; `undefined` when the server was removed from the list. The returned promise never
+   * rejects.
+   */
+  async probe(
+    serverId: string,
+  ): Promise<results.Result<backend.ProbeReport, verdict.RequestFailure> | undefined> {
+    const leased = this.server(serverId);
+    const outcome = leased && (await backend.guardedCall(serverId, () => leased.client.probe()));
+    leased?.release();
+    return outcome;
+  }
+
   serverIds(): readonly string[] {
     return [...this.entries.keys()];
   }
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -136,8 +136,9 @@
     return this.ports.time.monotonic();
   }
 
+  /** Reads the list once; an exception is logged, and the next read tries again. */
   private async readList(): Promise<void> {
-    const read = await this.ports.list.read();
+    const read = await backend.guardedCall(LIST_NAME, () => this.ports.list.read());
     if (this.isClosed) {
       return;
     }
@@ -151,8 +152,18 @@
     if (read.val === this.list) {
       return;
     }
+    const previous = this.list;
     this.list = read.val;
-    const machines = read.val.filter(({ kind }) => kind !== backend.BackendKind.CacheStore);
+    try {
+      this.applyList(read.val);
+    } catch (error) {
+      this.list = previous;
+      logger.error('list of VMs could not be applied', { reason: String(error) });
+    }
+  }
+
+  private applyList(list: readonly backend.MachineRecord[]): void {
+    const machines = list.filter(({ kind }) => kind !== backend.BackendKind.CacheStore);
     this.ports.pool.update(machines);
     this.apply({ kind: membership.MembershipEventKind.ListRead, at: this.now(), machines });
     this.resolveFirstList?.();
@@ -214,9 +225,7 @@
 
   private async probe(serverId: string): Promise<void> {
     const startedAt = this.now();
-    const lease = this.ports.pool.server(serverId);
-    const outcome = await lease?.client.probe();
-    lease?.release();
+    const outcome = await this.ports.pool.probe(serverId);
     if (this.isClosed || outcome === undefined) {
       return;
     }
@@ -302,6 +311,9 @@
 
 const logger = new logging.Logger('membership');
 
+/** Name of the list of VMs in log lines about calls. */
+const LIST_NAME = 'vm-list';
+
 /** Probes that become due within this time start together. */
 const TICK_MILLISECONDS = 100;
 
--- a/test/orders/order-log.test.ts
+++ b/test/orders/order-log.test.ts
@@ -151,4 +151,72 @@
   }),
 );
 
+// Guards against an engine that gets no orders any more after a call to it has thrown.
+suite('orders and read-backs that throw release the engine and are repeated', async () => {
+  const time = new clock.ManualClock();
+  const status = {
+    role: control.ReplicaRole.Leader,
+    term: 1,
+    leaseRemainingMilliseconds: 400,
+  } as control.ControlStatus;
+  const documents = new Map([[`service/${SERVICE.name}`, SERVICE]]);
+  let [orderCalls, probeCalls, leases] = [0, 0, 0];
+  let loaded = '1';
+  const task = new orders.OrderTask(
+    {
+      plane: {
+        leadership: () => status,
+        configuration: () => ({ revision: 1, documents }),
+        propose: async () => new results.Ok({ kind: control.CommandResultKind.Done } as const),
+        orderHistory: () => ({ knownSince: -Infinity, orders: [] }),
+      },
+      time,
+      engine: () => {
+        leases += 1;
+        return {
+          client: {
+            order: async ({ value }) => {
+              orderCalls += 1;
+              if (orderCalls === 1) {
+                throw new TypeError('Invalid URL');
+              }
+              loaded = value;
+              return new results.Ok(backend.OrderOutcome.Accepted);
+            },
+            probe: async () => {
+              probeCalls += 1;
+              if (probeCalls % 2 === 1) {
+                throw new TypeError('Invalid URL');
+              }
+              const [incarnation, weightsVersion] = ['i', loaded];
+              return new results.Ok({
+                incarnation,
+                weightsVersion,
+                leaving: false,
+                loading: false,
+              });
+            },
+          },
+          release: () => {
+            leases -= 1;
+          },
+        };
+      },
+      servers: () => [ENGINE],
+      onReadBack: () => {},
+    },
+    { ...orders.DEFAULT_PARAMETERS, settleMilliseconds: 950 },
+  );
+  task.start();
+  for (let step = 0; step < 1_200 && loaded !== '3'; step += 1) {
+    time.advance(50);
+    await new Promise(setImmediate);
+  }
+  task.close();
+  await new Promise(setImmediate);
+  assert.is(loaded, '3');
+  assert.ok(orderCalls >= 2 && probeCalls >= 2, `${orderCalls} orders, ${probeCalls} probes`);
+  assert.is(leases, 0);
+});
+
 suite.run();
--- a/test/routing/membership-task.test.ts
+++ b/test/routing/membership-task.test.ts
@@ -6,6 +6,7 @@
 import * as decision from '../../src/decision';
 import * as membership from '../../src/membership';
 import * as routing from '../../src/routing';
+import * as verdict from '../../src/verdict';
 import * as fakeControlPlane from '../support/fake-control-plane';
 import * as fakeControlState from '../support/fake-control-state';
 import * as fakePlainService from '../support/fake-plain-service';
@@ -74,4 +75,118 @@
   task.close();
 });
 
+/** Lets a daemon's timers run for a while. */
+async function pass(time: clock.ManualClock, milliseconds: number): Promise<void> {
+  for (let elapsed = 0; elapsed < milliseconds; elapsed += LIST_MILLISECONDS) {
+    time.advance(LIST_MILLISECONDS);
+    await new Promise(setImmediate);
+  }
+}
+
+function taskOf(
+  time: clock.ManualClock,
+  pool: routing.BackendPool,
+  read: backend.MachineList['read'],
+): routing.MembershipTask {
+  return new routing.MembershipTask(
+    {
+      list: { read },
+      pool,
+      plane: new fakeControlPlane.FakeControlPlane(new fakeControlState.FakeControlState(), 'a'),
+      task: { now: () => time.monotonic(), feed: () => {} },
+      time,
+      random: new clock.SeededRandomSource(1),
+    },
+    LIST_MILLISECONDS,
+    false,
+  );
+}
+
+// Guards against a daemon that never reads the list again after one read has thrown.
+suite('a list whose read throws is read again', async () => {
+  const time = new clock.ManualClock();
+  const pool = new routing.BackendPool({ open: () => new fakePlainService.FakePlainService() });
+  let reads = 0;
+  const task = taskOf(time, pool, async () => {
+    reads += 1;
+    if (reads % 2 === 1) {
+      throw new Error('not readable');
+    }
+    return new results.Ok([machine('i-1'), machine(`i-${reads}`)]);
+  });
+  const started = task.start();
+  await pass(time, LIST_MILLISECONDS * 20);
+  await started;
+  assert.ok(reads >= 8, `${reads} reads`);
+  assert.is(task.servers().length, 2);
+  task.close();
+});
+
+// Guards against a list that is never applied because its first application has thrown.
+suite('a list that could not be applied is applied at the next read', async () => {
+  const time = new clock.ManualClock();
+  let opened = 0;
+  const pool = new routing.BackendPool({
+    open: () => {
+      opened += 1;
+      if (opened === 1) {
+        throw new Error('no client');
+      }
+      return new fakePlainService.FakePlainService();
+    },
+  });
+  const list = [machine('i-1')];
+  const task = taskOf(time, pool, async () => new results.Ok(list));
+  const started = task.start();
+  await pass(time, LIST_MILLISECONDS * 4);
+  await started;
+  assert.is(task.servers().length, 1);
+  task.close();
+});
+
+/** A server whose first probes throw. */
+class ThrowingService extends fakePlainService.FakePlainService {
+  probes = 0;
+
+  isClosed = false;
+
+  constructor(private readonly throwingProbes: number) {
+    super();
+  }
+
+  override async probe(): ReturnType<fakePlainService.FakePlainService['probe']> {
+    this.probes += 1;
+    if (this.probes <= this.throwingProbes) {
+      throw new TypeError('Invalid URL');
+    }
+    return super.probe();
+  }
+
+  override async close(): Promise<void> {
+    this.isClosed = true;
+  }
+}
+
+// Guards against a probe that throws and is never repeated, and against a client that it keeps open for ever.
+suite('a probe that throws fails, is repeated and releases its client', async () => {
+  const time = new clock.ManualClock();
+  const server = new ThrowingService(3);
+  const pool = new routing.BackendPool({ open: () => server });
+  let list = [machine('i-1')];
+  const task = taskOf(time, pool, async () => new results.Ok(list));
+  await task.start();
+  const { ConnectFailed } = verdict.FailureReason;
+  task.attemptFailed('i-1', verdict.failure(ConnectFailed, verdict.Verdict.NotRun, 'down'));
+  await pass(time, 2_000);
+  assert.ok(server.probes >= 2, `${server.probes} probes`);
+  assert.is(task.servers().length, 0);
+  await pass(time, 60_000);
+  assert.ok(server.probes >= 4, `${server.probes} probes`);
+  assert.is(task.servers().length, 1);
+  list = [];
+  await pass(time, LIST_MILLISECONDS * 2);
+  assert.ok(server.isClosed, 'the client of a removed server is still open');
+  task.close();
+});
+
 suite.run();
