--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -31,6 +31,15 @@
   assert.is(decoded.bounds.grace_s, 8);
 });
 
+// Guards against a region that is no text, with which no daemon can send or read the list of VMs.
+suite('only the zones of the settings have regions', () => {
+  const { zones } = settings.decodeSettings(SETTINGS).unwrap();
+  assert.is(zones['pl-caudan'], 'port-louis');
+  ['constructor', '__proto__', 'toString', 'elsewhere'].forEach((zone) =>
+    assert.is(zones[zone], undefined),
+  );
+});
+
 suite('all errors of the settings are reported together', () => {
   const wrong = SETTINGS.replace('"10.1.0.26:8783"', '"seed-1"').replace('node: "front-1"', '');
   const faults = settings.decodeSettings(wrong);
