--- a/test/platform/machine-list.test.ts
+++ b/test/platform/machine-list.test.ts
@@ -158,6 +158,8 @@
   'an id with a line break': entryWith({ id: 'odd' }, '"i\\r\\nx: y"'),
   'an id that no header can hold': entryWith({ id: 'odd' }, '"i\\u20ac"'),
   'a long service name': entryWith({ service: 'odd' }, LONG),
+  'a zone that is not UTF-8': entryWith({ zone: 'odd' }, '"\\ufffd"'),
+  'a control character in its version': entryWith({ version: 'odd' }, '"v\\u0000"'),
   'a long zone name': entryWith({ zone: 'odd' }, LONG),
   'a long version': entryWith({ version: 'odd' }, LONG),
   'thousands of models': entryWith({ models: 'odd' }, `[${Array(20_000).fill('0').join(',')}]`),
@@ -228,7 +230,7 @@
     lines.map(({ entry, fault }) => ({ entry, fault })),
     [
       { entry: 'i-odd', fault: 'addr' },
-      { entry: undefined, fault: '' },
+      { entry: undefined, fault: 'id' },
     ],
   );
 });
