--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -65,6 +65,48 @@
   wrong.forEach((document) => assert.ok(routingDocument.decodeRouting(document).err, document));
 });
 
+const NESTED = '['.repeat(1_000_000) + ']'.repeat(1_000_000);
+
+// Guards against a document of another program that ends the process that reads it.
+suite('documents with huge numbers or deep nesting are refused or taken, but never throw', () => {
+  const text = JSON.stringify(builder.document());
+  const wrong = [
+    text.replace(/"version":\d+/, '"version":1e400'),
+    text.replace(/"version":\d+/, '"version":9007199254740993'),
+    text.replace(/"timeout_ms":\d+/, '"timeout_ms":1e400'),
+    text.replace(/"version":\d+/, `"version":${NESTED}`),
+    text.replace('"routes":[', `"routes":[${NESTED},`),
+    NESTED,
+    '['.repeat(2_000_000),
+  ];
+  wrong.forEach((document) => assert.ok(routingDocument.decodeRouting(document).err));
+  const unread = `{"unread":${NESTED},${text.slice(1)}`;
+  assert.ok(routingDocument.decodeRouting(unread).ok);
+});
+
+// Guards against a document whose errors alone take gigabytes of memory and seconds of time.
+suite('the errors of a document with very many wrong parts are few', () => {
+  const many = Array.from({ length: 400_000 }, () => 0);
+  const valid = builder.document() as { routes: object[]; services: object[] };
+  const wrong = [
+    { ...valid, routes: many },
+    { ...valid, services: many },
+    { ...valid, tenants: many },
+    { ...valid, tenants: [{ name: 't', api_keys: many }] },
+    { ...valid, routes: [{ ...valid.routes[0], traffic_split: many }] },
+    { ...valid, services: [{ ...valid.services[0], engine: { models: many } }] },
+  ].map((document) => JSON.stringify(document));
+  wrong.forEach((document) => {
+    const before = process.memoryUsage().heapTotal;
+    const decoded = routingDocument.decodeRouting(document);
+    assert.ok(decoded.err);
+    const { length } = decoded.val as readonly string[];
+    assert.ok(length > 0 && length <= 100, `${length} errors`);
+    const grown = process.memoryUsage().heapTotal - before;
+    assert.ok(grown < 64 * 1_024 * 1_024, `${grown} bytes`);
+  });
+});
+
 suite('malformed headers of callers are ignored', () => {
   const metadata = headerCodec.readCaller({
     'x-figline-prompt-prefix': '5c1e:800, 91bd:410,broken,zz:1,e440:',
