--- /dev/null
+++ b/test/platform/odd-report.test.ts
@@ -0,0 +1,70 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import * as uvu from 'uvu';
+import * as assert from 'uvu/assert';
+import * as platformHeaderCodec from '../../platform/platform-header-codec';
+import * as serverClient from '../../platform/server-client';
+import * as backend from '../../src/backend';
+import * as clock from '../../src/clock';
+
+const suite = uvu.suite('odd reports of servers');
+
+/** The outcome of a probe of an engine that answers with `report`. */
+async function probe(report: string) {
+  const server = http.createServer((_request, response) => response.end(report));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const machine: backend.MachineRecord = {
+    id: 'i-1',
+    host: '127.0.0.1',
+    port: (server.address() as net.AddressInfo).port,
+    zone: 'pl-caudan',
+    region: 'port-louis',
+    service: 'desk',
+    kind: backend.BackendKind.ModelEngine,
+    phase: backend.MachinePhase.Live,
+  };
+  const issuer = { holder: 'test', modelOf: () => 'm', healthPathOf: () => '/health' };
+  const codec = new platformHeaderCodec.PlatformHeaderCodec();
+  const client = new serverClient.PlatformServer(machine, issuer, codec, new clock.SystemClock());
+  const outcome = await client.probe();
+  await client.close();
+  server.closeAllConnections();
+  server.close();
+  return outcome;
+}
+
+const NESTED = '['.repeat(100_000) + ']'.repeat(100_000);
+
+const ODD_REPORTS = {
+  'deep nesting': NESTED,
+  'deep nesting in its models': `{"models":${NESTED}}`,
+  'an infinite count of orders': '{"seq":1e400}',
+  'a count of orders beyond 2^53': '{"seq":9007199254740993}',
+  'an infinite start': '{"born":1e400}',
+  'a huge weights version': '{"models":[{"name":"m","version":1e308}]}',
+  'no value': 'null',
+};
+
+// Guards against a report that throws in the probe that reads it.
+Object.entries(ODD_REPORTS).forEach(([name, report]) => {
+  suite(`a report with ${name} is a failed probe`, async () => {
+    assert.ok((await probe(report)).err);
+  });
+});
+
+suite('deep nesting in a field that is not read does no harm', async () => {
+  assert.ok((await probe(`{"unread":${NESTED}}`)).ok);
+});
+
+// Guards against a report whose errors alone would fill the memory of a small VM.
+suite('the models of a report are not examined after the first invalid one', async () => {
+  const before = process.memoryUsage().heapTotal;
+  const outcome = await probe(`{"models":[${Array(120_000).fill('0').join(',')}]}`);
+  const grown = process.memoryUsage().heapTotal - before;
+  assert.ok(outcome.err);
+  assert.ok(grown < 32 * 1_024 * 1_024, `${grown} bytes`);
+});
+
+suite.run();
