--- a/tools/local/loopback-environment.ts
+++ b/tools/local/loopback-environment.ts
@@ -12,6 +12,8 @@
   /** IP address and port. */
   readonly addr: string;
   readonly models?: readonly { readonly name: string; readonly version: number }[];
+  /** Version of its software; `v1` if absent. */
+  readonly softwareVersion?: string;
 }
 
 /** Listening addresses and settings file of a process of the platform. */
@@ -50,6 +52,9 @@
 
   private addressCount = 0;
 
+  /** @param replicaCount number of control daemons, which are created before the gateways */
+  constructor(private readonly replicaCount = 1) {}
+
   /** Starts the list and chooses the ports. */
   async start(): Promise<void> {
     await new Promise<void>((resolve) => {
@@ -106,8 +111,11 @@
       region: 'region-a',
       zones: { [ZONE]: 'region-a' },
       internal_ports: [this.ports.peer, this.ports.metrics],
-      seeds: [`${this.networkPrefix}.1:${this.ports.control}`],
-      fault_tolerance: { machines: 0 },
+      seeds: Array.from(
+        { length: this.replicaCount },
+        (_, index) => `${this.networkPrefix}.${index + 1}:${this.ports.control}`,
+      ),
+      fault_tolerance: { machines: Math.floor((this.replicaCount - 1) / 2) },
       bounds: { grace_s: GRACE_SECONDS },
       cloud_api: { addr: `${VM_LIST_HOST}:${port}` },
     };
@@ -132,6 +140,12 @@
   }
 }
 
+/** Rewrites the settings of a process for its later starts, when the replica group exists. */
+export function markDeployed({ settingsFile }: PlatformNode): void {
+  const settings = JSON.parse(fs.readFileSync(settingsFile, 'utf8'));
+  fs.writeFileSync(settingsFile, JSON.stringify({ ...settings, bootstrap: false }));
+}
+
 /** Activates a routing document; retries until the control daemon has a majority. */
 export async function putRouting(node: PlatformNode, document: object): Promise<void> {
   const body = JSON.stringify(document);
@@ -165,8 +179,14 @@
 /** Grace time of the platform; a gateway spends a part of it waiting for the load balancer. */
 const GRACE_SECONDS = 8;
 
-function vmListEntryOf({ id, service, addr, models = [] }: ListedServer): object {
-  return { id, service, addr, zone: ZONE, version: 'v1', state: 'ready', models, born: 1 };
+function vmListEntryOf({
+  id,
+  service,
+  addr,
+  models = [],
+  softwareVersion: version = 'v1',
+}: ListedServer): object {
+  return { id, service, addr, zone: ZONE, version, state: 'ready', models, born: 1 };
 }
 
 /** Ports that the operating system has just assigned and released; it reuses them only after many others. */
