Gateways: confirm the register before a version counts as the only one

What callers saw: during a release one gateway was cut off from the others, or stood still, for a few seconds. Streams that had begun at servers of the new version through other gateways were taken up there and went on at a server of the old version.

Cause: a gateway that does not know a stream lets it go on without a message while its copies of the register and of the list name one version. It took the copies for current, whatever their age. One that stood still may read the take-up before the messages that waited in its sockets, and its monotonic clock need not count the time, so that the age of its last message proves nothing.

Fix: the only evidence that holds is an answer to a question that was asked after the take-up arrived. RegisterConfirmation writes ReadRegister to the log, waits until the copy of the register has the sequence that was committed, and only then counts the versions. The version of a server is committed before the server begins a stream, and the stream began before it was taken up, so that an answer which is confirmed once stays valid for this take-up, even if the gateway stands still afterwards. A gateway's own streams need no question.

Price: while there is no leader, streams of the only version that were begun elsewhere are refused, also rightly known ones.

--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -4,6 +4,7 @@
 import * as control from '../control';
 import * as logging from '../logging';
 import * as verdict from '../verdict';
+import * as registerConfirmation from './register-confirmation';
 
 /** Identifies a stream over all tries of its caller. */
 export interface StreamIdentity {
@@ -41,9 +42,10 @@
 
 /**
  * Knows which software version began a stream, so that a caller can take it up again at any gateway, also after all of them
- * have lost power. While only one version can have begun the recent streams of a service, there is nothing to remember. With
- * several versions each stream is recorded in the replicated log when its first event is delivered, and a gateway that does
- * not know a stream asks the leader. A stream that nobody knows does not go on.
+ * have lost power. While only one version can have begun the recent streams of a service, there is nothing to remember; that
+ * it is the only one counts once a round trip to the leader, begun after the stream was taken up, has confirmed this gateway's
+ * copy of the register. With several versions each stream is recorded in the replicated log when its first event is
+ * delivered, and a gateway that does not know a stream asks the leader. A stream that nobody knows does not go on.
  */
 export class StreamOrigins {
   private readonly own = new Map<string, OwnStream>();
@@ -53,6 +55,8 @@
 
   private readonly lookups = new Map<string, ((origin: Origin) => void)[]>();
 
+  private readonly confirmation: registerConfirmation.RegisterConfirmation;
+
   private recordTimer: clock.Timer | undefined;
 
   private lookupTimer: clock.Timer | undefined;
@@ -64,6 +68,7 @@
   private readonly unsubscribe: () => void;
 
   constructor(private readonly ports: StreamOriginPorts) {
+    this.confirmation = new registerConfirmation.RegisterConfirmation(ports);
     this.unsubscribe = ports.plane.onRegister(() => this.recordMixed());
   }
 
@@ -100,12 +105,15 @@
     if (own !== undefined) {
       return foundOrigin(stream, OriginSource.Own, own.softwareVersion);
     }
+    const startedAt = this.ports.time.monotonic();
+    const hasSeveralVersions = this.possibleVersions(stream.service).length > 1;
+    const isCertain = hasSeveralVersions || (await this.confirmation.confirm());
     const versions = this.possibleVersions(stream.service);
-    if (versions.length <= 1) {
-      return foundOrigin(stream, OriginSource.OnlyVersion, versions.at(0));
+    if (isCertain && versions.length <= 1) {
+      const milliseconds = Math.round(this.ports.time.monotonic() - startedAt);
+      return foundOrigin(stream, OriginSource.OnlyVersion, versions.at(0), milliseconds);
     }
-    const startedAt = this.ports.time.monotonic();
-    const origin = key === undefined ? new results.Err(UNKNOWN) : await this.lookUp(key);
+    const origin = isCertain ? await this.lookUp(key) : UNREACHABLE_ORIGIN;
     const milliseconds = Math.round(this.ports.time.monotonic() - startedAt);
     if (origin.ok) {
       return foundOrigin(stream, OriginSource.Log, origin.val, milliseconds);
@@ -122,6 +130,7 @@
   close(): void {
     this.isClosed = true;
     this.unsubscribe();
+    this.confirmation.close();
     this.recordTimer?.cancel();
     this.lookupTimer?.cancel();
     this.lookups.forEach((waiting) => waiting.forEach((settle) => settle(UNREACHABLE_ORIGIN)));
@@ -191,7 +200,10 @@
     }
   }
 
-  private lookUp(key: string): Promise<Origin> {
+  private lookUp(key: string | undefined): Promise<Origin> {
+    if (key === undefined) {
+      return Promise.resolve(new results.Err(UNKNOWN));
+    }
     return new Promise((resolve) => {
       this.lookups.set(key, [...(this.lookups.get(key) ?? []), resolve]);
       this.lookupTimer ??= this.ports.time.setTimer(LOOKUP_COLLECTION_MILLISECONDS, () => {
--- a/test/platform/register-plane.ts
+++ b/test/platform/register-plane.ts
@@ -17,6 +17,10 @@
   override async propose(
     command: control.Command,
   ): Promise<results.Result<control.CommandResult, control.ProposalFailure>> {
+    if (command.kind === control.CommandKind.ReadRegister && !this.isCutOff) {
+      const kind = control.CommandResultKind.RegisterSequence;
+      return new results.Ok({ kind, sequence: this.current.sequence });
+    }
     if (!STREAM_COMMANDS.has(command.kind) || this.isCutOff) {
       return super.propose(command);
     }
--- a/test/platform/taken-up-stream.test.ts
+++ b/test/platform/taken-up-stream.test.ts
@@ -108,13 +108,43 @@
   });
 });
 
-// Guards against refusals of streams that cannot be joined wrongly, with a leader or without one.
+// Guards against refusals of streams that cannot be joined wrongly.
 suite('with one version a stream goes on at a gateway that knows nothing of it', async () => {
+  const servers = createServers(['v1', 'v1']);
+  const gateway = createGateway(servers, ['v1']);
+  await gateway.run(async () => {
+    const answer = await takeUp(gateway, 'unrecorded');
+    assert.is(answer.status, 200);
+    assert.ok(answer.isComplete);
+  });
+});
+
+// Guards against text joined at a gateway that is cut off and takes the version that it knows for the only one.
+suite('a gateway that is cut off refuses a stream that it does not know at once', async () => {
   const servers = createServers(['v1', 'v1']);
   const gateway = createGateway(servers, ['v1']);
   await gateway.run(async () => {
     gateway.plane.isCutOff = true;
+    const startedAt = Date.now();
     const answer = await takeUp(gateway, 'unrecorded');
+    assert.is(answer.status, 503);
+    assert.ok(Number(answer.headers['retry-after']) > 0);
+    assert.ok(Date.now() - startedAt < 1_000);
+    assert.equal(
+      servers.flatMap(({ requests }) => requests),
+      [],
+    );
+  });
+});
+
+// Guards against refusals of streams that a gateway itself began before it was cut off.
+suite('a gateway that is cut off goes on with its own streams', async () => {
+  const servers = createServers(['v1', 'v1']);
+  const gateway = createGateway(servers, ['v1']);
+  await gateway.run(async () => {
+    await begin(gateway, 'own');
+    gateway.plane.isCutOff = true;
+    const answer = await takeUp(gateway, 'own');
     assert.is(answer.status, 200);
     assert.ok(answer.isComplete);
   });
