Gateways: keep streams that were written to their end, as callers may not have them

What callers saw: after their gateway had stood still for 2.4 s during a release, their streams were refused as unknown at every gateway until they gave up.

Cause: a gateway forgot a stream as soon as it had written all of it. After a suspension it reads the rest from the server and writes it to a connection that the caller has left. The stream had no record, as it began while one version was in use, and by the time that the second version was read it was forgotten.

Fix: that all was written does not show that it was received. Streams stay known at their gateway for the minute for which streams are kept anyway, and those complete for less than 10 s are recorded when a second version comes.

Evidence: "a stream that was written to its end is still known when its caller takes it up" on the code before: expected v1, actual stream_origin_unknown (17 of 18 passed); after 18 of 18. The second new test bounds the price: streams that are complete for longer are not recorded; it passed before too.

--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -31,6 +31,8 @@
   readonly begunAt: number;
   /** Whether the log has a record of the stream. */
   isRecorded: boolean;
+  /** Monotonic time in milliseconds at which the last event was written to the caller. */
+  completeAt?: number;
 }
 
 /** How the software version of a stream was found. */
@@ -89,12 +91,15 @@
     }
   }
 
-  /** Forgets a stream whose caller has received all of it. */
+  /**
+   * Called when all of a stream has been written to its caller. It stays known: after a suspension the rest may have been
+   * written to a connection that the caller had left.
+   */
   complete(stream: StreamIdentity): void {
     const key = keyOf(stream);
-    if (key !== undefined) {
-      this.own.delete(key);
-      this.unrecorded.delete(key);
+    const own = key === undefined ? undefined : this.own.get(key);
+    if (own !== undefined) {
+      own.completeAt = this.ports.time.monotonic();
     }
   }
 
@@ -147,8 +152,9 @@
   private recordMixed(): void {
     const services = new Set([...this.own.values()].map(({ service }) => service));
     const mixed = new Set([...services].filter((name) => this.possibleVersions(name).length > 1));
-    this.own.forEach(({ service, isRecorded }, key) => {
-      if (!isRecorded && mixed.has(service)) {
+    const oldest = this.ports.time.monotonic() - COMPLETE_MILLISECONDS;
+    this.own.forEach(({ service, isRecorded, completeAt = Infinity }, key) => {
+      if (!isRecorded && mixed.has(service) && completeAt >= oldest) {
         this.unrecorded.add(key);
       }
     });
@@ -287,6 +293,9 @@
 /** As long as the log keeps records. */
 const RETENTION_MILLISECONDS = 60_000;
 
+/** Callers notice sooner that the connection to a gateway has broken. */
+const COMPLETE_MILLISECONDS = 10_000;
+
 /** Far above the streams of one daemon in that time. */
 const MAXIMUM_OWN_STREAMS = 20_000;
 
--- a/test/gateway/stream-origins.test.ts
+++ b/test/gateway/stream-origins.test.ts
@@ -224,6 +224,38 @@
   assert.is(await find(log, log.startGateway(), 'first'), 'v1');
 });
 
+// Guards against streams that are lost because a gateway that stood still wrote their rest to callers who had left.
+suite(
+  'a stream that was written to its end is still known when its caller takes it up',
+  async () => {
+    const log = new Log().setVersions('v1');
+    const gateway = log.startGateway();
+    gateway.begin(stream('first'), 'v1');
+    gateway.complete(stream('first'));
+    log.setVersions('v1', 'v2');
+    await log.advance(50);
+    log.isReachable = false;
+    assert.is(await find(log, gateway, 'first'), 'v1');
+    log.isReachable = true;
+    assert.is(await find(log, log.startGateway(), 'first'), 'v1');
+  },
+);
+
+// Load pattern: a second version comes, and each gateway has completed many streams of the last minute.
+suite(
+  'streams that are complete for long are not recorded when a second version comes',
+  async () => {
+    const log = new Log().setVersions('v1');
+    const gateway = log.startGateway();
+    gateway.begin(stream('first'), 'v1');
+    gateway.complete(stream('first'));
+    await log.advance(15_000);
+    log.setVersions('v1', 'v2');
+    await log.advance(50);
+    assert.equal(log.proposals, []);
+  },
+);
+
 // Guards against refusals, records and waits while nothing can be joined wrongly.
 suite('with one version every stream goes on, and only strange ones cost a message', async () => {
   const log = new Log().setVersions('v1');
