Gateway: deliver nothing held of a stream that was broken off

What callers would have seen (ORDER): tokens twice in a stream that ended as complete. Found by the review of the offers, with a script: "t106 | t105 t106 t107 t108".

Cause: when the own run ended while its pieces were held back for an offer, the held pieces were delivered before it turned out that the run had ended inside an event. The offer, which had been told an older event, then took the stream over.

The held rest is now read first, and delivered only if the stream ends behind a whole event.

--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -122,8 +122,11 @@
       this.end();
       return;
     }
-    this.release();
     if (this.splitter !== undefined) {
+      this.completeHeld(this.splitter);
+      if (this.isSettled) {
+        return;
+      }
       if (this.splitter.pendingBytes > 0) {
         this.end(CUT_INSIDE_EVENT);
         return;
@@ -149,6 +152,30 @@
     this.end(failure);
   }
 
+  /**
+   * Delivers the held rest of a stream that has ended. If the stream was broken off, nothing of it is delivered: another
+   * server may already go on behind the last delivered event.
+   */
+  private completeHeld(splitter: eventSplitter.EventSplitter): void {
+    const { held } = this;
+    if (held === undefined) {
+      return;
+    }
+    this.held = undefined;
+    try {
+      const events = splitter.push(Buffer.concat(held));
+      if (events.some(({ isAnswerHead }) => isAnswerHead === true)) {
+        this.reject(SECOND_ANSWER);
+      } else if (splitter.pendingBytes > 0) {
+        this.end(CUT_INSIDE_EVENT);
+      } else {
+        this.deliver(this.newEvents(events));
+      }
+    } catch {
+      this.reject(TOO_LARGE_EVENT);
+    }
+  }
+
   private keep(held: Buffer[], chunk: Buffer): void {
     held.push(chunk);
     this.ports.onArrival();
