--- a/test/decision/relocation.test.ts
+++ b/test/decision/relocation.test.ts
@@ -145,6 +145,21 @@
   }
 });
 
+// Guards against a stream that runs at more servers than its route allows because its move was not counted.
+suite('a stream that has moved goes on only at servers that it ran at', () => {
+  const { driver } = startLoading(6, 1, { ratio: 0, slack: 20 });
+  const [taken] = driver.takeEffects(Dispatch);
+  driver.receivePiece(taken, 6).loseConnection(taken, verdict.Verdict.MayHaveRun);
+  const [resumed] = driver.wait(100).takeEffects(Dispatch);
+  assert.is(resumed?.serverId ?? taken.serverId, taken.serverId);
+});
+
+// Guards against a failure that finds the last retries used by offers.
+suite('streams are not offered with the last retries', () => {
+  const { driver } = startLoading(6, 2, { ratio: 0, slack: 3 });
+  assert.equal(driver.takeEffects(Dispatch), []);
+});
+
 // Guards against offers that use up the retries which failures need.
 suite('offers leave half of the retries, and cost none if nothing was sent', () => {
   const { driver, running } = startLoading(6, 6, { ratio: 0, slack: 8 });
