--- a/src/decision/roll-out-order.ts
+++ b/src/decision/roll-out-order.ts
@@ -24,7 +24,7 @@
   const outdated = loaded
     .filter((server) => !current.includes(server))
     .sort(({ record: left }, { record: right }) => compareOrder(left, right));
-  // As many engines as load now are ordered when these are done.
+  // The leader tells nobody which engines come next; probably as many as load now.
   return [...current, ...outdated.slice(Math.max(1, loading.length))];
 }
 
