Decision core: end a stream at once whose servers have failed

What callers would have seen: a stream that had broken at as many servers as its route allows waited until its deadline, for servers at which it had failed already.

A stream goes back only to servers that were offered it and were late, have not failed since, and may get requests; otherwise it ends at once, also when the last such server leaves while it waits.

--- a/src/decision/attempt-failure.ts
+++ b/src/decision/attempt-failure.ts
@@ -39,14 +39,14 @@
     ...request,
     attempts: request.attempts.filter((other) => other !== attempt),
     verdict: verdict.combine(request.verdict, failure.verdict),
-    ...recordRun(request, attempt, failure.verdict),
+    ...recordRun(request, attempt, failure),
     failedServers: [...request.failedServers, attempt.serverId],
   };
   step.setRequest(failed);
   if (failed.attempts.length > 0) {
     return;
   }
-  if (mayRetry(step, failed, attempt.serverId)) {
+  if (mayRetry(step, failed)) {
     const { service } = request.profile;
     step.setRetryBudget(service, admission.countRetry(step.retryBudget(service), step.at));
     arrival.enqueue(step, failed);
@@ -55,18 +55,18 @@
   }
 }
 
-function mayRetry(step: steps.Step, request: state.RequestState, failedServer: string): boolean {
+function mayRetry(step: steps.Step, request: state.RequestState): boolean {
   return (
     verdict.mayRetry(request.verdict, request.profile.idempotent) &&
     request.attemptCount < attemptLimit(request) &&
-    mayRunAgain(request, failedServer) &&
+    mayRunAgain(step, request) &&
     hasRetryCredit(step, request)
   );
 }
 
-function mayRunAgain(request: state.RequestState, failedServer: string): boolean {
+function mayRunAgain(step: steps.Step, request: state.RequestState): boolean {
   return request.nextPiece > 0
-    ? runLimit.mayStreamRunAgain(request, failedServer)
+    ? runLimit.mayStreamRunAgain(step, request)
     : runCountOf(request) < (request.profile.maximumAttempts ?? MAXIMUM_ATTEMPTS);
 }
 
@@ -83,15 +83,19 @@
 
 function recordRun(
   request: state.RequestState,
-  { serverId }: state.AttemptState,
-  outcome: verdict.Verdict,
-): Pick<state.RequestState, 'runCount' | 'triedServers'> {
-  return outcome === verdict.Verdict.NotRun
-    ? {}
-    : {
-        runCount: runCountOf(request) + 1,
-        triedServers: [...(request.triedServers ?? []), serverId],
-      };
+  { serverId, offer }: state.AttemptState,
+  { verdict: outcome, reason }: verdict.RequestFailure,
+): Pick<state.RequestState, 'runCount' | 'triedServers' | 'lateServers'> {
+  if (outcome === verdict.Verdict.NotRun) {
+    return {};
+  }
+  const others = (request.lateServers ?? []).filter((id) => id !== serverId);
+  const isLate = offer === true && reason === verdict.FailureReason.Overloaded;
+  return {
+    runCount: runCountOf(request) + 1,
+    triedServers: [...(request.triedServers ?? []), serverId],
+    lateServers: isLate ? [...others, serverId] : others,
+  };
 }
 
 /** Ended attempts that may have run; attempts that certainly did not run are not counted. */
--- a/src/decision/run-limit.ts
+++ b/src/decision/run-limit.ts
@@ -1,4 +1,5 @@
 import type * as state from './state';
+import type * as steps from './step';
 
 /**
  * Whether a request may run at a server without running at more servers than its route allows.
@@ -12,12 +13,18 @@
 }
 
 /**
- * Whether a started stream whose attempt has failed may run somewhere. A stream that was offered to a server which was late may
- * go on there, since that one counts already.
+ * Whether a started stream whose attempt has failed may run somewhere: at another server, or at one that was offered the stream
+ * and was late, since that one counts already. A server at which an attempt failed by itself is no reason to wait.
  */
-export function mayStreamRunAgain(request: state.RequestState, failedServer: string): boolean {
-  const { triedServers = [] } = request;
-  return allowsAnotherServer(request) || triedServers.some((id) => id !== failedServer);
+export function mayStreamRunAgain(step: steps.Step, request: state.RequestState): boolean {
+  const { lateServers = [] } = request;
+  return (
+    allowsAnotherServer(request) ||
+    lateServers.some((id) => {
+      const server = step.state.servers.get(id);
+      return server !== undefined && server.eligible && !server.record.suspected;
+    })
+  );
 }
 
 function allowsAnotherServer({ profile, triedServers = [] }: state.RequestState): boolean {
--- a/src/decision/service-availability.ts
+++ b/src/decision/service-availability.ts
@@ -1,5 +1,6 @@
 import * as verdict from '../verdict';
 import * as ending from './ending';
+import * as runLimit from './run-limit';
 import * as softwareVersions from './software-version';
 import type * as state from './state';
 import type * as steps from './step';
@@ -16,7 +17,9 @@
 export function isAvailable(step: steps.Step, request: state.RequestState): boolean {
   return (
     step.state.services.has(request.profile.service) &&
-    softwareVersions.compatibleServers(step, request).some((server) => server.eligible)
+    softwareVersions
+      .compatibleServers(step, request)
+      .some(({ eligible, record }) => eligible && runLimit.mayRunAt(request, record.id))
   );
 }
 
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -55,6 +55,8 @@
   readonly attemptCount: number;
   /** Ended attempts that may have run. */
   readonly runCount?: number;
+  /** Servers that were offered the stream and were late; a server that fails afterwards is removed. */
+  readonly lateServers?: readonly string[];
   /** Servers whose ended attempts may have run, once for each. */
   readonly triedServers?: readonly string[];
   /** Combined verdict of all ended attempts. */
--- a/test/decision/relocation.test.ts
+++ b/test/decision/relocation.test.ts
@@ -160,6 +160,17 @@
   assert.equal(driver.takeEffects(Dispatch), []);
 });
 
+// Guards against callers who wait until their deadline for servers at which the stream has failed already.
+suite('a stream that has failed at as many servers as its route allows ends at once', () => {
+  const driver = builder.createDriver(4);
+  const changes = { isStreamed: true, maximumAttempts: 2 };
+  const [first] = driver.arrive('stream', changes).takeEffects(Dispatch);
+  driver.receivePiece(first, 5).loseConnection(first, verdict.Verdict.MayHaveRun);
+  const [second] = driver.takeEffects(Dispatch);
+  driver.loseConnection(second, verdict.Verdict.MayHaveRun);
+  assert.is(driver.takeEffects(Fail).length, 1);
+});
+
 // Guards against offers that use up the retries which failures need.
 suite('offers leave half of the retries, and cost none if nothing was sent', () => {
   const { driver, running } = startLoading(6, 6, { ratio: 0, slack: 8 });
