Gateways: report begun streams to the leader before a second version comes

Cause: while a service had one version, a stream was known only to the gateway that had begun it. The gateway recorded it in the log when it learned of a second version itself, which a gateway that stands still or is cut off cannot do. The others found nothing in the log and rightly refused.

Ruled out: a wrong look-up (the log was asked and had no record) and a slow one (answers came at once). Not taken: to assume the first version for streams that the log does not know; a record that is lost with a gateway would make this a guess.

Fix: gateways add the streams that they begin to the report of load that they send to the leader anyway, and the leader records those of all gateways in one entry of the log each 0.2 s. A new leader is told those of the last 15 s again. The recorder that gateways use while versions are mixed is now a class of its own, which the leader uses too.

Price, by encoded size: 13 bytes a stream and up to 48 bytes a report; 5 entries of the log a second while streams begin.

--- a/src/gateway/control-daemon.ts
+++ b/src/gateway/control-daemon.ts
@@ -18,6 +18,7 @@
 import * as sharedMachineList from './shared-machine-list';
 import * as softwareVersionList from './software-version-list';
 import * as softwareVersionRegistrar from './software-version-registrar';
+import * as streamRecorder from './stream-recorder';
 import * as weightsAge from './weights-age';
 
 /** Dependencies of a control daemon. */
@@ -72,10 +73,16 @@
       false,
     );
     registerResource('membership', () => membership.close());
+    const recorder = new streamRecorder.StreamRecorder({ plane, time });
+    registerResource('stream recorder', () => recorder.close());
     const exchange = new loadExchange.LoadExchange(
       { plane, time, placementBuffer: new placementBuffer.PlacementBuffer(time) },
       NO_REQUESTS,
       () => {},
+      (begun) =>
+        begun.forEach(({ softwareVersion, keys }) =>
+          keys.forEach((key) => recorder.add(key, softwareVersion, RECORD_MILLISECONDS)),
+        ),
     );
     registerResource('load exchange', () => exchange.close());
     const evidence = new crashEvidenceExchange.CrashEvidenceExchange({ plane, time }, () => {});
@@ -183,5 +190,8 @@
 /** A control daemon accepts no requests, so that it decides nothing about them. */
 const NO_DECISIONS = { feed: () => {}, now: () => 0 };
 
+/** The streams that all gateways report within this time share an entry of the log. */
+const RECORD_MILLISECONDS = 200;
+
 /** Upper limit of the delay until other daemons learn that an engine is loading other weights. */
 const LIST_INTERVAL_MILLISECONDS = 100;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -120,6 +120,12 @@
       start: new weightsAge.WeightsAge(time, options.weightsStartMilliseconds),
     });
     const { task, membership } = this;
+    const origins = new streamOrigins.StreamOrigins({
+      plane,
+      time,
+      listedVersions: (service) => membership.softwareVersions(service),
+    });
+    this.lifecycle.register('stream origins', () => origins.close());
     const buffer = new placementBuffer.PlacementBuffer(time);
     const exchange = new loadExchange.LoadExchange(
       { plane, time, placementBuffer: buffer },
@@ -129,6 +135,7 @@
           const { prefixDemand } = this.task.current as decision.DecisionState;
           return placement.reportDemand(prefixDemand, this.task.now(), maximumKeys);
         },
+        streams: origins.report,
       },
       (sums) => this.receiveSums(sums),
     );
@@ -149,12 +156,6 @@
       },
     );
     this.lifecycle.register('request limits', () => limitExchange.close());
-    const origins = new streamOrigins.StreamOrigins({
-      plane,
-      time,
-      listedVersions: (service) => membership.softwareVersions(service),
-    });
-    this.lifecycle.register('stream origins', () => origins.close());
     this.connectivity = new connectivityModule.Connectivity({
       plane,
       headerCodec: ports.headerCodec,
--- a/src/gateway/load-exchange.ts
+++ b/src/gateway/load-exchange.ts
@@ -5,6 +5,7 @@
 import * as loadMessage from './load-message';
 import * as loadTable from './load-table';
 import type * as placementBuffer from './placement-buffer';
+import type * as streamReport from './stream-report';
 
 /** Dependencies of the load exchange. */
 export interface LoadExchangePorts {
@@ -22,6 +23,8 @@
   readonly loads: () => readonly loadTable.InFlightLoad[];
   /** Recent demand for at most this many prefixes. */
   readonly demand: (maximumKeys: number) => placement.DemandReport;
+  /** Absent at daemons that begin no streams. */
+  readonly streams?: Pick<streamReport.StreamReport, 'unsent' | 'markSent' | 'repeat'>;
 }
 
 /** The sums of all daemons, or the servers to which other daemons have sent prefixes. */
@@ -79,6 +82,8 @@
     private readonly ports: LoadExchangePorts,
     private readonly own: OwnReport,
     private readonly onSums: (sums: ReceivedSums) => void,
+    /** Called at the leader with streams that a daemon has begun. */
+    private readonly onBegunStreams: (begun: readonly control.BegunStreams[]) => void = () => {},
   ) {
     this.unsubscribe = ports.plane.onBroadcast(control.PeerTopic.Load, (payload, from) =>
       this.receive(payload, from),
@@ -171,22 +176,26 @@
 
   /** Reports the load of this daemon; a new leader has no reports yet, so that an unchanged load is reported again. */
   private reportOwn(term: number): void {
+    const { streams } = this.own;
     this.reports.clear();
     this.ledTerm = undefined;
     if (this.reportedTerm !== term) {
       this.reportedTerm = term;
       this.lastSentLoads = NO_LOADS;
+      streams?.repeat();
     }
     const loads = this.own.loads();
     const text = JSON.stringify(loads);
     const placements = this.ports.placementBuffer.drain();
-    if (text !== this.lastSentLoads || placements.length > 0) {
+    const begun = streams?.unsent() ?? [];
+    if (text !== this.lastSentLoads || placements.length > 0 || begun.length > 0) {
       const payload = {
-        ...loadMessage.encodeOwn(loads, placements),
+        ...loadMessage.encodeOwn(loads, placements, begun),
         ...this.demandFields(this.ports.time.monotonic(), () => this.own.demand(MAXIMUM_OWN_KEYS)),
       };
       if (this.ports.plane.sendToLeader(control.PeerTopic.Load, payload)) {
         this.lastSentLoads = text;
+        streams?.markSent(begun);
       }
     }
   }
@@ -211,7 +220,8 @@
     } else if (parsed.data.kind === loadMessage.MessageKind.Sums) {
       this.receiveSums(parsed.data);
     } else if (this.ports.plane.leadership().role === control.ReplicaRole.Leader) {
-      const { loads, placings = [] } = parsed.data;
+      const { loads, placings = [], begun = [] } = parsed.data;
+      this.onBegunStreams(begun);
       placings
         .map(loadMessage.decodePlacement)
         .forEach((placed) => this.ports.placementBuffer.add(placed));
--- a/src/gateway/load-message.ts
+++ b/src/gateway/load-message.ts
@@ -1,4 +1,5 @@
 import * as zod from 'zod';
+import type * as control from '../control';
 import type * as placement from '../placement';
 import * as loadTable from './load-table';
 
@@ -9,6 +10,12 @@
   Sums = 'sums',
 }
 
+/** Keys have 12 characters. */
+const MAXIMUM_KEY_CHARACTERS = 32;
+
+/** A daemon sends at most 256 streams in a message. */
+const MAXIMUM_STREAMS = 4_096;
+
 const demandFields = {
   /** Milliseconds of server time for all prefixes. */
   demandTotal: zod.number().min(0).optional(),
@@ -22,6 +29,15 @@
   loads: zod.array(zod.tuple([zod.string(), zod.number(), zod.number(), zod.number()])),
   /** Server, hashes of the prefixes that were sent to it. */
   placings: zod.array(zod.tuple([zod.string(), zod.array(zod.int())])).optional(),
+  /** Streams that the sender has begun; absent from messages of releases that did not report them. */
+  begun: zod
+    .array(
+      zod.object({
+        softwareVersion: zod.string(),
+        keys: zod.array(zod.string().max(MAXIMUM_KEY_CHARACTERS)).max(MAXIMUM_STREAMS),
+      }),
+    )
+    .optional(),
 });
 
 const sumsSchema = zod.object({
@@ -58,12 +74,14 @@
 export function encodeOwn(
   loads: readonly loadTable.InFlightLoad[],
   placements: readonly placement.PrefixPlacement[],
+  begun: readonly control.BegunStreams[],
 ): object {
   const placings = placements.map(({ serverId, hashes }) => [serverId, [...hashes]]);
   return {
     kind: MessageKind.Own,
     loads: loads.map(encodeLoad),
     ...(placings.length === 0 ? {} : { placings }),
+    ...(begun.length === 0 ? {} : { begun }),
   };
 }
 
--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -5,6 +5,8 @@
 import * as logging from '../logging';
 import * as verdict from '../verdict';
 import * as registerConfirmation from './register-confirmation';
+import * as streamRecorder from './stream-recorder';
+import * as streamReport from './stream-report';
 
 /** Identifies a stream over all tries of its caller. */
 export interface StreamIdentity {
@@ -44,33 +46,34 @@
 
 /**
  * Knows which software version began a stream, so that a caller can take it up again at any gateway, also after all of them
- * have lost power. While only one version can have begun the recent streams of a service, there is nothing to remember; that
+ * have lost power. While only one version can have begun the recent streams of a service, it may go on with all of them; that
  * it is the only one counts once a round trip to the leader, begun after the stream was taken up, has confirmed this gateway's
  * copy of the register. With several versions each stream is recorded in the replicated log when its first event is
  * delivered, and a gateway that does not know a stream asks the leader. A stream that nobody knows does not go on.
+ *
+ * A gateway that stands still or is cut off when a second version comes can no longer record its streams. Streams that begin
+ * while there is one version are therefore reported to the leader, which records those of all gateways together.
  */
 export class StreamOrigins {
   private readonly own = new Map<string, OwnStream>();
 
-  /** Keys of the streams that are still to be recorded in the log. */
-  private readonly unrecorded = new Set<string>();
+  /** Streams that the leader is to record. */
+  readonly report: streamReport.StreamReport;
+
+  private readonly recorder: streamRecorder.StreamRecorder;
 
   private readonly lookups = new Map<string, ((origin: Origin) => void)[]>();
 
   private readonly confirmation: registerConfirmation.RegisterConfirmation;
 
-  private recordTimer: clock.Timer | undefined;
-
   private lookupTimer: clock.Timer | undefined;
 
-  private isRecording = false;
-
-  private isClosed = false;
-
   private readonly unsubscribe: () => void;
 
   constructor(private readonly ports: StreamOriginPorts) {
     this.confirmation = new registerConfirmation.RegisterConfirmation(ports);
+    this.report = new streamReport.StreamReport(ports.time);
+    this.recorder = new streamRecorder.StreamRecorder(ports, (keys) => this.markRecorded(keys));
     this.unsubscribe = ports.plane.onRegister(() => this.recordMixed());
   }
 
@@ -86,8 +89,9 @@
     this.own.delete(key);
     this.own.set(key, { service, softwareVersion, begunAt, isRecorded: false });
     if (this.possibleVersions(service).length > 1) {
-      this.unrecorded.add(key);
-      this.scheduleRecord(COLLECTION_MILLISECONDS);
+      this.recorder.add(key, softwareVersion, COLLECTION_MILLISECONDS);
+    } else {
+      this.report.add(key, softwareVersion);
     }
   }
 
@@ -133,10 +137,9 @@
   }
 
   close(): void {
-    this.isClosed = true;
     this.unsubscribe();
     this.confirmation.close();
-    this.recordTimer?.cancel();
+    this.recorder.close();
     this.lookupTimer?.cancel();
     this.lookups.forEach((waiting) => waiting.forEach((settle) => settle(UNREACHABLE_ORIGIN)));
     this.lookups.clear();
@@ -153,57 +156,20 @@
     const services = new Set([...this.own.values()].map(({ service }) => service));
     const mixed = new Set([...services].filter((name) => this.possibleVersions(name).length > 1));
     const oldest = this.ports.time.monotonic() - COMPLETE_MILLISECONDS;
-    this.own.forEach(({ service, isRecorded, completeAt = Infinity }, key) => {
+    this.own.forEach(({ service, softwareVersion, isRecorded, completeAt = Infinity }, key) => {
       if (!isRecorded && mixed.has(service) && completeAt >= oldest) {
-        this.unrecorded.add(key);
+        this.recorder.add(key, softwareVersion, 0);
       }
     });
-    if (this.unrecorded.size > 0) {
-      this.scheduleRecord(0);
-    }
   }
 
-  private scheduleRecord(milliseconds: number): void {
-    if (this.recordTimer === undefined && !this.isRecording && !this.isClosed) {
-      this.recordTimer = this.ports.time.setTimer(milliseconds, () => {
-        this.recordTimer = undefined;
-        this.record();
-      });
-    }
-  }
-
-  /** Records one batch; a batch without an answer is sent again, as a stream that is recorded twice does no harm. */
-  private async record(): Promise<void> {
-    this.isRecording = true;
-    const batch = [...this.unrecorded].slice(0, MAXIMUM_BATCH);
-    const keysByVersion = new Map<string, string[]>();
-    batch.forEach((key) => {
-      const version = this.own.get(key)?.softwareVersion;
-      if (version !== undefined) {
-        keysByVersion.set(version, [...(keysByVersion.get(version) ?? []), key]);
+  private markRecorded(keys: readonly string[]): void {
+    keys.forEach((key) => {
+      const stream = this.own.get(key);
+      if (stream !== undefined) {
+        stream.isRecorded = true;
       }
     });
-    const begun = [...keysByVersion].map(([softwareVersion, keys]) => ({ softwareVersion, keys }));
-    const kind = control.CommandKind.RecordStreams;
-    const result = await this.ports.plane.propose({ kind, begun }, RECORD_MILLISECONDS);
-    this.isRecording = false;
-    if (result.ok) {
-      batch.forEach((key) => {
-        this.unrecorded.delete(key);
-        const stream = this.own.get(key);
-        if (stream !== undefined) {
-          stream.isRecorded = true;
-        }
-      });
-    } else {
-      logger.warning('streams could not be recorded; they are sent again', {
-        streams: batch.length,
-        reason: result.val,
-      });
-    }
-    if (this.unrecorded.size > 0) {
-      this.scheduleRecord(result.ok ? COLLECTION_MILLISECONDS : RETRY_MILLISECONDS);
-    }
   }
 
   private lookUp(key: string | undefined): Promise<Origin> {
@@ -242,7 +208,7 @@
         return;
       }
       this.own.delete(key);
-      this.unrecorded.delete(key);
+      this.recorder.forget(key);
     }
   }
 }
@@ -306,11 +272,6 @@
 
 const MAXIMUM_BATCH = 1_000;
 
-/** A leader is elected in about 1 s. */
-const RECORD_MILLISECONDS = 1_500;
-
-const RETRY_MILLISECONDS = 250;
-
 /** A caller whose stream cannot be told in this time comes back sooner than it would be served here. */
 const LOOKUP_MILLISECONDS = 1_200;
 
