Routing documents: teams share cached parts anew when one of them becomes isolated

Cause: engines and the store find parts by their salt alone. The salt of the teams that share was a constant for each model and weights version, so that the parts of a team which becomes isolated stayed where all others look.

Ruled out: a late routing document (requests were sent 5.5 s after the acknowledgement) and the salt of the isolated team itself.

Fix: the replicas keep with the register which teams may have shared parts, and since which document. A document that isolates one of them starts the sharing anew, under its version; other changes of teams cost nobody its cached parts. The operator's call sends the names of the teams in an optional field, since the log does not read documents; without it, as from a process of the last landing, the next document that isolates a team counts as such a change. Gateways take the namespace at the time at which a request is sent to a server: one that had waited used the namespace of its arrival.

--- a/src/control/command.ts
+++ b/src/control/command.ts
@@ -1,4 +1,5 @@
 import * as configuration from '../configuration';
+import type * as cacheSharing from './cache-sharing';
 
 /** Kinds of commands in the replicated log. */
 export enum CommandKind {
@@ -72,6 +73,8 @@
   readonly kind: CommandKind.PutRouting;
   readonly version: number;
   readonly text: string;
+  /** Absent in commands of releases that did not send it. */
+  readonly teams?: cacheSharing.DocumentTeams;
 }
 
 /** Sets the desired weights version of the engines of a model. */
--- a/src/control/index.ts
+++ b/src/control/index.ts
@@ -3,4 +3,5 @@
 export * from './control-plane';
 export * from './control-node';
 export * from './register';
+export type { CacheSharing, DocumentTeams } from './cache-sharing';
 export type { OrderHistory, RecordedOrder } from './order-history';
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -174,6 +174,9 @@
     kind: zod.literal(command.CommandKind.PutRouting),
     version: zod.int(),
     text: zod.string(),
+    teams: zod
+      .object({ isolated: zod.array(zod.string()), sharing: zod.array(zod.string()) })
+      .optional(),
   }),
   zod.object({
     kind: zod.literal(command.CommandKind.SetDesiredWeights),
@@ -269,6 +272,7 @@
     routing: zod.object({ version: zod.int(), text: zod.string() }).optional(),
     weights: zod.array(zod.tuple([zod.string(), desiredWeights])),
     softwareVersions: zod.array(zod.tuple([zod.string(), zod.array(zod.string())])).optional(),
+    cacheSharing: zod.object({ since: zod.int().optional() }).optional(),
   }),
   zod.object({
     kind: zod.literal(PeerMessageKind.Broadcast),
--- a/src/control/register-store.ts
+++ b/src/control/register-store.ts
@@ -41,11 +41,14 @@
     return true;
   }
 
-  /** The register for a message to another daemon. */
+  /** The register for a message to another daemon, which needs no names of teams. */
   encode(): registers.EncodedRegister {
     const { register } = this;
+    const { cacheSharing, routing } = register;
     return registers.encodeRegister({
       ...register,
+      routing: routing && { version: routing.version, text: routing.text },
+      cacheSharing: cacheSharing && { since: cacheSharing.since },
       weights: this.times.withKnownTimes(register.weights),
     });
   }
--- a/src/control/register.ts
+++ b/src/control/register.ts
@@ -1,9 +1,12 @@
 import * as immutable from 'immutable';
+import * as cacheSharing from './cache-sharing';
 
 /** The active routing document: the text of the platform and its version. */
 export interface RoutingText {
   readonly version: number;
   readonly text: string;
+  /** Absent if the sender of the document was of a release that did not tell them, and in copies for other daemons. */
+  readonly teams?: cacheSharing.DocumentTeams;
 }
 
 /**
@@ -19,6 +22,8 @@
   readonly weights: immutable.Map<string, DesiredWeights>;
   /** Software versions of each service that may have begun streams which callers still take up, sorted. */
   readonly softwareVersions: immutable.Map<string, readonly string[]>;
+  /** Absent before the first routing document, and in copies of releases that did not keep it. */
+  readonly cacheSharing?: cacheSharing.CacheSharing;
 }
 
 /** A desired weights version, and when it was committed. */
@@ -70,8 +75,17 @@
  * putRouting(EMPTY_REGISTER, { version: 7, text }).sequence; // 1
  */
 export function putRouting(register: Register, routing: RoutingText): Register {
-  const isHigher = routing.version > (register.routing?.version ?? Number.NEGATIVE_INFINITY);
-  return isHigher ? { ...register, sequence: register.sequence + 1, routing } : register;
+  const { version, teams } = routing;
+  if (version <= (register.routing?.version ?? Number.NEGATIVE_INFINITY)) {
+    return register;
+  }
+  const isFirst = register.routing === undefined;
+  return {
+    ...register,
+    sequence: register.sequence + 1,
+    routing,
+    cacheSharing: cacheSharing.nextSharing(register.cacheSharing, version, teams, isFirst),
+  };
 }
 
 /**
@@ -154,18 +168,38 @@
   readonly weights: readonly (readonly [string, DesiredWeights])[];
   /** Absent in copies of releases that did not know software versions. */
   readonly softwareVersions?: readonly (readonly [string, readonly string[]])[];
+  /** Absent in copies of releases that did not keep it. */
+  readonly cacheSharing?: EncodedSharing;
+}
+
+/** The teams are only in snapshots, since other daemons do not need them. */
+interface EncodedSharing {
+  readonly since?: number;
+  readonly teams?: readonly string[];
 }
 
 export function encodeRegister(register: Register): EncodedRegister {
-  const { sequence, routing, weights, softwareVersions } = register;
+  const { sequence, routing, weights, softwareVersions, cacheSharing: sharing } = register;
   return {
     sequence,
     ...(routing === undefined ? {} : { routing }),
     weights: [...weights],
     softwareVersions: [...softwareVersions],
+    ...(sharing === undefined ? {} : { cacheSharing: encodeSharing(sharing) }),
   };
 }
 
+function encodeSharing({ since, teams }: cacheSharing.CacheSharing): EncodedSharing {
+  return {
+    ...(since === undefined ? {} : { since }),
+    ...(teams === undefined ? {} : { teams: [...teams] }),
+  };
+}
+
+function decodeSharing({ since, teams }: EncodedSharing): cacheSharing.CacheSharing {
+  return { since, teams: teams && immutable.Set(teams) };
+}
+
 export function decodeRegister(encoded: EncodedRegister | undefined): Register {
   return encoded === undefined
     ? EMPTY_REGISTER
@@ -173,5 +207,6 @@
         ...encoded,
         weights: immutable.Map(encoded.weights),
         softwareVersions: immutable.Map(encoded.softwareVersions ?? []),
+        cacheSharing: encoded.cacheSharing && decodeSharing(encoded.cacheSharing),
       };
 }
--- a/src/gateway/control-service.ts
+++ b/src/gateway/control-service.ts
@@ -1,6 +1,7 @@
 import * as results from 'ts-results';
 import * as clock from '../clock';
 import * as control from '../control';
+import type * as routes from '../routes';
 import * as verdict from '../verdict';
 
 type Outcome<Value> = results.Result<Value, verdict.RequestFailure>;
@@ -13,9 +14,17 @@
   ) {}
 
   /** Activates a validated routing document; a version lower than the active one changes nothing. */
-  async putRouting(version: number, text: string): Promise<Outcome<void>> {
+  async putRouting(
+    version: number,
+    text: string,
+    teams: readonly routes.RoutedTeam[] = [],
+  ): Promise<Outcome<void>> {
     const kind = control.CommandKind.PutRouting;
-    return (await this.propose({ kind, version, text })).map(() => undefined);
+    const namesOf = (isIsolated: boolean) =>
+      teams.filter((team) => team.isIsolated === isIsolated).map(({ name }) => name);
+    const documentTeams = { isolated: namesOf(true), sharing: namesOf(false) };
+    const written = await this.propose({ kind, version, text, teams: documentTeams });
+    return written.map(() => undefined);
   }
 
   async setDesiredWeights(model: string, version: number): Promise<Outcome<void>> {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -193,6 +193,7 @@
         supersededMilliseconds: (service, version) =>
           this.source.supersededMilliseconds(service, version),
         storeAddress: () => this.gateway.store?.address,
+        cacheNamespace: (service, team) => this.gateway.cacheNamespace(service, team),
       },
       random,
       options,
@@ -301,7 +302,7 @@
   private useRegister(register: control.Register): void {
     const active = this.source.update(register);
     if (active !== undefined) {
-      this.gateway.useTable(active.table, active.snapshot);
+      this.gateway.useRouting(active);
     }
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,12 +7,14 @@
 import * as placement from '../placement';
 import * as routes from '../routes';
 import * as verdict from '../verdict';
+import * as cacheNamespace from './cache-namespace';
 import * as forwardExecution from './forward-execution';
 import type * as forwardHeader from './forward-header';
 import type * as headerCodec from './header-codec';
 import type * as relayContext from './relay-context';
 import * as relayExecution from './relay-execution';
 import type * as relayReply from './relay-reply';
+import type * as routingSource from './routing-source';
 import type * as streamOrigins from './stream-origins';
 
 /** A request as it arrived, with its whole body. */
@@ -37,6 +39,9 @@
 export class Gateway {
   private index: routes.RouteIndex | undefined;
 
+  /** Version of the routing document since which teams share cached prompt parts, if they ever had to start anew. */
+  private sharedSince: number | undefined;
+
   private nextId = 0;
 
   /** Requests that wait for the software version of their stream. */
@@ -54,8 +59,9 @@
   }
 
   /** Activates a routing table; a lower version is ignored. */
-  useTable(table: routes.RoutingTable, snapshot: configuration.ConfigurationSnapshot): void {
+  useRouting({ table, snapshot, sharedSince }: routingSource.ActiveRouting): void {
     const { task } = this.context;
+    this.sharedSince = sharedSince;
     if (this.index === undefined || table.version > this.index.table.version) {
       this.index = new routes.RouteIndex(table);
     }
@@ -67,6 +73,22 @@
     return this.index?.store;
   }
 
+  /**
+   * Under which cached prompt parts of a team are kept; absent for services without a model. It changes with the routing
+   * document, and a request that has waited must not use the one of its arrival.
+   */
+  cacheNamespace(service: string, team: string | undefined): string | undefined {
+    const model = this.index?.service(service)?.engine?.model;
+    if (model === undefined) {
+      return undefined;
+    }
+    // A team that has left the document is kept apart, since it may come back isolated.
+    const isIsolated = team !== undefined && this.index?.teamNamed(team)?.isIsolated !== false;
+    return isIsolated
+      ? cacheNamespace.isolatedNamespace(model, team)
+      : cacheNamespace.sharedNamespace(model, this.sharedSince);
+  }
+
   /** Finds route and team from the headers alone; `Err` says why the request must not be served. */
   admit(
     path: string,
@@ -202,8 +224,7 @@
   ): relayExecution.RelayCall {
     const wait = Math.min(route.timeoutMilliseconds, metadata.waitMilliseconds ?? Infinity);
     const service = routes.chooseService(route.shares, this.shareOf(route, metadata, team));
-    const engine = this.index?.service(service)?.engine;
-    const cacheNamespace = engine === undefined ? undefined : cacheNamespaceOf(engine.model, team);
+    const namespace = this.cacheNamespace(service, team?.name);
     this.nextId += 1;
     return {
       requestId: metadata.requestId,
@@ -212,7 +233,7 @@
       headers,
       body,
       team: team?.name,
-      cacheNamespace,
+      cacheNamespace: namespace,
       deadline: arrivedAt + wait,
       lastEventId: metadata.lastEventId,
       routingVersion: this.tableVersion ?? 0,
@@ -224,7 +245,7 @@
         team: team?.name ?? '',
         service,
         class: configuration.RequestClass.Short,
-        ...chainOf(metadata.parts, cacheNamespace),
+        ...chainOf(metadata.parts, namespace),
         sharedParts: sharedPartsOf(metadata.parts),
         promptTokens: metadata.promptTokens,
         expectedOutputTokens: metadata.outputTokens,
@@ -267,20 +288,15 @@
   return { service, team: team?.name ?? '', firstRequestId: metadata.resumes ?? own };
 }
 
-/** All teams share cached prompt parts, except the isolated ones. */
-function cacheNamespaceOf(model: string, team: routes.RoutedTeam | undefined): string {
-  return team?.isIsolated === true ? `${model}.${team.name}` : model;
-}
-
 /** Includes the ids of all earlier parts in each id: the same part after another beginning is a different prefix. */
 function chainOf(
   parts: readonly headerCodec.PromptPart[],
-  cacheNamespace: string | undefined,
+  namespace: string | undefined,
 ): Pick<decision.RequestProfile, 'prefixChain' | 'chainTokens'> {
   const chain: string[] = [];
   const chainTokens: number[] = [];
   parts.forEach(({ id, tokens }, depth) => {
-    chain.push(`${chain[depth - 1] ?? cacheNamespace}/${id}`);
+    chain.push(`${chain[depth - 1] ?? namespace}/${id}`);
     chainTokens.push((chainTokens[depth - 1] ?? 0) + tokens);
   });
   return { prefixChain: chain, chainTokens };
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -23,4 +23,6 @@
   readonly supersededMilliseconds: (service: string, weightsVersion: string) => number | undefined;
   /** `host:port` of the KV cache store, if there is one. */
   readonly storeAddress: () => string | undefined;
+  /** Under which cached prompt parts of a team are kept at this moment; absent for services without a model. */
+  readonly cacheNamespace: (service: string, team: string | undefined) => string | undefined;
 }
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -26,7 +26,7 @@
   readonly headers: http.IncomingHttpHeaders;
   readonly body: Uint8Array;
   readonly team?: string;
-  /** Separates the cached prompt parts of other models and of isolated teams; absent for services without a model. */
+  /** Under which cached prompt parts were kept when the request arrived; the prefixes of the profile belong to it. */
   readonly cacheNamespace?: string;
   /** Monotonic time in milliseconds at which the caller's deadline or the route's timeout ends. */
   readonly deadline: number;
@@ -318,24 +318,36 @@
 
   /** Announces the prefixes to other daemons, which can have them copied from this server instead of recomputed. */
   private announcePrefixes(serverId: string, server: membership.EligibleServer | undefined): void {
-    if (server?.weightsVersion !== undefined && this.call.cacheNamespace !== undefined) {
+    if (server?.weightsVersion !== undefined && this.hasNamespaceOfArrival) {
       const hashes = decision.sharedPrefixHashes(server.weightsVersion, this.profile.prefixChain);
       this.context.placementBuffer.add({ serverId, hashes });
     }
   }
 
+  private get currentNamespace(): string | undefined {
+    return this.context.cacheNamespace(this.profile.service, this.call.team);
+  }
+
+  /** Whether the prefixes by which servers are selected are those that servers keep now. */
+  private get hasNamespaceOfArrival(): boolean {
+    const { cacheNamespace } = this.call;
+    return cacheNamespace !== undefined && cacheNamespace === this.currentNamespace;
+  }
+
   /** The salt contains the last observed weights version of the server; with other weights the server must refuse. */
   private cacheMetadata(
     effect: decision.Dispatch,
     server: membership.EligibleServer | undefined,
   ): { cacheSalt?: string; weightsVersion?: string; cacheSource?: string } {
-    const { cacheNamespace } = this.call;
+    const cacheNamespace = this.currentNamespace;
     const weightsVersion = server?.weightsVersion;
     if (cacheNamespace === undefined || weightsVersion === undefined) {
       return {};
     }
     const source =
-      effect.cacheSource === undefined ? undefined : this.context.server(effect.cacheSource);
+      effect.cacheSource === undefined || !this.hasNamespaceOfArrival
+        ? undefined
+        : this.context.server(effect.cacheSource);
     return {
       cacheSalt: `${weightsVersion}.${cacheNamespace}`,
       weightsVersion,
--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -15,6 +15,8 @@
 export interface ActiveRouting {
   readonly table: routes.RoutingTable;
   readonly snapshot: configuration.ConfigurationSnapshot;
+  /** Version of the routing document since which teams share cached prompt parts, if they ever had to start anew. */
+  readonly sharedSince?: number;
 }
 
 /** Two grace times for engines with older weights versions. */
@@ -73,7 +75,7 @@
         this.engineProperties,
         (model) => weights.get(model) ?? {},
       );
-      this.active = { table, snapshot };
+      this.active = { table, snapshot, sharedSince: register.cacheSharing?.since };
     }
     return this.active;
   }
--- a/src/routes/route-index.ts
+++ b/src/routes/route-index.ts
@@ -7,6 +7,8 @@
 
   private readonly teamsByCredential = new Map<string, routingTable.RoutedTeam>();
 
+  private readonly teamsByName = new Map<string, routingTable.RoutedTeam>();
+
   private readonly servicesByName: ReadonlyMap<string, routingTable.RoutedService>;
 
   constructor(readonly table: routingTable.RoutingTable) {
@@ -17,9 +19,10 @@
     this.routesByHost.forEach((routes) =>
       routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length),
     );
-    table.teams?.forEach((team) =>
-      team.credentials.forEach((credential) => this.teamsByCredential.set(credential, team)),
-    );
+    table.teams?.forEach((team) => {
+      this.teamsByName.set(team.name, team);
+      team.credentials.forEach((credential) => this.teamsByCredential.set(credential, team));
+    });
     this.servicesByName = new Map(table.services.map((service) => [service.name, service]));
   }
 
@@ -46,6 +49,10 @@
     return credential === undefined ? undefined : this.teamsByCredential.get(credential);
   }
 
+  teamNamed(name: string): routingTable.RoutedTeam | undefined {
+    return this.teamsByName.get(name);
+  }
+
   service(name: string): routingTable.RoutedService | undefined {
     return this.servicesByName.get(name);
   }
--- a/test/platform/register-plane.ts
+++ b/test/platform/register-plane.ts
@@ -7,6 +7,8 @@
 export class RegisterPlane extends fakeControlPlane.FakeControlPlane {
   current = control.EMPTY_REGISTER;
 
+  private readonly registerListeners = new Set<(register: control.Register) => void>();
+
   /** The control state with the streams that were recorded. */
   private state = stateMachine.EMPTY_CONTROL_STATE;
 
@@ -14,6 +16,17 @@
     return this.current;
   }
 
+  override onRegister(listener: (register: control.Register) => void = () => {}): () => void {
+    this.registerListeners.add(listener);
+    return () => this.registerListeners.delete(listener);
+  }
+
+  /** Replaces the register while the gateway runs. */
+  change(register: control.Register): void {
+    this.current = register;
+    this.registerListeners.forEach((listener) => listener(register));
+  }
+
   override async propose(
     command: control.Command,
   ): Promise<results.Result<control.CommandResult, control.ProposalFailure>> {
