Decision core: count a retry in the window in which it is sent

What servers saw: more repeats in a window than the limit of retries allows (reported as BUDGET, without logs).

Cause: a retry was counted when its request failed. If no server had room, the request then waited, and the retry was sent in a later window, together with those that this window allows itself.

Reproduced: decision/waiting-retry. 16 requests at two servers, a limit of 8 retries in 10 s; one server is lost, and the other is full until a window later its connections are lost as well. 12 retries were sent within a second. Ruled out: hedges (none on gateways) and offers (counted when they are sent).

Fix: when a retry that has waited is sent, its count moves to the time of the send, if the window that ends then has one left; else the request waits for its turn outside the queue, like a stream that waits for a retry. At no time do more counts stand in a window than the limit, now by the times of the sends.

--- a/src/decision/attempt-failure.ts
+++ b/src/decision/attempt-failure.ts
@@ -57,8 +57,7 @@
   if (!mayBeSentAgain(step, failed)) {
     ending.fail(step, failed, failure);
   } else if (retryFrom <= step.at && retries.isAllowed(step, failed)) {
-    retries.count(step, failed);
-    arrival.enqueue(step, failed);
+    arrival.enqueue(step, retries.count(step, failed));
   } else if (failed.nextPiece > 0) {
     awaitRetry(step, failed, retryFrom);
   } else {
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -8,6 +8,7 @@
 import * as effect from './effect';
 import * as ending from './ending';
 import * as requestLimits from './request-limits';
+import * as retries from './retries';
 import * as serviceTiming from './service-timing';
 import * as slots from './slots';
 import type * as state from './state';
@@ -103,6 +104,7 @@
   step.setRequest({
     ...request,
     entry: undefined,
+    retryCountedAt: undefined,
     attempts: [...request.attempts, attempt],
     attemptCount: request.attemptCount + 1,
   });
@@ -169,6 +171,11 @@
     ending.fail(step, request, deadlineCheck.deadlineFailure(step.at - request.arrivedAt));
     return true;
   }
+  if (!retries.countAgain(step, request)) {
+    step.setQueue(service, admission.remove(step.queue(service), entry));
+    arrival.hold(step, { ...request, retryFrom: step.at, retryCountedAt: undefined });
+    return true;
+  }
   serviceTiming.lowerWaitSafetyFactor(step, service);
   step.setQueue(service, admission.dequeue(step.queue(service), entry));
   dispatch(step, request, choice, AttemptKind.Only);
--- a/src/decision/periodic-tasks.ts
+++ b/src/decision/periodic-tasks.ts
@@ -82,15 +82,14 @@
 
 /** Retries become free as earlier ones leave the window of the limit, and with new requests. */
 function release(step: steps.Step, request: state.RequestState): void {
-  if (request.retryFrom !== undefined) {
-    if (step.at < request.retryFrom || !retries.isAllowed(step, request)) {
-      return;
-    }
-    retries.count(step, request);
+  const needsRetry = request.retryFrom !== undefined;
+  if (needsRetry && (step.at < request.retryFrom || !retries.isAllowed(step, request))) {
+    return;
   }
   const { requestId } = request.profile;
   step.change({ heldRequests: step.state.heldRequests.delete(requestId) });
-  arrival.enqueue(step, { ...request, retryFrom: undefined });
+  const allowed = needsRetry ? retries.count(step, request) : request;
+  arrival.enqueue(step, { ...allowed, retryFrom: undefined });
 }
 
 /** Stragglers and late first tokens last much longer than this interval. */
--- a/src/decision/retries.ts
+++ b/src/decision/retries.ts
@@ -13,10 +13,27 @@
   return left >= 1 + reserved;
 }
 
-/** Counts a retry of this request. Call it only when `isAllowed` returns true. */
-export function count(step: steps.Step, { profile }: state.RequestState): void {
-  const { service } = profile;
+/** Counts a retry of this request, which may then be sent. Call it only when `isAllowed` returns true. */
+export function count(step: steps.Step, request: state.RequestState): state.RequestState {
+  const { service } = request.profile;
   step.setRetryBudget(service, admission.countRetry(step.retryBudget(service), step.at));
+  return { ...request, retryCountedAt: step.at };
+}
+
+/**
+ * Counts a retry that has waited for a server at the time at which it is sent, as servers count it in the window in which it
+ * arrives. Returns false if that window has no retry left; the request then has none any more.
+ */
+export function countAgain(step: steps.Step, request: state.RequestState): boolean {
+  const { retryCountedAt, profile } = request;
+  if (retryCountedAt === undefined || retryCountedAt === step.at) {
+    return true;
+  }
+  const returned = admission.returnRetry(step.retryBudget(profile.service), retryCountedAt);
+  const isAllowedNow = admission.retriesLeft(returned, step.at) >= 1;
+  const budget = isAllowedNow ? admission.countRetry(returned, step.at) : returned;
+  step.setRetryBudget(profile.service, budget);
+  return isAllowedNow;
 }
 
 /** One retry for each started stream, within fractions of the limit. */
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -53,6 +53,8 @@
   readonly held: boolean;
   /** Monotonic time in milliseconds from which the request may be sent again; set while a started stream waits for a retry. */
   readonly retryFrom?: number;
+  /** When the retry was counted that the request waits to use; absent unless it waits with one. */
+  readonly retryCountedAt?: number;
   readonly attempts: readonly AttemptState[];
   readonly attemptCount: number;
   /** Ended attempts that may have run. */
