Forwarded requests: count towards the limit of retries what another gateway has sent

What servers saw: a gateway that loses its links hands its requests to others. These took each one for new: it raised their limit of retries, though the first gateway had counted it too, and its first send there was no retry, though a server may have had it before.

Reproduced: platform/cut-off-gateway, a gateway without any retries sent the request again that had been sent to a silent server (200 instead of a refusal).

Fix: a forwarded request names the attempts that may have reached a server, and those of gateways that were asked before. With 0 it counts as neither. Else it needs a retry of the second gateway, which refuses it as not run if there is none, so that the first one can ask another.

--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -7,6 +7,7 @@
 import * as ending from './ending';
 import type * as event from './event';
 import * as requestCost from './request-cost';
+import * as retries from './retries';
 import type * as state from './state';
 import * as serviceAvailability from './service-availability';
 import * as standardChecks from './standard-checks';
@@ -19,7 +20,9 @@
   if (step.state.requests.has(profile.requestId)) {
     return;
   }
-  addBudgetCredit(step, profile.service);
+  if (profile.earlierSends === undefined) {
+    addBudgetCredit(step, profile.service);
+  }
   const request = newRequest(step, profile);
   const target = serverSelection.findTarget(step, request);
   const refusal = arrivalCheck.firstRefusal(standardChecks.STANDARD_CHECKS, step, request, target);
@@ -28,7 +31,12 @@
     return;
   }
   recordDemand(step, request);
-  enqueue(step, request, target);
+  enqueue(step, isRepeat(request) ? retries.count(step, request) : request, target);
+}
+
+/** Whether the first attempt of this daemon repeats one of another daemon. */
+function isRepeat({ profile }: state.RequestState): boolean {
+  return (profile.earlierSends ?? 0) > 0;
 }
 
 /**
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -33,6 +33,11 @@
   readonly priority: number;
   /** Limit on the attempts that may have run; `MAXIMUM_ATTEMPTS` by default. */
   readonly maximumAttempts?: number;
+  /**
+   * Attempts of another daemon that may have reached a server before. Absent for a new request; with 0 the other daemon has
+   * counted the request towards the limit of retries and not sent it.
+   */
+  readonly earlierSends?: number;
   /** Latest acceptable time of the first token, on the same clock as `at`. */
   readonly firstTokenDeadline: number;
   /** Latest time at which the whole answer may end, on the same clock; absent when unknown. */
--- a/src/gateway/forward-execution.ts
+++ b/src/gateway/forward-execution.ts
@@ -23,6 +23,8 @@
   readonly progress: answerReceiver.DeliveryProgress;
   /** Attempts that may have run. */
   readonly runs: number;
+  /** Attempts that may have reached a server; absent if this gateway has not counted the request. */
+  readonly sends?: number;
   /** Present if a run of this gateway may still deliver; the first one to deliver goes on. */
   readonly ownRun?: OwnRun;
 }
@@ -36,8 +38,9 @@
 }
 
 /**
- * Runs one request through another gateway, because this one cannot reach the backend servers. The other gateway admits,
- * counts and retries it as a request of its own; a forwarded request is never forwarded again.
+ * Runs one request through another gateway, because this one cannot reach the backend servers. The other gateway admits and
+ * retries it as a request of its own, and counts it towards the limit of retries as a new request, a repeat or, if this one has
+ * counted it and not sent it, not at all; a forwarded request is never forwarded again.
  */
 export class ForwardExecution {
   private readonly abortController = new AbortController();
@@ -52,12 +55,15 @@
 
   private hasTakenOver = false;
 
+  private sends: number | undefined;
+
   constructor(
     private readonly call: relayExecution.RelayCall,
     private readonly context: ForwardContext,
     private readonly reply: relayReply.RelayReply,
     private readonly start: ForwardStart,
   ) {
+    this.sends = start.sends;
     this.mayHaveRun = start.runs > 0 || start.progress.events > 0;
     const remaining = Math.max(0, call.deadline - context.time.monotonic());
     this.timer = context.time.setTimer(remaining, () => this.expire());
@@ -87,6 +93,9 @@
         return;
       }
       this.logFailure(lease, outcome);
+      // A gateway that was reached has counted the request, and its refusal does not tell whether it has sent it.
+      this.sends =
+        outcome.reason === FailureReason.ConnectFailed ? this.sends : (this.sends ?? 0) + 1;
       this.mayHaveRun ||= outcome.verdict !== verdict.Verdict.NotRun;
       failure = outcome;
       if (!verdict.mayRetry(outcome.verdict, this.call.profile.idempotent)) {
@@ -161,6 +170,7 @@
               id: requestId,
               routingVersion: call.routingVersion,
               runs: start.runs,
+              sends: this.sends,
             }),
           },
           body: call.body,
--- a/src/gateway/forward-header.ts
+++ b/src/gateway/forward-header.ts
@@ -9,6 +9,8 @@
   RoutingVersion = 'figline-forward-routing',
   /** Attempts of the request that may have run before it was forwarded. */
   Runs = 'figline-forward-runs',
+  /** Attempts that may have reached a server; absent if no gateway has counted the request yet. */
+  Sends = 'figline-forward-sends',
   /** Verdict of a failure that the second gateway itself answers with. */
   Verdict = 'figline-forward-verdict',
 }
@@ -18,6 +20,11 @@
   readonly id: string;
   readonly routingVersion: number;
   readonly runs: number;
+  /**
+   * Attempts that may have reached a server before. Absent if no gateway has counted the request towards the limit of retries,
+   * and in requests of releases that did not tell it.
+   */
+  readonly sends?: number;
 }
 
 /**
@@ -31,6 +38,7 @@
     [ForwardHeader.Id]: metadata.id,
     [ForwardHeader.RoutingVersion]: String(metadata.routingVersion),
     [ForwardHeader.Runs]: String(metadata.runs),
+    ...(metadata.sends === undefined ? {} : { [ForwardHeader.Sends]: String(metadata.sends) }),
   };
 }
 
@@ -39,8 +47,9 @@
   const id = headers[ForwardHeader.Id];
   const routingVersion = Number(headers[ForwardHeader.RoutingVersion] ?? NaN);
   const runs = Number(headers[ForwardHeader.Runs] ?? NaN);
+  const sends = Number(headers[ForwardHeader.Sends] ?? NaN);
   return typeof id === 'string' && Number.isInteger(routingVersion) && Number.isInteger(runs)
-    ? { id, routingVersion, runs }
+    ? { id, routingVersion, runs, ...(Number.isInteger(sends) ? { sends } : {}) }
     : undefined;
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -252,6 +252,7 @@
         idempotent: isRepeatable(route),
         isStreamed: route.kind === routes.RouteKind.Stream,
         maximumAttempts: Math.max(1, route.maximumAttempts - (forwarded?.runs ?? 0)),
+        earlierSends: forwarded?.sends,
         priority: team?.priority ?? route.priority,
         firstTokenDeadline: arrivedAt + wait,
         answerDeadline: arrivedAt + wait,
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -57,6 +57,9 @@
   /** Ended attempts that may have run. */
   private runs = 0;
 
+  /** Attempts whose request may have reached a server. */
+  private sends = 0;
+
   /** Another gateway that is asked to go on with the stream while this one has a run; absent if none is. */
   private handOver: forwardExecution.ForwardExecution | undefined;
 
@@ -165,8 +168,8 @@
 
   private forwarding(ownRun?: forwardExecution.OwnRun): forwardExecution.ForwardExecution {
     const runs = this.runs + (ownRun === undefined ? 0 : 1);
-    const start = { progress: this.deliveryProgress, runs, ownRun };
-    const { call, context, reply } = this;
+    const { call, context, reply, sends } = this;
+    const start = { progress: this.deliveryProgress, runs, sends, ownRun };
     return new forwardExecution.ForwardExecution(call, context, reply, start);
   }
 
@@ -200,7 +203,9 @@
         return;
       }
       const server = this.context.server(effect.serverId);
+      this.sends += 1;
       const outcome = await this.relay(effect, lease, server, signal, reservation.val);
+      this.sends -= outcome?.reason === verdict.FailureReason.ConnectFailed ? 1 : 0;
       if (outcome === undefined) {
         this.finish(effect);
       } else {
--- a/test/platform/cut-off-gateway.test.ts
+++ b/test/platform/cut-off-gateway.test.ts
@@ -51,6 +51,8 @@
   readonly isSoundCutToo?: boolean;
   /** Limit of open requests of the gateway in the cut. */
   readonly maximumRequests?: number;
+  /** Limits of the retries of both gateways. */
+  readonly retryLimits?: { ratio: number; slack: number; windowMilliseconds: number };
   /** Durations of the stops of both gateways. */
   readonly stop?: { readonly loadBalancerMilliseconds: number; readonly graceMilliseconds: number };
 }
@@ -72,6 +74,7 @@
       {
         forwardListen: FORWARD_LISTEN,
         ...(options.stop === undefined ? {} : { stop: options.stop }),
+        ...(options.retryLimits === undefined ? {} : { retryLimits: options.retryLimits }),
         maximumRequests: isCut ? (options.maximumRequests ?? 100) : 100,
       },
     );
@@ -190,6 +193,24 @@
   }
 });
 
+// Guards against repeats beyond the limit of retries, because the second gateway takes what the first one has sent for new.
+suite('a request that may have reached a server is a repeat at the other gateway', async () => {
+  const silent = new SilentServer();
+  const retryLimits = { ratio: 0, slack: 0, windowMilliseconds: 10_000 };
+  try {
+    await withPair({ port: await silent.listen(), retryLimits }, async ({ cut, servers }) => {
+      const headers = { 'x-figline-deadline-ms': '4000' };
+      const sent = { ...headers, 'x-figline-request-id': 'sent' };
+      assert.is((await cut.send('GET', '/balance/7', sent)).status, 502);
+      const fresh = { ...headers, 'x-figline-request-id': 'fresh' };
+      assert.is((await cut.send('GET', '/balance/8', fresh)).status, 200);
+      assert.equal(runs(servers), ['fresh']);
+    });
+  } finally {
+    await silent.close();
+  }
+});
+
 // Guards against a charge that runs at a server behind the cut and once more through another gateway.
 suite('a charge that may have reached a server is not sent through another gateway', async () => {
   const silent = new SilentServer();
