Backend connections: give up a paused answer without an exception in undici

What callers saw: a server answered with neither a length nor chunks, without end, and its caller read nothing. When the gateway gave the answer up (the caller left, or its time ended), the process ended, and the requests of all other callers with it.

Cause: undici ends such an answer as complete when its connection closes without an error, or is reset, and asserts that its parser is not paused. It is paused while the caller does not read; the connection was destroyed without an error. The exception is thrown in a listener of the socket, which nobody catches.

Fix: the connection knows whether its answer is paused. If so, it is destroyed with an error, and a reset by the server is not shown to undici under its own code. The same code serves streams, other gateways and management calls, which pause through the same call now.

A body in chunks did no harm before either.

--- a/src/backend/connection.ts
+++ b/src/backend/connection.ts
@@ -27,6 +27,9 @@
 
   private expectedAnswer: ExpectedAnswer | undefined;
 
+  /** Whether reading of the expected answer is paused. */
+  private isPaused = false;
+
   private answers = 0;
 
   /** Ids of the requests that the server refused on this connection. */
@@ -99,6 +102,11 @@
     this.expectedAnswer = { budget, onExcess };
   }
 
+  /** Tells that reading of the expected answer is paused, or goes on. */
+  setPaused(isPaused: boolean): void {
+    this.isPaused = isPaused;
+  }
+
   /** Counts bytes that were part of the body of the expected answer. */
   countBody(bytes: number): void {
     this.bodyBytes += bytes;
@@ -122,6 +130,7 @@
   /** Expects no more bytes: any byte received from now on closes the connection. */
   endAnswer(): void {
     this.expectedAnswer = undefined;
+    this.isPaused = false;
     this.answers += 1;
     this.countedBytes = this.receivedBytes;
     this.bodyBytes = 0;
@@ -140,7 +149,7 @@
       return;
     }
     this.destroyed = true;
-    this.socket?.destroy();
+    this.socket?.destroy(this.isPaused ? new Error('the paused answer is given up') : undefined);
     this.client.destroy().catch(() => {});
     this.onClosed(this);
   }
@@ -158,8 +167,12 @@
       allowHalfOpen: true,
     });
     this.socket = socket;
-    socket.on('error', () => {
+    // Runs before the listener of undici.
+    socket.on('error', (error: NodeJS.ErrnoException) => {
       this.failed = true;
+      if (this.isPaused) {
+        hideReset(error);
+      }
     });
     socket.on('end', () => this.recordEnd(socket));
     const timer = readFirstTimer.setReadFirstTimer(this.time, this.limits.connectMilliseconds, () =>
@@ -215,6 +228,16 @@
 /** A connection with more refusals is closed, so that it does not remember any number of ids. */
 const MAXIMUM_REFUSED_IDS = 100;
 
+/**
+ * When a connection is closed without an error, or is reset, undici ends an answer without a length as if it were complete, which
+ * throws in a listener of the socket if the answer is paused. Any other error fails the request.
+ */
+function hideReset(error: NodeJS.ErrnoException): void {
+  if (error.code === 'ECONNRESET') {
+    Object.assign(error, { code: 'ERR_PAUSED_ANSWER_RESET' });
+  }
+}
+
 /** Servers ignore a blank line before a request (RFC 9112, section 2.2). */
 const BLANK_LINE = '\r\n';
 
--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -153,6 +153,16 @@
     this.connection?.destroy();
   }
 
+  /** Stops reading the answer, or goes on. */
+  protected setPaused(isPaused: boolean): void {
+    this.connection?.setPaused(isPaused);
+    if (isPaused) {
+      this.controller?.pause();
+    } else {
+      this.controller?.resume();
+    }
+  }
+
   /** Restarts the timer that abandons the exchange; 0 stops it. */
   protected setDeadline(milliseconds: number, message: string): void {
     this.timer?.cancel();
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -51,11 +51,11 @@
   }
 
   pause(): void {
-    this.controller?.pause();
+    this.setPaused(true);
   }
 
   resume(): void {
-    this.controller?.resume();
+    this.setPaused(false);
   }
 
   cancel(): void {
--- a/src/backend/stream-exchange.ts
+++ b/src/backend/stream-exchange.ts
@@ -50,14 +50,14 @@
   /** Stops reading while the consumer is slow. The silence timeout does not run while the stream is paused. */
   pause(): void {
     this.paused = true;
-    this.controller?.pause();
+    this.setPaused(true);
     this.setDeadline(0, '');
   }
 
   resume(): void {
     if (this.paused) {
       this.paused = false;
-      this.controller?.resume();
+      this.setPaused(false);
       this.restartSilenceTimeout();
     }
   }
--- a/test/support/flood-server.ts
+++ b/test/support/flood-server.ts
@@ -40,6 +40,11 @@
     });
   }
 
+  /** Resets all connections. */
+  reset(): void {
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
   private accept(socket: net.Socket): void {
     this.sockets.add(socket);
     socket.on('close', () => this.sockets.delete(socket));
