Forwarded requests: tell earlier sends in the id, not in a header of their own

A gateway of the last landing passes a header between gateways that it does not know on to the server.

Also: the stand-in of gateway/relay-deadline has the cache namespace that executions ask for since the change of namespaces; the test failed without it (no request was sent). Its check is unchanged.

--- a/src/gateway/forward-execution.ts
+++ b/src/gateway/forward-execution.ts
@@ -132,7 +132,7 @@
     lease: forwarderModule.ForwardLease,
   ): Promise<verdict.RequestFailure | undefined> {
     const { call, context, start } = this;
-    const { requestId } = call.profile;
+    const requestId = forwardHeader.forwardId(call.profile.requestId, this.sends);
     logger.information('request forwarded to another gateway', {
       requestId: call.requestId,
       service: call.profile.service,
@@ -170,7 +170,6 @@
               id: requestId,
               routingVersion: call.routingVersion,
               runs: start.runs,
-              sends: this.sends,
             }),
           },
           body: call.body,
--- a/src/gateway/forward-header.ts
+++ b/src/gateway/forward-header.ts
@@ -9,8 +9,6 @@
   RoutingVersion = 'figline-forward-routing',
   /** Attempts of the request that may have run before it was forwarded. */
   Runs = 'figline-forward-runs',
-  /** Attempts that may have reached a server; absent if no gateway has counted the request yet. */
-  Sends = 'figline-forward-sends',
   /** Verdict of a failure that the second gateway itself answers with. */
   Verdict = 'figline-forward-verdict',
 }
@@ -38,7 +36,6 @@
     [ForwardHeader.Id]: metadata.id,
     [ForwardHeader.RoutingVersion]: String(metadata.routingVersion),
     [ForwardHeader.Runs]: String(metadata.runs),
-    ...(metadata.sends === undefined ? {} : { [ForwardHeader.Sends]: String(metadata.sends) }),
   };
 }
 
@@ -47,12 +44,28 @@
   const id = headers[ForwardHeader.Id];
   const routingVersion = Number(headers[ForwardHeader.RoutingVersion] ?? NaN);
   const runs = Number(headers[ForwardHeader.Runs] ?? NaN);
-  const sends = Number(headers[ForwardHeader.Sends] ?? NaN);
   return typeof id === 'string' && Number.isInteger(routingVersion) && Number.isInteger(runs)
-    ? { id, routingVersion, runs, ...(Number.isInteger(sends) ? { sends } : {}) }
+    ? { id, routingVersion, runs, ...sendsIn(id) }
     : undefined;
 }
 
+/**
+ * The id under which a request is forwarded. It also tells the attempts that may have reached a server: gateways of releases that
+ * do not read them echo it like any other id, whereas they would pass an unknown header on to a server.
+ *
+ * @param requestId unique id of the router, which ends with `#` and a number
+ * @example
+ * forwardId('request-1#2', 1); // 'request-1#2~1'
+ */
+export function forwardId(requestId: string, sends: number | undefined): string {
+  return sends === undefined ? requestId : `${requestId}~${sends}`;
+}
+
+function sendsIn(id: string): Pick<ForwardMetadata, 'sends'> {
+  const sends = /#\d+~(\d{1,6})$/.exec(id)?.[1];
+  return sends === undefined ? {} : { sends: Number(sends) };
+}
+
 /** Whether the answer of another gateway is its own refusal, so that the request has not run. */
 export function isRefusal(status: number, headers: Readonly<Record<string, string>>): boolean {
   return status === 503 && headers[ForwardHeader.Verdict] === verdict.Verdict.NotRun;
--- a/test/gateway/relay-deadline.test.ts
+++ b/test/gateway/relay-deadline.test.ts
@@ -84,6 +84,7 @@
     bufferBudget: new bufferBudget.BufferBudget(),
     forwarder: { isActive: false },
     server: () => undefined,
+    cacheNamespace: () => undefined,
   } as unknown as relayContext.RelayContext;
   const reply = { fail: (failure: verdict.RequestFailure) => failures.push(failure) };
   const call = {
