Daemons: know and report how old their copy of the configuration may be

When a gateway refused a route that had been added, neither logs nor metrics told which version it had, since when nothing had confirmed it, and to which control daemons it had lost its links, so that the hypotheses could not be told apart.

Heartbeats carry an upper bound of the age of the sender's copy: 0 at a leader with a lease that has applied what it committed in its term, and what they learned from others at all other daemons. The bound counts from a tick that comes back to its sender, not from the arrival, as heartbeats may wait in buffers of a process that stands still or of a network that was cut. It is shown in the log when it passes the time in which a document has to be in force, in the line of each refused request with the version, and as gauges. The loss of the last link to a daemon with a replica is logged with the addresses that are dialed, and so is its return.

No decision uses the age yet. Fields of heartbeats are optional; a leader of the last release, which sends none, counts as before.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -10,6 +10,7 @@
 import type * as command from './command';
 import * as configurationStore from './configuration-store';
 import * as controlPlane from './control-plane';
+import * as copyAge from './copy-age';
 import * as daemonCount from './daemon-count';
 import * as orderHistory from './order-history';
 import * as peerDirectory from './peer-directory';
@@ -18,6 +19,7 @@
 import * as registers from './register';
 import * as registerStore from './register-store';
 import * as relay from './relay';
+import * as replicaContact from './replica-contact';
 import * as replicaSupervisor from './replica-supervisor';
 import type * as replicaTask from './replica-task';
 
@@ -70,6 +72,10 @@
 
   private readonly daemonCount: daemonCount.DaemonCount;
 
+  private readonly copyAge: copyAge.CopyAge;
+
+  private readonly replicaContact: replicaContact.ReplicaContact;
+
   private readonly clockOffsets = new clockOffsets.ClockOffsets();
 
   private readonly broadcastListeners = new Map<controlPlane.PeerTopic, Set<BroadcastListener>>();
@@ -100,6 +106,8 @@
     this.orderRecorder = new orderHistory.OrderRecorder(time);
     this.daemonCount = new daemonCount.DaemonCount(time);
     this.suspensions = new clock.SuspensionDetector(time);
+    this.copyAge = new copyAge.CopyAge(time, this.suspensions);
+    this.replicaContact = new replicaContact.ReplicaContact(time, () => this.contactFields());
     this.directory = new peerDirectory.PeerDirectory(time);
     this.network = new wire.PeerNetwork(
       {
@@ -108,7 +116,7 @@
         heartbeatInterval: (peer) => this.heartbeatInterval(peer),
       },
       {
-        onMessage: (peer, message) => this.receive(peer, message),
+        onMessage: (peer, message, sentAfter) => this.receive(peer, message, sentAfter),
         onPeerReady: (peer) => this.directory.recordConnected(peer),
         onPeerLost: (peer) => this.peerLost(peer),
       },
@@ -201,6 +209,18 @@
     return this.registerStore.subscribe(listener);
   }
 
+  override copyAgeMilliseconds(): number {
+    const task = this.replicaTask;
+    if (
+      task?.hasAppliedCommitted === true &&
+      replica.hasCommittedInTerm(task.current) &&
+      this.leaseRemaining(task.current) > 0
+    ) {
+      this.copyAge.confirm(this.position(), this.options.clock.monotonic());
+    }
+    return this.copyAge.milliseconds();
+  }
+
   override onDaemonCount(listener: daemonCount.CountListener): () => void {
     return this.daemonCount.subscribe(listener);
   }
@@ -371,11 +391,13 @@
   private heartbeat(): object {
     const state = this.replicaTask?.current;
     const voters = state === undefined ? [] : replica.voters(state).map(({ address }) => address);
+    const age = Math.ceil(this.copyAgeMilliseconds());
     return {
       revision: this.store.current.revision,
       register: this.registerStore.current.sequence,
       leader: this.knownLeader(),
       sentAt: this.options.clock.now(),
+      ...(Number.isFinite(age) ? { copyAge: age } : {}),
       ...(state === undefined ? {} : { daemons: this.directory.size + 1 }),
       ...(voters.length === 0 ? {} : { voters }),
     };
@@ -399,11 +421,12 @@
     this.network.send(message.toAddress, wrapped as unknown as wire.WireMessage);
   }
 
-  private receive(peer: wire.PeerIdentity, raw: wire.WireMessage): void {
+  private receive(peer: wire.PeerIdentity, raw: wire.WireMessage, sentAfter: number): void {
     const message = peerMessage.peerMessageSchema.parse(raw);
     this.directory.recordContact(peer);
     switch (message.kind) {
       case peerMessage.PeerMessageKind.Heartbeat:
+        this.recordCopyAge(peer, message, sentAfter);
         this.receiveHeartbeat(peer, message);
         break;
       case peerMessage.PeerMessageKind.Replica:
@@ -442,6 +465,7 @@
     { revision, leader, register = 0, voters = [], sentAt, daemons }: peerMessage.Heartbeat,
   ): void {
     if (daemons !== undefined) {
+      this.replicaContact.recordHeartbeat(peer.address);
       this.daemonCount.record(peer.address, daemons);
     }
     if (sentAt !== undefined) {
@@ -462,6 +486,20 @@
     }
   }
 
+  private recordCopyAge(
+    peer: wire.PeerIdentity,
+    { revision, register = 0, leader, sentTick, copyAge: age }: peerMessage.Heartbeat,
+    sentAfter: number,
+  ): void {
+    const position = { revision, registerSequence: register };
+    if (age !== undefined) {
+      this.copyAge.confirm(position, sentAfter - age);
+    } else if (sentTick === undefined && leader?.address === peer.address) {
+      // A leader of an earlier release does not tell the age of its state; its heartbeats count as before.
+      this.copyAge.confirm(position, this.options.clock.monotonic());
+    }
+  }
+
   private requestConfiguration(peer: wire.PeerIdentity): void {
     const { clock: time, daemonId: ownDaemonId, zone: ownZone } = this.options;
     const now = time.monotonic();
@@ -554,17 +592,35 @@
   /** Announces a new revision or register at once to the peers that have not reported it themselves. */
   private announceIfNew(isNew: boolean): void {
     if (isNew) {
+      this.copyAge.advance(this.position());
       this.configurationRequestedAt = Number.NEGATIVE_INFINITY;
       this.registerRequestedAt = Number.NEGATIVE_INFINITY;
       this.behindSince = undefined;
-      const { revision } = this.store.current;
-      const { sequence } = this.registerStore.current;
+      const { revision, registerSequence } = this.position();
       this.network.sendHeartbeats((address) =>
-        this.directory.isBehind(address, revision, sequence),
+        this.directory.isBehind(address, revision, registerSequence),
       );
     }
   }
 
+  private contactFields(): logging.LogFields {
+    const age = this.copyAgeMilliseconds();
+    return {
+      copyAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : undefined,
+      revision: this.store.current.revision,
+      routingVersion: this.registerStore.current.routing?.version,
+      leader: this.knownLeader()?.address,
+      dialed: this.network.dialedAddresses().join(' '),
+    };
+  }
+
+  private position(): copyAge.CopyPosition {
+    return {
+      revision: this.store.current.revision,
+      registerSequence: this.registerStore.current.sequence,
+    };
+  }
+
   private updateLeader(): void {
     const address = this.knownLeader()?.address;
     if (address !== this.leaderAddress) {
@@ -576,6 +632,7 @@
 
   private peerLost(peer: wire.PeerIdentity): void {
     this.directory.recordDisconnected(peer);
+    this.replicaContact.recordLost(peer.address);
     this.clockOffsets.forget(peer.address);
     this.forwarder.peerLost(peer.address);
   }
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -99,6 +99,15 @@
   /** Calls `listener` on each newer register; returns a function that ends the subscription. */
   abstract onRegister(listener: (register: registers.Register) => void): () => void;
 
+  /**
+   * Upper bound of the age of this daemon's configuration and register in milliseconds: all that was acknowledged to an
+   * operator before that is included. Infinite if it is unknown.
+   *
+   * @example
+   * const isKnownToBeAbsent = route === undefined && plane.copyAgeMilliseconds() < 2_500;
+   */
+  abstract copyAgeMilliseconds(): number;
+
   /**
    * Calls `listener` with the number of daemons, now if it is known and at each change. Daemons that were lost lately
    * count. The number is what the daemons with replicas report, so that one that is cut off keeps the last one.
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -236,6 +236,10 @@
     daemons: zod.int().min(1).optional(),
     /** Wall-clock time of the sender in milliseconds; absent from daemons of earlier releases. */
     sentAt: zod.number().optional(),
+    /** Monotonic time of the sender in milliseconds; absent from daemons of releases that send no `copyAge`. */
+    sentTick: zod.number().optional(),
+    /** Upper bound of the age in milliseconds of the sender's configuration and register; absent if it knows none. */
+    copyAge: zod.number().min(0).optional(),
   }),
   zod.object({ kind: zod.literal(PeerMessageKind.Replica), message: replicaMessage }),
   zod.object({
--- a/src/control/replica-task.ts
+++ b/src/control/replica-task.ts
@@ -152,6 +152,11 @@
     return this.state.role === replica.Role.Stopped;
   }
 
+  /** Whether all committed entries are applied; one that is acknowledged has been applied before. */
+  get hasAppliedCommitted(): boolean {
+    return this.isShown && this.appliedIndex >= this.state.commitIndex;
+  }
+
   /** The control state after the applied entries. */
   get controlState(): stateMachine.ControlState {
     return this.control;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -8,6 +8,7 @@
 import * as bodyAdmission from './body-admission';
 import * as callerContext from './caller-context';
 import * as callerModule from './caller-module';
+import * as copyMonitor from './copy-monitor';
 import type * as daemonPorts from './daemon-ports';
 import * as failureFilter from './failure-filter';
 import * as httpListener from './http-listener';
@@ -123,6 +124,8 @@
     register('metrics', () => meter.close());
     const processMonitor = new metrics.ProcessMonitor(time, meter, metrics.processUsage);
     register('process watch', () => processMonitor.close());
+    const copies = new copyMonitor.CopyMonitor({ plane, meter, time }, COPY_AGE_LIMIT_MILLISECONDS);
+    register('copy watch', () => copies.close());
     register('control plane', () => plane.close());
     register('backend clients', () => this.pool.close());
     register('decision task', () => this.task.close());
@@ -258,4 +261,7 @@
 
 const DRAIN_POLL_MILLISECONDS = 20;
 
+/** A published configuration is active on every daemon within this time. */
+const COPY_AGE_LIMIT_MILLISECONDS = 5_000;
+
 const CLAIM_FLUSH_MILLISECONDS = 2_000;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -63,6 +63,8 @@
   /** Whether this is the first start of the whole deployment, so that no earlier process can have retried. */
   readonly isFirstStart: boolean;
   readonly maximumRequests: number;
+  /** Age from which the copy of the routing document is not known to be recent. */
+  readonly copyAgeLimitMilliseconds: number;
 }
 
 /** A daemon that relays requests of a platform's callers: starts and stops its tasks and listeners in order. */
@@ -192,6 +194,7 @@
         server: (serverId) => membership.server(serverId),
         supersededMilliseconds: (service, version) =>
           this.source.supersededMilliseconds(service, version),
+        copyAgeMilliseconds: () => plane.copyAgeMilliseconds(),
         storeAddress: () => this.gateway.store?.address,
         cacheNamespace: (service, team) => this.gateway.cacheNamespace(service, team),
       },
@@ -244,6 +247,11 @@
     registerResource('metrics', () => meter.close());
     const monitor = new metrics.ProcessMonitor(this.ports.time, meter, metrics.processUsage);
     registerResource('process watch', () => monitor.close());
+    const copies = new daemon.CopyMonitor(
+      { plane, meter, time: this.ports.time },
+      this.options.copyAgeLimitMilliseconds,
+    );
+    registerResource('copy watch', () => copies.close());
     registerResource('control plane', () => plane.close());
     registerResource('backend clients', () => pool.close());
     registerResource('decision task', () => this.task.close());
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -122,6 +122,7 @@
         team: team?.name,
         promptTokens: metadata.promptTokens,
         outputTokens: metadata.outputTokens,
+        ...(admitted.ok ? {} : this.copyFields()),
       },
     });
     const refusal = this.refusalOfForwarded(incoming);
@@ -172,6 +173,15 @@
     new forwardExecution.ForwardExecution(call, this.context, reply, start).run();
   }
 
+  /** What a refusal was decided from, for the log. */
+  private copyFields(): Pick<relayReply.ReplyIdentity, 'routingVersion' | 'copyAgeMilliseconds'> {
+    const age = this.context.copyAgeMilliseconds();
+    return {
+      routingVersion: this.tableVersion,
+      copyAgeMilliseconds: Number.isFinite(age) ? Math.round(age) : undefined,
+    };
+  }
+
   private get openRequests(): number {
     const { task, forwarder } = this.context;
     return task.activeRequests + this.lookups + forwarder.activeRequests;
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -21,6 +21,8 @@
   readonly server: (serverId: string) => membership.EligibleServer | undefined;
   /** Time since a newer weights version of a service was set; absent if the given version is the newest. */
   readonly supersededMilliseconds: (service: string, weightsVersion: string) => number | undefined;
+  /** Upper bound of the age of this daemon's copy of the routing document; infinite if it is unknown. */
+  readonly copyAgeMilliseconds: () => number;
   /** `host:port` of the KV cache store, if there is one. */
   readonly storeAddress: () => string | undefined;
   /** Under which cached prompt parts of a team are kept at this moment; absent for services without a model. */
--- a/src/gateway/relay-reply.ts
+++ b/src/gateway/relay-reply.ts
@@ -15,6 +15,9 @@
   /** Size of the request: tokens of the prompt and of the longest answer that the caller accepts. */
   readonly promptTokens?: number;
   readonly outputTokens?: number;
+  /** Version and age of the routing document that a refusal was decided from. */
+  readonly routingVersion?: number;
+  readonly copyAgeMilliseconds?: number;
 }
 
 /** Writes one answer to a caller and logs how the request ended. */
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -30,6 +30,12 @@
   /** Processor time since the start of the process. */
   ProcessorTime = 'processor_milliseconds',
   ResidentBytes = 'resident_bytes',
+  /** Upper bound of the age of the copy of the configuration; -1 while it is unknown. */
+  CopyAge = 'copy_age_milliseconds',
+  /** Version of the routing document in this daemon's copy. */
+  RoutingVersion = 'routing_version',
+  /** Revision of the configuration in this daemon's copy. */
+  Revision = 'revision',
 }
 
 /** Tags that split a histogram or counter. */
--- a/src/replica/lease.ts
+++ b/src/replica/lease.ts
@@ -1,3 +1,4 @@
+import * as logs from './log';
 import * as states from './state';
 
 /**
@@ -31,6 +32,19 @@
   return Math.max(0, start + leaseMilliseconds - now);
 }
 
+/**
+ * Whether all that earlier leaders acknowledged is below the commit index. A new leader does not know this before an entry of
+ * its own term is committed.
+ *
+ * @example
+ * const knowsNewest = leaseRemaining(state, now) > 0 && hasCommittedInTerm(state);
+ */
+export function hasCommittedInTerm(state: states.ReplicaState): boolean {
+  return (
+    state.role === states.Role.Leader && logs.termAt(state.log, state.commitIndex) === state.term
+  );
+}
+
 function leaseStartOf(state: states.ReplicaState, replicaId: string, now: number): number {
   const acknowledgedAt = state.progress.get(replicaId)?.acknowledgedAt;
   return replicaId === state.self.replicaId ? now : (acknowledgedAt ?? Number.NEGATIVE_INFINITY);
--- a/src/wire/handshake.ts
+++ b/src/wire/handshake.ts
@@ -29,6 +29,15 @@
   nonce: zod.instanceof(Uint8Array).refine((nonce) => nonce.length === NONCE_BYTES),
 });
 
+/** Monotonic times in milliseconds of the sender and of the receiver of a heartbeat; earlier releases send none. */
+export const heartbeatTicksSchema = zod.object({
+  kind: zod.literal(LinkMessageKind.Heartbeat),
+  /** When the sender sent the heartbeat, on its own clock. */
+  sentTick: zod.number(),
+  /** The last `sentTick` that the sender has received on this link; absent before the first. */
+  heardTick: zod.number().optional(),
+});
+
 export type Hello = zod.infer<typeof helloSchema>;
 
 export const proofSchema = zod.object({
--- a/src/wire/link.ts
+++ b/src/wire/link.ts
@@ -24,8 +24,8 @@
   readonly identity: handshake.PeerIdentity;
   readonly preSharedKey: string;
   readonly clock: clock.Clock;
-  /** Content of the next heartbeat. */
-  readonly heartbeat: () => object;
+  /** Content of the next heartbeat to this peer. */
+  readonly heartbeat: (peer: handshake.PeerIdentity) => object;
   /** Milliseconds between two heartbeats to this peer and from it; by default `HEARTBEAT_INTERVAL_MILLISECONDS`. */
   readonly heartbeatInterval?: (peer: handshake.PeerIdentity) => number;
 }
@@ -62,6 +62,11 @@
 
   private heartbeatSentAt = Number.NEGATIVE_INFINITY;
 
+  /** `sentTick` of the last heartbeat from the peer. */
+  private heardTick: number | undefined;
+
+  private sentAfter: number;
+
   private readonly reader = new frame.FrameReader();
 
   private readonly hello: handshake.Hello;
@@ -80,6 +85,7 @@
     private readonly handlers: LinkHandlers,
   ) {
     this.lastReceivedAt = options.clock.monotonic();
+    this.sentAfter = this.lastReceivedAt;
     this.hello = handshake.createHello(options.identity);
     this.timer = options.clock.setTimer(HANDSHAKE_TIMEOUT_MILLISECONDS, () =>
       this.close(LinkCloseReason.HandshakeTimeout),
@@ -100,6 +106,14 @@
     return this.ready ? this.peerHello : undefined;
   }
 
+  /**
+   * Monotonic time in milliseconds at this daemon after which the peer sent its last heartbeat. The time of arrival does not
+   * tell this: messages may wait in buffers while a process stands still or a network is cut.
+   */
+  get peerSentAfter(): number {
+    return this.sentAfter;
+  }
+
   get remote(): string {
     return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
   }
@@ -133,7 +147,14 @@
   /** Sends a heartbeat outside the regular interval. */
   sendHeartbeat(): void {
     if (this.ready) {
-      this.send({ ...this.options.heartbeat(), kind: handshake.LinkMessageKind.Heartbeat });
+      const { clock: time, heartbeat } = this.options;
+      const { heardTick } = this;
+      this.send({
+        ...heartbeat(this.peerHello!),
+        sentTick: Math.floor(time.monotonic()),
+        ...(heardTick === undefined ? {} : { heardTick }),
+        kind: handshake.LinkMessageKind.Heartbeat,
+      } as frame.WireMessage);
     }
   }
 
@@ -170,6 +191,7 @@
 
   private dispatch(message: frame.WireMessage): void {
     if (this.ready) {
+      this.recordTicks(message);
       this.handlers.onMessage(this, message);
     } else if (this.peerHello === undefined) {
       this.receiveHello(message);
@@ -178,6 +200,16 @@
     }
   }
 
+  /** The peer sent a heartbeat after it had received the one whose tick it returns. */
+  private recordTicks(message: frame.WireMessage): void {
+    const ticks = handshake.heartbeatTicksSchema.safeParse(message);
+    if (ticks.success) {
+      const { sentTick, heardTick = this.sentAfter } = ticks.data;
+      this.heardTick = sentTick;
+      this.sentAfter = Math.max(this.sentAfter, Math.min(heardTick, this.lastReceivedAt));
+    }
+  }
+
   private receiveHello(message: frame.WireMessage): void {
     const parsed = handshake.helloSchema.safeParse(message);
     if (!parsed.success) {
--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -19,14 +19,20 @@
   readonly preSharedKey: string;
   readonly clock: clock.Clock;
   readonly random: clock.RandomSource;
-  readonly heartbeat: () => object;
+  /** See `link.LinkOptions`. */
+  readonly heartbeat: (peer: handshake.PeerIdentity) => object;
   /** See `link.LinkOptions`. */
   readonly heartbeatInterval?: (peer: handshake.PeerIdentity) => number;
 }
 
 /** Callbacks for the events of a peer network. */
 export interface PeerNetworkHandlers {
-  readonly onMessage: (peer: handshake.PeerIdentity, message: frame.WireMessage) => void;
+  /** `sentAfter` is a monotonic time in milliseconds after which the peer sent its last heartbeat. */
+  readonly onMessage: (
+    peer: handshake.PeerIdentity,
+    message: frame.WireMessage,
+    sentAfter: number,
+  ) => void;
   readonly onPeerReady: (peer: handshake.PeerIdentity) => void;
   readonly onPeerLost: (peer: handshake.PeerIdentity) => void;
 }
@@ -137,6 +143,11 @@
     );
   }
 
+  /** The addresses to which this daemon maintains links or tries to. */
+  dialedAddresses(): string[] {
+    return [...this.dialers.keys()];
+  }
+
   linkedAddresses(): string[] {
     return [...this.latestLinks().keys()];
   }
@@ -225,7 +236,7 @@
 
   private receive(from: link.Link, message: frame.WireMessage): void {
     try {
-      this.handlers.onMessage(from.peer!, message);
+      this.handlers.onMessage(from.peer!, message, from.peerSentAfter);
     } catch (error) {
       const detail = (error as Error).message.slice(0, MAXIMUM_DETAIL_CHARACTERS);
       from.close(link.LinkCloseReason.Malformed, detail);
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -241,6 +241,7 @@
   retryLimits: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
   isFirstStart: true,
   maximumRequests: 100,
+  copyAgeLimitMilliseconds: 2_500,
 };
 
 /** A routing document with a resumable stream, a charge that may run once, and a look-up. */
--- a/test/support/fake-control-plane.ts
+++ b/test/support/fake-control-plane.ts
@@ -9,6 +9,9 @@
 export class FakeControlPlane extends control.ControlPlane {
   isCutOff = false;
 
+  /** Age of this daemon's copy of the configuration in milliseconds. */
+  copyAge = 0;
+
   /** Whether commands are committed while their results are lost. */
   losesResults = false;
 
@@ -57,6 +60,10 @@
     return () => {};
   }
 
+  override copyAgeMilliseconds(): number {
+    return this.copyAge;
+  }
+
   override onDaemonCount(listener: (daemons: number) => void): () => void {
     listener(1);
     return () => {};
--- a/test/wire/link.test.ts
+++ b/test/wire/link.test.ts
@@ -74,6 +74,13 @@
   });
 }
 
+async function until(holds: () => boolean): Promise<void> {
+  for (let waited = 0; !holds(); waited += 1) {
+    assert.ok(waited < 10_000);
+    await new Promise(setImmediate);
+  }
+}
+
 function frameOf(body: Buffer): Buffer {
   const length = Buffer.alloc(4);
   length.writeUInt32BE(body.length);
@@ -151,6 +158,26 @@
   assert.is((await accepting.outcome).reason, wire.LinkCloseReason.Silent);
 });
 
+/** Guards against a heartbeat that waited in a buffer, for example of a suspended VM, and counts as just sent. */
+suite('a heartbeat counts as sent after the last one that its sender had received', async () => {
+  const accepting = new Accepting();
+  const dialing = await dial(await accepting.connect(), 'dialing');
+  await until(() => accepting.link?.peer !== undefined && accepting.messages.length > 0);
+  const openedAt = accepting.link!.peerSentAfter;
+  accepting.time.advance(700);
+  dialing.sendHeartbeat();
+  await until(() => accepting.messages.length > 1);
+  assert.is(accepting.link!.peerSentAfter, openedAt);
+  accepting.link!.sendHeartbeat();
+  accepting.time.advance(50);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 100);
+  });
+  dialing.sendHeartbeat();
+  await until(() => accepting.messages.length > 2);
+  assert.is(accepting.link!.peerSentAfter, openedAt + 700);
+});
+
 /** Guards against messages that are lost or joined when TCP splits or merges them. */
 suite('frames are decoded from any division of the byte stream', () => {
   const reader = new wire.FrameReader();
