--- /dev/null
+++ b/test/platform/replaced-control.ts
@@ -0,0 +1,211 @@
+import * as http from 'node:http';
+import * as deployFile from '../../tools/local/deploy-file';
+import * as loopbackEnvironment from '../../tools/local/loopback-environment';
+import * as platformProcess from '../../tools/local/platform-process';
+import type * as builtCheckout from './built-checkout';
+import type * as fakeBackendServer from './fake-backend-server';
+import * as builder from './gateway-builder';
+
+/** A started process with its addresses. */
+export interface StartedNode {
+  readonly node: loopbackEnvironment.PlatformNode;
+  readonly process: platformProcess.PlatformProcess;
+}
+
+/** Status and headers of an answer. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+}
+
+/** Three control daemons, which a test replaces, and some gateways, as real processes. */
+export class ReplacedControlSite {
+  gateways: StartedNode[] = [];
+
+  /** The control daemons that run. */
+  control: StartedNode[] = [];
+
+  readonly addedPath = '/added/1';
+
+  private readonly environment = new loopbackEnvironment.LoopbackEnvironment(CONTROL_DAEMONS);
+
+  private readonly started: StartedNode[] = [];
+
+  private version = 1;
+
+  constructor(private readonly checkout: builtCheckout.BuiltCheckout) {}
+
+  async start(server: fakeBackendServer.FakeBackendServer, gateways: number): Promise<void> {
+    await this.environment.start();
+    this.environment.listedServers = [
+      {
+        id: server.id,
+        service: 'desk',
+        addr: `127.0.0.1:${server.port}`,
+        models: [{ name: 'desk-model', version: 3 }],
+      },
+    ];
+    const nodes = Array.from({ length: CONTROL_DAEMONS }, (_, index) =>
+      this.environment.controlDaemon(`core-${index + 1}`),
+    );
+    this.control = nodes.map((node) => this.startNode(deployFile.Role.Control, node));
+    await Promise.all(this.control.map(({ process }) => process.waitForLog('started')));
+    await this.publish(builder.document(PATIENCE_MILLISECONDS));
+    this.gateways = Array.from({ length: gateways }, (_, index) =>
+      this.startNode(deployFile.Role.Gateway, this.environment.gateway(`front-${index + 1}`)),
+    );
+    await Promise.all(this.gateways.map(({ process }) => process.waitForLog('ready')));
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.started.map(({ process }) => process.stop('SIGKILL')));
+    await this.environment.stop();
+  }
+
+  /** Replaces all control daemons, one after the other, by empty ones at other addresses. */
+  async replaceAllControlDaemons(): Promise<void> {
+    for (let count = 0; count < CONTROL_DAEMONS; count += 1) {
+      await this.replaceOldestControlDaemon();
+    }
+  }
+
+  async replaceOldestControlDaemon(): Promise<StartedNode> {
+    const node = this.environment.controlDaemon(`core-${this.started.length + 1}`);
+    loopbackEnvironment.markDeployed(node);
+    loopbackEnvironment.setSeeds(
+      node,
+      this.control.map((running) => running.node),
+    );
+    const [oldest, ...others] = this.control;
+    await oldest.process.stop('SIGKILL');
+    const added = this.startNode(deployFile.Role.Control, node);
+    this.control = [...others, added];
+    await added.process.waitForLog('started');
+    await this.until(() => this.isVoter(added));
+    return added;
+  }
+
+  async killAllControlDaemons(): Promise<void> {
+    await Promise.all(this.control.map(({ process }) => process.stop('SIGKILL')));
+  }
+
+  /** Activates a routing document with one more route. */
+  async addRoute(): Promise<void> {
+    const document = builder.document(PATIENCE_MILLISECONDS) as { readonly routes: object[] };
+    const route = { ...document.routes[3], name: 'added', path_prefix: '/added/' };
+    this.version += 1;
+    await this.publish({
+      ...document,
+      version: this.version,
+      routes: [...document.routes, route],
+    });
+  }
+
+  send(
+    { node }: StartedNode,
+    path: string,
+    headers: http.OutgoingHttpHeaders = {},
+  ): Promise<Answer> {
+    return new Promise((resolve, reject) => {
+      const options = {
+        agent: false,
+        timeout: PATIENCE_MILLISECONDS,
+        headers: {
+          host: 'desk.example',
+          authorization: `Token ${builder.CREDENTIAL}`,
+          'x-figline-request-id': `request-${Math.random()}`,
+          'x-figline-deadline-ms': PATIENCE_MILLISECONDS,
+          ...headers,
+        },
+      };
+      const request = http.get(`${node.url}${path}`, options, (response) => {
+        response.resume();
+        response.on('end', () =>
+          resolve({ status: response.statusCode ?? 0, headers: response.headers }),
+        );
+      });
+      request.on('error', reject);
+    });
+  }
+
+  /** Sends requests until one is answered with a status, for a limited time; returns all statuses. */
+  async pollUntil(to: StartedNode, path: string, status: number): Promise<readonly number[]> {
+    const statuses: number[] = [];
+    const end = performance.now() + POLL_LIMIT_MILLISECONDS;
+    while (statuses.at(-1) !== status && performance.now() < end) {
+      await pause(POLL_MILLISECONDS);
+      statuses.push((await this.send(to, path)).status);
+    }
+    return statuses;
+  }
+
+  /** Rewrites the seeds in the settings of a running process. */
+  changeSeeds({ node }: StartedNode): void {
+    loopbackEnvironment.setSeeds(
+      node,
+      this.control.map((running) => running.node),
+    );
+  }
+
+  private isVoter({ node }: StartedNode): boolean {
+    const address = new URL(node.url).hostname;
+    return this.control.some(({ process }) =>
+      process.log.some(
+        ({ message, detail }) =>
+          message === 'voters change' && String(detail).includes(`${address}:`),
+      ),
+    );
+  }
+
+  private publish(document: object): Promise<void> {
+    return loopbackEnvironment.putRouting(this.control.at(-1)!.node, document);
+  }
+
+  private startNode(role: deployFile.Role, node: loopbackEnvironment.PlatformNode): StartedNode {
+    const { root } = this.checkout;
+    const command = deployFile.commandOf(role, root);
+    const process = platformProcess.PlatformProcess.start(command, root, node.settingsFile);
+    const started = { node, process };
+    this.started.push(started);
+    return started;
+  }
+
+  private async until(condition: () => boolean): Promise<void> {
+    const end = performance.now() + CHANGE_LIMIT_MILLISECONDS;
+    while (!condition()) {
+      if (performance.now() > end) {
+        throw new Error('the replaced control daemon did not become a voter');
+      }
+      await pause(POLL_MILLISECONDS);
+    }
+  }
+}
+
+/** Runs a test with a site of its own, which is always stopped. */
+export async function run(
+  checkout: builtCheckout.BuiltCheckout,
+  server: fakeBackendServer.FakeBackendServer,
+  work: (site: ReplacedControlSite) => Promise<void>,
+): Promise<void> {
+  const site = new ReplacedControlSite(checkout);
+  try {
+    await site.start(server, GATEWAYS);
+    await work(site);
+  } finally {
+    await site.stop();
+  }
+}
+
+export function pause(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, milliseconds);
+  });
+}
+
+const CONTROL_DAEMONS = 3;
+const GATEWAYS = 3;
+const PATIENCE_MILLISECONDS = 10_000;
+const POLL_MILLISECONDS = 50;
+/** The users saw no answer but 404 for more than 35 s. */
+const POLL_LIMIT_MILLISECONDS = 20_000;
+const CHANGE_LIMIT_MILLISECONDS = 30_000;
--- a/tools/local/loopback-environment.ts
+++ b/tools/local/loopback-environment.ts
@@ -146,6 +146,19 @@
   fs.writeFileSync(settingsFile, JSON.stringify({ ...settings, bootstrap: false }));
 }
 
+/**
+ * Rewrites the seeds of a process, for its next start or while it runs.
+ *
+ * @param seeds control daemons that the settings name
+ */
+export function setSeeds({ settingsFile }: PlatformNode, seeds: readonly PlatformNode[]): void {
+  const settings = JSON.parse(fs.readFileSync(settingsFile, 'utf8'));
+  const addresses = seeds.map(({ url }) => new URL(url).host);
+  // A running process must not read a file that is half written.
+  fs.writeFileSync(`${settingsFile}.new`, JSON.stringify({ ...settings, seeds: addresses }));
+  fs.renameSync(`${settingsFile}.new`, settingsFile);
+}
+
 /** Rewrites the time in which a process may stop, for its next start. */
 export function setGrace({ settingsFile }: PlatformNode, seconds: number): void {
   const settings = JSON.parse(fs.readFileSync(settingsFile, 'utf8'));
