Control links: find the control daemons again when all known ones are gone

Callers got 404 for a route that had been added, from one gateway and for as long as it ran.

Cause: a gateway dialed the seeds that its settings named at the start and the voters that heartbeats name; only daemons with replicas named voters, and they dial no gateway. A gateway that stood still or was cut off while all control daemons were replaced was left with addresses of VMs that are gone, and nothing brought it back, though other gateways knew better.

Now daemons with replicas name to each other daemon three more, in other zones if there are any and different ones for each. All daemons name the voters and dial the reported leader. Heartbeats to a daemon whose copy is old answer its own at once, and so confirm it within a round trip. Control daemons that are gone are no longer dialed for ever.

Elsewhere the same cause acted in a control daemon that nobody dials once it is no voter any more, and in a start with seeds that are all gone.

That a gateway answers from a copy that may be old is another fault and stays listed.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -12,10 +12,13 @@
 import * as controlPlane from './control-plane';
 import * as copyAge from './copy-age';
 import * as daemonCount from './daemon-count';
+import * as knownDaemons from './known-daemons';
+import * as neighbourSelection from './neighbours';
 import * as orderHistory from './order-history';
 import * as peerDirectory from './peer-directory';
 import * as peerMessage from './peer-message';
 import * as proposalForwarder from './proposal-forwarder';
+import * as rediscovery from './rediscovery';
 import * as registers from './register';
 import * as registerStore from './register-store';
 import * as relay from './relay';
@@ -41,6 +44,8 @@
    * By default true.
    */
   readonly mayBootstrap?: boolean;
+  /** Reads the addresses of control daemons from the settings again, which may have changed since the start. */
+  readonly readSeeds?: () => Promise<readonly string[]>;
   readonly preSharedKey: string;
   /** Without a data folder the daemon hosts no replica. */
   readonly dataFolder?: string;
@@ -87,6 +92,15 @@
 
   private leaderAddress: string | undefined;
 
+  /** Voters that a daemon with a replica has named last, or others while none is linked. */
+  private reportedVoters: readonly string[] = [];
+
+  private readonly knownDaemons = new knownDaemons.KnownDaemons();
+
+  private readonly rediscovery: rediscovery.Rediscovery;
+
+  private neighbours = { edition: 0, selection: new neighbourSelection.Neighbours([]) };
+
   private configurationRequestedAt = Number.NEGATIVE_INFINITY;
 
   private registerRequestedAt = Number.NEGATIVE_INFINITY;
@@ -112,15 +126,25 @@
     this.network = new wire.PeerNetwork(
       {
         ...options,
-        heartbeat: () => this.heartbeat(),
+        heartbeat: (peer) => this.heartbeat(peer),
         heartbeatInterval: (peer) => this.heartbeatInterval(peer),
       },
       {
         onMessage: (peer, message, sentAfter) => this.receive(peer, message, sentAfter),
-        onPeerReady: (peer) => this.directory.recordConnected(peer),
+        onPeerReady: (peer) => this.peerReady(peer),
         onPeerLost: (peer) => this.peerLost(peer),
       },
     );
+    this.rediscovery = new rediscovery.Rediscovery({
+      time,
+      network: this.network,
+      known: this.knownDaemons,
+      copyAge: () => this.copyAgeMilliseconds(),
+      hasReplica: () => this.replicaTask !== undefined || this.replicaContact.isLinked,
+      required: () => [...options.peers, ...options.replicas, ...this.currentVoters()],
+      readSeeds: options.readSeeds,
+      fields: () => this.contactFields(),
+    });
     this.forwarder = new proposalForwarder.ProposalForwarder(time, (address, message) =>
       this.network.send(address, message),
     );
@@ -155,6 +179,7 @@
       await this.supervisor.start();
     }
     this.network.connect([...peers, ...replicas]);
+    this.rediscovery.start();
   }
 
   /** The port that the operating system chose, when `listenPort` is 0. */
@@ -299,7 +324,13 @@
     return this.closing;
   }
 
+  /** Connects to the control daemons that the settings name now; call it when the settings have changed. */
+  reloadSeeds(): Promise<void> {
+    return this.rediscovery.dialSeeds();
+  }
+
   private async closeAll(): Promise<void> {
+    this.rediscovery.close();
     await this.supervisor?.close();
     await this.network.close();
     this.forwarder.leaderChanged(undefined);
@@ -388,9 +419,9 @@
     return own !== undefined && own.term >= (reported?.term ?? 0) ? own : reported;
   }
 
-  private heartbeat(): object {
-    const state = this.replicaTask?.current;
-    const voters = state === undefined ? [] : replica.voters(state).map(({ address }) => address);
+  private heartbeat(peer: wire.PeerIdentity): object {
+    const hasReplica = this.replicaTask !== undefined;
+    const voters = this.currentVoters();
     const age = Math.ceil(this.copyAgeMilliseconds());
     return {
       revision: this.store.current.revision,
@@ -398,11 +429,30 @@
       leader: this.knownLeader(),
       sentAt: this.options.clock.now(),
       ...(Number.isFinite(age) ? { copyAge: age } : {}),
-      ...(state === undefined ? {} : { daemons: this.directory.size + 1 }),
+      ...(hasReplica
+        ? { daemons: this.directory.size + 1, neighbours: this.neighboursOf(peer) }
+        : {}),
       ...(voters.length === 0 ? {} : { voters }),
     };
   }
 
+  /** The voters of this daemon's replica, or those that others have named. */
+  private currentVoters(): readonly string[] {
+    const state = this.replicaTask?.current;
+    const own = state === undefined ? [] : replica.voters(state).map(({ address }) => address);
+    return own.length === 0 ? this.reportedVoters : own;
+  }
+
+  private neighboursOf(peer: wire.PeerIdentity): readonly string[] {
+    const { edition } = this.directory;
+    if (edition !== this.neighbours.edition) {
+      const voters = new Set(this.currentVoters());
+      const daemons = this.directory.connected().filter(({ address }) => !voters.has(address));
+      this.neighbours = { edition, selection: new neighbourSelection.Neighbours(daemons) };
+    }
+    return this.neighbours.selection.of(peer);
+  }
+
   /**
    * Hundreds of daemons have links to each replica. Only a loss of the leader or of another replica has to be noticed
    * soon; news of the others arrive over several links.
@@ -460,10 +510,8 @@
     }
   }
 
-  private receiveHeartbeat(
-    peer: wire.PeerIdentity,
-    { revision, leader, register = 0, voters = [], sentAt, daemons }: peerMessage.Heartbeat,
-  ): void {
+  private receiveHeartbeat(peer: wire.PeerIdentity, message: peerMessage.Heartbeat): void {
+    const { revision, leader, register = 0, sentAt, daemons } = message;
     if (daemons !== undefined) {
       this.replicaContact.recordHeartbeat(peer.address);
       this.daemonCount.record(peer.address, daemons);
@@ -472,8 +520,7 @@
       this.clockOffsets.record(peer.address, sentAt, this.options.clock.now());
     }
     this.directory.recordHeartbeat(peer, revision, register);
-    // Connects to replicas that joined after the settings were written.
-    this.network.connect(voters);
+    this.learnAddresses(message);
     if (register > this.registerStore.current.sequence) {
       this.requestRegister(peer);
     }
@@ -486,18 +533,44 @@
     }
   }
 
+  /** Connects to replicas that joined after the settings were written. */
+  private learnAddresses({
+    voters = [],
+    leader,
+    daemons,
+    neighbours = [],
+  }: peerMessage.Heartbeat): void {
+    const isFromReplica = daemons !== undefined;
+    if (voters.length > 0 && (isFromReplica || !this.replicaContact.isLinked)) {
+      this.reportedVoters = voters;
+    }
+    this.network.connect(voters);
+    // A daemon of an earlier release names no voters unless it has a replica.
+    this.network.connect(leader === undefined ? [] : [leader.address]);
+    this.knownDaemons.record(neighbours.filter((address) => address !== this.network.address));
+  }
+
   private recordCopyAge(
     peer: wire.PeerIdentity,
     { revision, register = 0, leader, sentTick, copyAge: age }: peerMessage.Heartbeat,
     sentAfter: number,
   ): void {
     const position = { revision, registerSequence: register };
+    const ageBefore = this.copyAgeMilliseconds();
     if (age !== undefined) {
       this.copyAge.confirm(position, sentAfter - age);
+      if (this.copyAgeMilliseconds() < ageBefore) {
+        this.rediscovery.recordHelp(peer.address);
+      }
     } else if (sentTick === undefined && leader?.address === peer.address) {
       // A leader of an earlier release does not tell the age of its state; its heartbeats count as before.
       this.copyAge.confirm(position, this.options.clock.monotonic());
     }
+    // Its own next heartbeat, which may be 2 s away, would show the tick that the peer has just sent.
+    const isPeerOlder = (age ?? Infinity) > ageBefore + ANSWERED_AGE_MILLISECONDS;
+    if (sentTick !== undefined && isPeerOlder) {
+      this.network.sendHeartbeats((address) => address === peer.address);
+    }
   }
 
   private requestConfiguration(peer: wire.PeerIdentity): void {
@@ -630,6 +703,11 @@
     }
   }
 
+  private peerReady(peer: wire.PeerIdentity): void {
+    this.directory.recordConnected(peer);
+    this.knownDaemons.record([peer.address]);
+  }
+
   private peerLost(peer: wire.PeerIdentity): void {
     this.directory.recordDisconnected(peer);
     this.replicaContact.recordLost(peer.address);
@@ -654,6 +732,9 @@
 
 const RETRY_MILLISECONDS = 40;
 
+/** A daemon whose copy is confirmed directly lags behind a leader by less than this. */
+const ANSWERED_AGE_MILLISECONDS = 2_000;
+
 const RARE_HEARTBEAT_MILLISECONDS = 2 * wire.HEARTBEAT_INTERVAL_MILLISECONDS;
 
 // A peer may not answer a request; after this time the next one may be sent, to any peer.
--- a/src/control/peer-directory.ts
+++ b/src/control/peer-directory.ts
@@ -20,6 +20,8 @@
 export class PeerDirectory {
   private readonly peers = new Map<string, PeerRecord>();
 
+  private connections = 0;
+
   private prunedAt = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly time: clock.Clock) {}
@@ -32,12 +34,14 @@
     const registerSequence = isSame ? peer.registerSequence : 0;
     const record = { identity, revision, registerSequence, connected: true, lastContactAt };
     this.peers.set(identity.address, record);
+    this.connections += 1;
   }
 
   recordDisconnected(identity: wire.PeerIdentity): void {
     const peer = this.peers.get(identity.address);
     if (peer?.identity.daemonId === identity.daemonId) {
       peer.connected = false;
+      this.connections += 1;
     }
   }
 
@@ -57,6 +61,18 @@
     }
   }
 
+  /** Changes when a peer is connected or lost. */
+  get edition(): number {
+    return this.connections;
+  }
+
+  /** The peers that are connected. */
+  connected(): readonly wire.PeerIdentity[] {
+    return [...this.peers.values()]
+      .filter(({ connected }) => connected)
+      .map(({ identity }) => identity);
+  }
+
   /** Number of peers that are connected or were lately. */
   get size(): number {
     const now = this.time.monotonic();
--- a/src/control/peer-message.ts
+++ b/src/control/peer-message.ts
@@ -21,6 +21,8 @@
 
 const MAXIMUM_VOTERS = 64;
 
+const MAXIMUM_NEIGHBOURS = 64;
+
 /** Above the streams of a daemon in one message and the length of their keys. */
 const MAXIMUM_STREAMS = 4_096;
 const MAXIMUM_KEY_CHARACTERS = 32;
@@ -230,8 +232,10 @@
     leader: leader.optional(),
     /** Sequence of the register; absent from daemons that have none. */
     register: counter.optional(),
-    /** Addresses of the daemons that host voters. */
+    /** Addresses of the daemons that host voters, as far as the sender knows. */
     voters: zod.array(zod.string()).max(MAXIMUM_VOTERS).optional(),
+    /** Addresses of other daemons that the receiver may ask when it has lost all control daemons. */
+    neighbours: zod.array(zod.string()).max(MAXIMUM_NEIGHBOURS).optional(),
     /** Number of daemons that the sender knows; only from daemons with replicas, which all others connect to. */
     daemons: zod.int().min(1).optional(),
     /** Wall-clock time of the sender in milliseconds; absent from daemons of earlier releases. */
--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -41,6 +41,10 @@
   readonly address: string;
   failures: number;
   timer?: clock.Timer;
+  /** Whether no more than a visit is meant. */
+  isVisit?: boolean;
+  /** The link that was opened last. */
+  link?: link.Link;
 }
 
 /**
@@ -96,6 +100,12 @@
 
   /** Maintains a link to each address, except to the daemon's own address. */
   connect(peerAddresses: readonly string[]): void {
+    peerAddresses.forEach((address) => {
+      const dialer = this.dialers.get(address);
+      if (dialer !== undefined) {
+        dialer.isVisit = false;
+      }
+    });
     peerAddresses
       .filter((address) => address !== this.ownAddress && !this.dialers.has(address))
       .forEach((address) => {
@@ -105,6 +115,32 @@
       });
   }
 
+  /** Maintains a link to a daemon that is not expected to be reachable; its failures are logged at the level debug. */
+  visit(address: string): void {
+    if (address !== this.ownAddress && !this.dialers.has(address)) {
+      const dialer = { address, failures: 0, isVisit: true };
+      this.dialers.set(address, dialer);
+      this.dial(dialer);
+    }
+  }
+
+  /** Ends the links to these addresses that this daemon maintains; links that the peers opened stay. */
+  disconnect(peerAddresses: readonly string[]): void {
+    peerAddresses.forEach((address) => {
+      const dialer = this.dialers.get(address);
+      this.dialers.delete(address);
+      dialer?.timer?.cancel();
+      dialer?.link?.close(link.LinkCloseReason.ClosedLocally);
+    });
+  }
+
+  /** Addresses at which this many attempts in a row to connect have failed. */
+  unreachableAddresses(minimumFailures: number): string[] {
+    return [...this.dialers.values()]
+      .filter(({ address, failures }) => failures >= minimumFailures && !this.isLinked(address))
+      .map(({ address }) => address);
+  }
+
   /** Sends to the daemon that listens on `address`; false when there is no link to it. */
   send(address: string, message: frame.WireMessage): boolean {
     return this.latestLink(address)?.send(message) ?? false;
@@ -223,6 +259,9 @@
         this.handleClosed(closedLink, reason, detail, dialer),
     });
     this.links.add(opened);
+    if (dialer !== undefined) {
+      Object.assign(dialer, { link: opened });
+    }
   }
 
   private handleReady(opened: link.Link, dialer?: Dialer): void {
@@ -256,7 +295,8 @@
       return;
     }
     logClosedLink(reason, detail, peer?.address ?? dialer?.address ?? remote, dialer);
-    if (dialer !== undefined && reason !== link.LinkCloseReason.OwnConnection) {
+    const isDialed = dialer !== undefined && this.dialers.get(dialer.address) === dialer;
+    if (isDialed && reason !== link.LinkCloseReason.OwnConnection) {
       Object.assign(dialer, { failures: dialer.failures + 1 });
       this.retryLater(dialer, dialer.failures);
     }
@@ -303,7 +343,9 @@
   const fields = { peer, reason, detail };
   const repeated =
     reason === link.LinkCloseReason.ConnectionError && dialer !== undefined && dialer.failures > 0;
-  if (repeated) {
+  if (dialer?.isVisit === true) {
+    logger.debug('visit of a daemon ended', fields);
+  } else if (repeated) {
     logger.debug('peer is still unreachable; retrying', fields);
   } else if (EXPECTED_REASONS.has(reason)) {
     logger.information('peer link ended', fields);
--- a/test/platform/replaced-control.ts
+++ b/test/platform/replaced-control.ts
@@ -70,18 +70,23 @@
   }
 
   async replaceOldestControlDaemon(): Promise<StartedNode> {
+    const [oldest, ...others] = this.control;
+    await oldest.process.stop('SIGKILL');
+    const added = await this.addControlDaemon();
+    this.control = [...others, added];
+    await until(() => this.isVoter(added));
+    return added;
+  }
+
+  private async addControlDaemon(): Promise<StartedNode> {
     const node = this.environment.controlDaemon(`core-${this.started.length + 1}`);
     loopbackEnvironment.markDeployed(node);
     loopbackEnvironment.setSeeds(
       node,
       this.control.map((running) => running.node),
     );
-    const [oldest, ...others] = this.control;
-    await oldest.process.stop('SIGKILL');
     const added = this.startNode(deployFile.Role.Control, node);
-    this.control = [...others, added];
     await added.process.waitForLog('started');
-    await this.until(() => this.isVoter(added));
     return added;
   }
 
@@ -101,42 +106,23 @@
     });
   }
 
-  send(
-    { node }: StartedNode,
-    path: string,
-    headers: http.OutgoingHttpHeaders = {},
-  ): Promise<Answer> {
-    return new Promise((resolve, reject) => {
-      const options = {
-        agent: false,
-        timeout: PATIENCE_MILLISECONDS,
-        headers: {
-          host: 'desk.example',
-          authorization: `Token ${builder.CREDENTIAL}`,
-          'x-figline-request-id': `request-${Math.random()}`,
-          'x-figline-deadline-ms': PATIENCE_MILLISECONDS,
-          ...headers,
-        },
-      };
-      const request = http.get(`${node.url}${path}`, options, (response) => {
-        response.resume();
-        response.on('end', () =>
-          resolve({ status: response.statusCode ?? 0, headers: response.headers }),
-        );
-      });
-      request.on('error', reject);
-    });
+  /** Replaces a control daemon that does not answer while the others run. */
+  async replaceFirstWithoutStoppingIt(): Promise<StartedNode> {
+    const [first, ...others] = this.control;
+    const added = await this.addControlDaemon();
+    this.control = [...others, added];
+    await until(() => this.isVoter(added));
+    return first;
   }
 
-  /** Sends requests until one is answered with a status, for a limited time; returns all statuses. */
-  async pollUntil(to: StartedNode, path: string, status: number): Promise<readonly number[]> {
-    const statuses: number[] = [];
-    const end = performance.now() + POLL_LIMIT_MILLISECONDS;
-    while (statuses.at(-1) !== status && performance.now() < end) {
-      await pause(POLL_MILLISECONDS);
-      statuses.push((await this.send(to, path)).status);
-    }
-    return statuses;
+  /** Starts a gateway whose settings name these control daemons. */
+  startGateway(name: string, seeds: readonly StartedNode[]): StartedNode {
+    const node = this.environment.gateway(name);
+    loopbackEnvironment.setSeeds(
+      node,
+      seeds.map((seed) => seed.node),
+    );
+    return this.startNode(deployFile.Role.Gateway, node);
   }
 
   /** Rewrites the seeds in the settings of a running process. */
@@ -169,16 +155,6 @@
     this.started.push(started);
     return started;
   }
-
-  private async until(condition: () => boolean): Promise<void> {
-    const end = performance.now() + CHANGE_LIMIT_MILLISECONDS;
-    while (!condition()) {
-      if (performance.now() > end) {
-        throw new Error('the replaced control daemon did not become a voter');
-      }
-      await pause(POLL_MILLISECONDS);
-    }
-  }
 }
 
 /** Runs a test with a site of its own, which is always stopped. */
@@ -196,6 +172,58 @@
   }
 }
 
+export function send(
+  { node }: StartedNode,
+  path: string,
+  headers: http.OutgoingHttpHeaders = {},
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const options = {
+      agent: false,
+      timeout: PATIENCE_MILLISECONDS,
+      headers: {
+        host: 'desk.example',
+        authorization: `Token ${builder.CREDENTIAL}`,
+        'x-figline-request-id': `request-${Math.random()}`,
+        'x-figline-deadline-ms': PATIENCE_MILLISECONDS,
+        ...headers,
+      },
+    };
+    const request = http.get(`${node.url}${path}`, options, (response) => {
+      response.resume();
+      response.on('end', () =>
+        resolve({ status: response.statusCode ?? 0, headers: response.headers }),
+      );
+    });
+    request.on('error', reject);
+  });
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  const end = performance.now() + CHANGE_LIMIT_MILLISECONDS;
+  while (!condition()) {
+    if (performance.now() > end) {
+      throw new Error('the replaced control daemon did not become a voter');
+    }
+    await pause(POLL_MILLISECONDS);
+  }
+}
+
+/** Sends requests until one is answered with a status, for a limited time; returns all statuses. */
+export async function pollUntil(
+  to: StartedNode,
+  path: string,
+  status: number,
+): Promise<readonly number[]> {
+  const statuses: number[] = [];
+  const end = performance.now() + POLL_LIMIT_MILLISECONDS;
+  while (statuses.at(-1) !== status && performance.now() < end) {
+    await pause(POLL_MILLISECONDS);
+    statuses.push((await send(to, path)).status);
+  }
+  return statuses;
+}
+
 export function pause(milliseconds: number): Promise<void> {
   return new Promise((resolve) => {
     setTimeout(resolve, milliseconds);
