Refusals: say that a route or credential is unknown only from a recent copy

Callers got 404, and would have got 401, for what had been added while a gateway was out of touch.

Cause: a daemon answered from its copy of the configuration however old that was. What an old copy lacks may exist. A 404 also ends the request, while a 503 sends the caller to a daemon that knows.

Now 401, 403 and 404 need a copy that is confirmed within the time in which a document has to be in force (`config_apply_ms` on the platform, 5 s in the product); otherwise the answer is 503, "not run", `configuration_outdated`, with Retry-After 250 ms. Known routes are served as before. Both gateways and `figlined` use it.

--- a/src/daemon/authentication.ts
+++ b/src/daemon/authentication.ts
@@ -16,7 +16,7 @@
   const credential = BEARER.exec(authorization ?? '')?.[1];
   const team =
     credential === undefined ? undefined : catalog.team(configuration.hashCredential(credential));
-  return team === undefined ? new results.Err(UNAUTHORIZED) : new results.Ok(team);
+  return team === undefined ? new results.Err(catalog.refusal(UNAUTHORIZED)) : new results.Ok(team);
 }
 
 const BEARER = /^Bearer +([\x21-\x7e]+)$/i;
--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -65,6 +65,7 @@
         pool,
         observer: this.membership,
         servingWeights: (service) => this.membership.servingWeights(service),
+        isCopyRecent: () => plane.copyAgeMilliseconds() < COPY_AGE_LIMIT_MILLISECONDS,
         meter,
         time,
       },
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -63,7 +63,7 @@
   /** Whether this is the first start of the whole deployment, so that no earlier process can have retried. */
   readonly isFirstStart: boolean;
   readonly maximumRequests: number;
-  /** Age from which the copy of the routing document is not known to be recent. */
+  /** Time in which an acknowledged routing document has to be in force; an older copy may lack something. */
   readonly copyAgeLimitMilliseconds: number;
 }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -99,12 +99,12 @@
     }
     const route = this.index.route(headers.host ?? '', path);
     if (route === undefined) {
-      return new results.Err(UNKNOWN_ROUTE);
+      return new results.Err(this.refusalFromCopy(UNKNOWN_ROUTE));
     }
     const { credential } = this.context.headerCodec.readCaller(headers);
     const team = this.index.team(credential);
     if (this.index.needsCredential && team === undefined && !route.isPublic) {
-      return new results.Err(UNAUTHORIZED);
+      return new results.Err(this.refusalFromCopy(UNAUTHORIZED));
     }
     return new results.Ok({ route, team });
   }
@@ -173,6 +173,11 @@
     new forwardExecution.ForwardExecution(call, this.context, reply, start).run();
   }
 
+  private refusalFromCopy(failure: verdict.RequestFailure): verdict.RequestFailure {
+    const isRecent = this.context.copyAgeMilliseconds() < this.limits.copyAgeLimitMilliseconds;
+    return verdict.refusalFromCopy(failure, isRecent);
+  }
+
   /** What a refusal was decided from, for the log. */
   private copyFields(): Pick<relayReply.ReplyIdentity, 'routingVersion' | 'copyAgeMilliseconds'> {
     const age = this.context.copyAgeMilliseconds();
@@ -275,6 +280,8 @@
 /** Limits of one gateway. */
 export interface GatewayLimits {
   readonly maximumRequests: number;
+  /** Age from which the copy of the routing document does not tell that a route or a credential is unknown. */
+  readonly copyAgeLimitMilliseconds: number;
 }
 
 function isRepeatable(route: routes.Route): boolean {
--- a/src/routing/catalog.ts
+++ b/src/routing/catalog.ts
@@ -16,11 +16,20 @@
 
   private readonly lookup: configuration.ConfigurationLookup;
 
-  constructor(private readonly snapshot: configuration.ConfigurationSnapshot) {
+  constructor(
+    private readonly snapshot: configuration.ConfigurationSnapshot,
+    /** Whether nothing newer than this revision can be in force. */
+    private readonly isRecent: () => boolean = () => true,
+  ) {
     this.revision = snapshot.revision;
     this.lookup = configuration.lookupOf(snapshot);
   }
 
+  /** The failure to answer with instead of `failure`, if the copy may lack what it says is unknown. */
+  refusal(failure: verdict.RequestFailure): verdict.RequestFailure {
+    return verdict.refusalFromCopy(failure, this.isRecent());
+  }
+
   /**
    * The team that owns a credential.
    *
@@ -50,12 +59,12 @@
   resolveIntent(team: configuration.TeamDocument, name: string): Resolution<ResolvedIntent> {
     const intent = this.lookup.intentByModel(name);
     if (intent === undefined || !team.services.includes(intent.service)) {
-      return new results.Err(UNKNOWN_MODEL);
+      return new results.Err(this.refusal(UNKNOWN_MODEL));
     }
     const service = this.lookup.serviceByName(intent.service);
     return service?.type === configuration.ServiceType.ModelEngine
       ? new results.Ok({ intent, service })
-      : new results.Err(UNKNOWN_MODEL);
+      : new results.Err(this.refusal(UNKNOWN_MODEL));
   }
 
   /** Finds the route of a plain service; `path` may have a query string. */
@@ -66,11 +75,11 @@
   ): Resolution<configuration.RouteMatch> {
     const found = this.lookup.routeFor(method, path);
     if (found === undefined) {
-      return new results.Err(UNKNOWN_ROUTE);
+      return new results.Err(this.refusal(UNKNOWN_ROUTE));
     }
     return team.services.includes(found.service.name)
       ? new results.Ok(found)
-      : new results.Err(SERVICE_NOT_ALLOWED);
+      : new results.Err(this.refusal(SERVICE_NOT_ALLOWED));
   }
 }
 
--- a/src/routing/execution-context.ts
+++ b/src/routing/execution-context.ts
@@ -12,6 +12,8 @@
   readonly observer: serverObserver.ServerObserver;
   /** The weights version to request during a roll-out; the configured version by default. */
   readonly servingWeights?: (service: configuration.ModelServiceDocument) => string;
+  /** Whether the copy of the configuration tells that something is unknown; by default it always does. */
+  readonly isCopyRecent?: () => boolean;
   readonly meter: metrics.Metrics;
   readonly time: clock.Clock;
 }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -56,7 +56,7 @@
     snapshot: configuration.ConfigurationSnapshot,
     private readonly maximumQueuedRequests: number,
   ) {
-    this.current = new catalogModule.Catalog(snapshot);
+    this.current = new catalogModule.Catalog(snapshot, this.context.isCopyRecent);
     this.feedConfiguration(snapshot);
   }
 
@@ -79,7 +79,7 @@
   /** Activates a configuration with a higher revision; ignores any other. */
   applyConfiguration(snapshot: configuration.ConfigurationSnapshot): void {
     if (snapshot.revision > this.current.revision) {
-      this.current = new catalogModule.Catalog(snapshot);
+      this.current = new catalogModule.Catalog(snapshot, this.context.isCopyRecent);
       this.feedConfiguration(snapshot);
     }
   }
--- a/test/daemon/caller-http.test.ts
+++ b/test/daemon/caller-http.test.ts
@@ -86,6 +86,30 @@
   });
 });
 
+// Guards against "unknown" from a daemon that was out of touch while it was added elsewhere.
+suite(
+  'a daemon whose configuration may be outdated refuses what it does not know as not run',
+  async () => {
+    const builder = new daemonBuilder.DaemonBuilder();
+    await builder.run(async () => {
+      const ask = async () => [
+        await builder.request('GET', '/v1/models', '', { authorization: 'Bearer unknown' }),
+        await builder.request('DELETE', '/ledger/balance'),
+      ];
+      assert.equal(
+        (await ask()).map(({ status }) => status),
+        [401, 404],
+      );
+      builder.plane.copyAge = 5_001;
+      (await ask()).forEach(({ status, headers }) => {
+        assert.equal([status, headers['x-figline-verdict']], [503, 'not-run']);
+        assert.ok(Number(headers['retry-after']) > 0);
+      });
+      assert.is((await builder.request('GET', '/ledger/balance')).status, 201);
+    });
+  },
+);
+
 suite('models lists the intents of the team', async () => {
   const builder = new daemonBuilder.DaemonBuilder();
   await builder.run(async () => {
