Cache namespaces: keep all teams apart while the routing document may be outdated for long

After four times the time in which a document has to be in force, such a gateway uses a namespace of its own for each team, as for isolated ones. The price is that parts which teams have in common are read once for each; shorter cuts and elections change nothing.

Test: platform/isolated-team "a gateway that was out of touch for long ...".

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -83,7 +83,9 @@
       return undefined;
     }
     // A team that has left the document is kept apart, since it may come back isolated.
-    const isIsolated = team !== undefined && this.index?.teamNamed(team)?.isIsolated !== false;
+    const isIsolated =
+      team !== undefined &&
+      (this.index?.teamNamed(team)?.isIsolated !== false || this.mayTeamsBeIsolated);
     return isIsolated
       ? cacheNamespace.isolatedNamespace(model, team)
       : cacheNamespace.sharedNamespace(model, this.sharedSince);
@@ -173,6 +175,12 @@
     new forwardExecution.ForwardExecution(call, this.context, reply, start).run();
   }
 
+  /** Whether teams may have become isolated in documents that have not reached this gateway. */
+  private get mayTeamsBeIsolated(): boolean {
+    const limit = SHARING_AGE_LIMITS * this.limits.copyAgeLimitMilliseconds;
+    return this.context.copyAgeMilliseconds() >= limit;
+  }
+
   private refusalFromCopy(failure: verdict.RequestFailure): verdict.RequestFailure {
     const isRecent = this.context.copyAgeMilliseconds() < this.limits.copyAgeLimitMilliseconds;
     return verdict.refusalFromCopy(failure, isRecent);
@@ -345,6 +353,9 @@
     .digest('base64');
 }
 
+/** Elections and short cuts are over by then; to keep the teams apart means to read their common parts again. */
+const SHARING_AGE_LIMITS = 4;
+
 /** Prompts have two to four parts on all known platforms. */
 const MAXIMUM_SHARED_PARTS = 16;
 
--- a/test/platform/isolated-team.test.ts
+++ b/test/platform/isolated-team.test.ts
@@ -103,4 +103,26 @@
   });
 });
 
+// Guards against parts of a team that has become isolated while this gateway was out of touch.
+suite('a gateway that was out of touch for long keeps the parts of all teams apart', async () => {
+  const holding = new HoldingServer();
+  const gateway = new builder.GatewayBuilder([holding.server], documentOf(1, false));
+  await gateway.run(async () => {
+    gateway.plane.copyAge = OUT_OF_TOUCH_MILLISECONDS;
+    const sent = send(gateway, 'market', 'key-of-the-market');
+    while (holding.server.requests.length === 0) {
+      await gateway.time.sleep(5);
+    }
+    holding.answerFirst();
+    await sent;
+    await send(gateway, 'depot', builder.CREDENTIAL);
+    gateway.plane.copyAge = 0;
+    await send(gateway, 'recent', builder.CREDENTIAL);
+    const salts = ['market', 'depot', 'recent'].map((id) => holding.saltOf(id));
+    assert.equal(salts, ['3.desk-model.market', '3.desk-model.depot', '3.desk-model']);
+  });
+});
+
 suite.run();
+
+const OUT_OF_TOUCH_MILLISECONDS = 10_000;
