--- a/src/replica/snapshotting.ts
+++ b/src/replica/snapshotting.ts
@@ -23,8 +23,20 @@
   }
   const { index, term, timestamp } = base;
   const snapshot = { index, term, timestamp, group: active.group, data: taken.data };
-  const compactTo = Math.max(state.log.baseIndex, index - state.parameters.trailingEntries);
-  return steps.withState(step, { snapshot, log: logs.compact(state.log, compactTo) });
+  return steps.withState(step, { snapshot, log: logs.compact(state.log, compactTo(state, index)) });
+}
+
+/** The index up to which entries are removed after a snapshot at `index`. */
+function compactTo({ log, parameters }: states.ReplicaState, index: number): number {
+  const lowest = Math.max(log.baseIndex, index - parameters.trailingEntries);
+  let kept = index;
+  for (let bytes = 0; kept > lowest; kept -= 1) {
+    bytes += logs.at(log, kept)?.data?.length ?? 0;
+    if (bytes > parameters.trailingBytes) {
+      return kept;
+    }
+  }
+  return kept;
 }
 
 /**
--- a/src/replica/state.ts
+++ b/src/replica/state.ts
@@ -36,6 +36,8 @@
    * no snapshot.
    */
   readonly trailingEntries: number;
+  /** Bound on the bytes of these entries, which stay in memory and on the disk. */
+  readonly trailingBytes: number;
 }
 
 /**
@@ -50,6 +52,7 @@
   maximumAppendBytes: 1_024 * 1_024,
   snapshotChunkBytes: 1_024 * 1_024,
   trailingEntries: 200,
+  trailingBytes: 2 * 1_024 * 1_024,
   targetVoters: 0,
   replaceMilliseconds: 0,
 };
--- a/test/replica/replica.test.ts
+++ b/test/replica/replica.test.ts
@@ -63,6 +63,22 @@
   assert.is(leader.effects[0].kind, EffectKind.Reject);
 });
 
+/** Guards against a memory and a disk that fill with old entries while large documents change often. */
+suite('after a snapshot few entries stay in the log if they are large', () => {
+  const follower = builder.ReplicaBuilder.inGroup(1, 2, []);
+  const data = new Uint8Array(replica.DEFAULT_PARAMETERS.trailingBytes / 4);
+  const entries = Array.from({ length: 20 }, (_, position) => ({
+    ...builder.entry(position + 2, 2),
+    data,
+  }));
+  const previous = { previousIndex: 1, previousTerm: 1 };
+  follower.receive(0, 2, { kind: MessageKind.Append, ...previous, entries, commitIndex: 21 });
+  const taken = { index: 21, data: new Uint8Array(1) };
+  follower.feed({ kind: replica.EventKind.SnapshotTaken, ...taken, ...follower.context() });
+  assert.is(follower.state.snapshot?.index, 21);
+  assert.is(follower.state.log.entries.size, 4);
+});
+
 /** Guards against orders of a paused leader that counts old answers as new when it resumes. */
 suite('the lease starts when the answered message was sent, and needs a majority', () => {
   const leader = builder.ReplicaBuilder.inGroup(0, 2, []).elect(1);
