Control links: encode a register once for all peers that ask for it

Each change of the register makes every peer ask for it within milliseconds, and each answer was encoded anew: with a routing document of 645 KB, eleven peers and three changes a second, 21 MB/s of buffers. The encoded frame is now used for 50 ms.

--- a/src/control/control-node.ts
+++ b/src/control/control-node.ts
@@ -95,6 +95,9 @@
   /** Voters that a daemon with a replica has named last, or others while none is linked. */
   private reportedVoters: readonly string[] = [];
 
+  private encodedRegister:
+    { readonly sequence: number; readonly at: number; readonly frame: Buffer } | undefined;
+
   private readonly knownDaemons = new knownDaemons.KnownDaemons();
 
   private readonly rediscovery: rediscovery.Rediscovery;
@@ -610,15 +613,32 @@
     if (sequence >= current.sequence) {
       return;
     }
-    const kind = peerMessage.PeerMessageKind.RegisterCopy;
-    const message = { kind, ...this.registerStore.encode() };
-    if (!this.network.send(peer.address, message as unknown as wire.WireMessage)) {
+    const encoded = this.registerFrame();
+    if (encoded === undefined || !this.network.sendFrame(peer.address, encoded)) {
       logger.warning('register could not be sent; the peer requests it again', {
         peer: peer.address,
       });
     }
   }
 
+  /** All peers ask for a new register at once, and it may be large. */
+  private registerFrame(): Buffer | undefined {
+    const now = this.options.clock.monotonic();
+    const { sequence } = this.registerStore.current;
+    const cached = this.encodedRegister;
+    if (cached?.sequence === sequence && now - cached.at < REGISTER_FRAME_MILLISECONDS) {
+      return cached.frame;
+    }
+    const kind = peerMessage.PeerMessageKind.RegisterCopy;
+    const message = { kind, ...this.registerStore.encode() } as unknown as wire.WireMessage;
+    const encoded = wire.encodeFrame(message);
+    if (encoded.err) {
+      return undefined;
+    }
+    this.encodedRegister = { sequence, at: now, frame: encoded.val };
+    return encoded.val;
+  }
+
   private sendConfiguration(peer: wire.PeerIdentity, revision: number): void {
     const { current } = this.store;
     if (revision >= current.revision) {
@@ -740,6 +760,9 @@
 // A peer may not answer a request; after this time the next one may be sent, to any peer.
 const REQUEST_MILLISECONDS = 250;
 
+// The times in a register are relative to its sending.
+const REGISTER_FRAME_MILLISECONDS = 50;
+
 // A restarted router has to serve within 1 s; half of it may be spent on the configuration.
 const READY_MILLISECONDS = 500;
 
--- a/src/wire/peer-network.ts
+++ b/src/wire/peer-network.ts
@@ -146,6 +146,11 @@
     return this.latestLink(address)?.send(message) ?? false;
   }
 
+  /** Sends an encoded message, so that one for several daemons is encoded once. */
+  sendFrame(address: string, encoded: Buffer): boolean {
+    return this.latestLink(address)?.sendFrame(encoded) ?? false;
+  }
+
   /** Sends a message to each linked daemon once. */
   broadcast(message: frame.WireMessage): void {
     const encoded = frame.encodeFrame(message);
