--- a/test/wire/link.test.ts
+++ b/test/wire/link.test.ts
@@ -176,6 +176,8 @@
   dialing.sendHeartbeat();
   await until(() => accepting.messages.length > 2);
   assert.is(accepting.link!.peerSentAfter, openedAt + 700);
+  dialing.close(wire.LinkCloseReason.ClosedLocally);
+  await accepting.outcome;
 });
 
 /** Guards against messages that are lost or joined when TCP splits or merges them. */
