Soak: gateways and control daemons under standstills, kills, restarts and replacements that overlap

Real processes. Gateways stand still for up to 20 s, are killed or restarted; control daemons are replaced at other addresses, stand still or are killed, one at a time; a route is added each second or so. From outside it is checked that no acknowledged route is refused as unknown once it has to be in force (2.5 s), that a charge runs at most once, that no control daemon returns an older document, and that each gateway serves the newest route at the end.

It has no proxies yet: links are neither delayed, reset nor cut.

--- a/test/platform/replaced-control.ts
+++ b/test/platform/replaced-control.ts
@@ -125,6 +125,29 @@
     return this.startNode(deployFile.Role.Gateway, node);
   }
 
+  /** Ends a gateway and starts it again after a pause, with the seeds of that moment. */
+  async restartGateway(
+    gateway: StartedNode,
+    signal: NodeJS.Signals,
+    milliseconds: number,
+  ): Promise<void> {
+    await gateway.process.stop(signal);
+    await pause(milliseconds);
+    this.changeSeeds(gateway);
+    const restarted = this.startNode(deployFile.Role.Gateway, gateway.node);
+    this.gateways = this.gateways.map((other) => (other === gateway ? restarted : other));
+  }
+
+  /** Kills a control daemon and starts it again after a pause, with its disk. */
+  async restartControl(control: StartedNode, milliseconds: number): Promise<void> {
+    await control.process.stop('SIGKILL');
+    await pause(milliseconds);
+    loopbackEnvironment.markDeployed(control.node);
+    const restarted = this.startNode(deployFile.Role.Control, control.node);
+    this.control = this.control.map((other) => (other === control ? restarted : other));
+    await restarted.process.waitForLog('started');
+  }
+
   /** Rewrites the seeds in the settings of a running process. */
   changeSeeds({ node }: StartedNode): void {
     loopbackEnvironment.setSeeds(
@@ -230,6 +253,65 @@
   });
 }
 
+/** Activates a document with the added routes 1 to `count`; returns the status, or 0 without an answer. */
+export function publishRoutes({ node }: StartedNode, count: number): Promise<number> {
+  const document = builder.document(PATIENCE_MILLISECONDS) as { readonly routes: object[] };
+  const added = Array.from({ length: count }, (_, index) => ({
+    ...document.routes[3],
+    name: `added-${index + 1}`,
+    path_prefix: pathOf(index + 1),
+  }));
+  const routes = [...document.routes, ...added];
+  const body = JSON.stringify({ ...document, version: FIRST_VERSION + count, routes });
+  return statusOfFetch(`${node.url}/-/config`, { method: 'PUT', body });
+}
+
+/** The number of added routes in the document that a control daemon returns, if it returns one. */
+export async function readVersion({ node }: StartedNode): Promise<number | undefined> {
+  try {
+    const response = await fetch(`${node.url}/-/config`, {
+      signal: AbortSignal.timeout(PATIENCE_MILLISECONDS),
+    });
+    if (!response.ok) {
+      return undefined;
+    }
+    const { version } = (await response.json()) as { readonly version: number };
+    return version - FIRST_VERSION;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Sends one request on a new connection; returns the status, or 0 without an answer in time. */
+export async function statusOf(
+  to: StartedNode,
+  path: string,
+  id: string,
+  milliseconds: number,
+): Promise<number> {
+  const headers = { 'x-figline-request-id': id, 'x-figline-deadline-ms': milliseconds };
+  const answer = send(to, path, headers).catch(() => undefined);
+  const late = pause(milliseconds).then(() => undefined);
+  return (await Promise.race([answer, late]))?.status ?? 0;
+}
+
+/** Path of an added route. */
+export function pathOf(route: number): string {
+  return `/added-${route}/`;
+}
+
+async function statusOfFetch(url: string, options: RequestInit): Promise<number> {
+  try {
+    const signal = AbortSignal.timeout(PUBLISH_LIMIT_MILLISECONDS);
+    return (await fetch(url, { ...options, signal })).status;
+  } catch {
+    return 0;
+  }
+}
+
+/** Version of the document without added routes. */
+const FIRST_VERSION = 1;
+const PUBLISH_LIMIT_MILLISECONDS = 1_500;
 const CONTROL_DAEMONS = 3;
 const GATEWAYS = 3;
 const PATIENCE_MILLISECONDS = 10_000;
