--- a/test/platform/isolated-team.test.ts
+++ b/test/platform/isolated-team.test.ts
@@ -60,6 +60,16 @@
   return gateway.send('GET', '/balance/7', headers);
 }
 
+/** Sends the first request, of the market, and lets the server answer it. */
+async function sendFirst(gateway: builder.GatewayBuilder, holding: HoldingServer): Promise<void> {
+  const sent = send(gateway, 'market', 'key-of-the-market');
+  while (holding.server.requests.length === 0) {
+    await gateway.time.sleep(5);
+  }
+  holding.answerFirst();
+  await sent;
+}
+
 // Guards against a request that has waited since before a document and runs on parts of a team that has become isolated.
 suite('a request that waits uses the namespace of its start, not of its arrival', async () => {
   const holding = new HoldingServer();
@@ -91,12 +101,7 @@
   await gateway.run(async () => {
     gateway.plane.change(registerOf(false, true, false));
     holding.answerFirst();
-    const sent = send(gateway, 'market', 'key-of-the-market');
-    while (holding.server.requests.length === 0) {
-      await gateway.time.sleep(5);
-    }
-    holding.answerFirst();
-    await sent;
+    await sendFirst(gateway, holding);
     await send(gateway, 'depot', builder.CREDENTIAL);
     assert.is(holding.saltOf('market'), '3.desk-model:2');
     assert.is(holding.saltOf('depot'), '3.desk-model:2');
@@ -109,12 +114,7 @@
   const gateway = new builder.GatewayBuilder([holding.server], documentOf(1, false));
   await gateway.run(async () => {
     gateway.plane.copyAge = OUT_OF_TOUCH_MILLISECONDS;
-    const sent = send(gateway, 'market', 'key-of-the-market');
-    while (holding.server.requests.length === 0) {
-      await gateway.time.sleep(5);
-    }
-    holding.answerFirst();
-    await sent;
+    await sendFirst(gateway, holding);
     await send(gateway, 'depot', builder.CREDENTIAL);
     gateway.plane.copyAge = 0;
     await send(gateway, 'recent', builder.CREDENTIAL);
