--- a/test/platform/replaced-control.ts
+++ b/test/platform/replaced-control.ts
@@ -242,7 +242,9 @@
   const end = performance.now() + POLL_LIMIT_MILLISECONDS;
   while (statuses.at(-1) !== status && performance.now() < end) {
     await pause(POLL_MILLISECONDS);
-    statuses.push((await send(to, path)).status);
+    const id = `poll-${Math.random()}`;
+    // A process that has just been started does not listen yet.
+    statuses.push(await statusOf(to, path, id, PATIENCE_MILLISECONDS));
   }
   return statuses;
 }
