Dispatch log: the cache namespace that was sent, and whether the server is still in the membership view

A request that reached an engine without a salt could not be told from one with a salt, nor why the salt was missing: the version of the weights unknown, or the server no longer eligible when the request was sent. Both are in the line of each dispatch now.

--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -242,7 +242,8 @@
     if (effect.offer === true && this.isRunningElsewhere(effect)) {
       this.beginOffer(effect);
     }
-    this.logDispatch(effect, server);
+    const cache = this.cacheMetadata(effect, server);
+    this.logDispatch(effect, server, cache.cacheSalt);
     this.announcePrefixes(effect.serverId, server);
     return new Promise((resolve) => {
       const receiver = new answerReceiver.AnswerReceiver(
@@ -277,7 +278,7 @@
           priority: call.profile.priority,
           resumeAfter: this.deliveryProgress.lastEventId,
           reservation,
-          ...this.cacheMetadata(effect, server),
+          ...cache,
         }),
         body: call.body,
         incarnation: server?.incarnation,
@@ -294,6 +295,7 @@
   private logDispatch(
     effect: decision.Dispatch,
     server: membership.EligibleServer | undefined,
+    cacheSalt: string | undefined,
   ): void {
     const { requestId, profile } = this.call;
     const weightsVersion = server?.weightsVersion;
@@ -304,6 +306,8 @@
       attempt: effect.attemptId,
       softwareVersion: effect.softwareVersion,
       weightsVersion,
+      isEligible: server !== undefined,
+      cacheSalt,
       supersededMilliseconds:
         weightsVersion === undefined
           ? undefined
