--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -42,6 +42,9 @@
   /** Id of the server that loads weights according to the list; absent if none does. */
   loadingServer: string | undefined;
 
+  /** Weights version of all servers according to the list; absent if it names none. */
+  weightsVersion: string | undefined = '3';
+
   private daemon!: gateway.GatewayDaemon;
 
   constructor(
@@ -188,6 +191,7 @@
   private machines(): backend.MachineRecord[] {
     return this.servers.map((server) => ({
       ...machineOf(server),
+      ...(this.weightsVersion === undefined ? {} : { weightsVersion: this.weightsVersion }),
       port: this.portOf(server),
       ...(server.id === this.loadingServer ? { loading: true as const } : {}),
     }));
@@ -277,7 +281,6 @@
     phase: backend.MachinePhase.Live,
     incarnation: `${server.id}@1`,
     softwareVersion: server.softwareVersion,
-    weightsVersion: '3',
   };
 }
 
