Membership: a server that has just been found dead gets no request in the same step

Cause: the membership task reports the crash of a server before it sends the next list, since the core must still have the server. The core gave up the server's requests in that event, found it idle, and dispatched the lost and the waiting requests to it at once. The gateway then looked the server up among the eligible ones, did not find it, and sent the requests with neither salt nor expected weights version. An engine that was only silent ran them. The same second look-up came too late for an offer that had waited for its reservation.

The event says now that the server is dead, and the core takes it out of the pool at once. A gateway does not send what it had decided for a server that is not eligible any more: the attempt fails as not run, and a reservation is given back. The type no longer allows a request without the record of its server.

--- a/src/decision/crash.ts
+++ b/src/decision/crash.ts
@@ -38,6 +38,9 @@
   const causes =
     crashEvent.isProcessAlive === true ? [] : possibleCauses(step, server.record.id, lostAttempts);
   markCrashed(step, server, incarnation);
+  if (crashEvent.isDead === true) {
+    markIneligible(step, crashEvent.serverId);
+  }
   recordCrash(step, crashId, fingerprints);
   if (fingerprints.length > 0) {
     const kind = effect.DecisionEffectKind.ReportCrash;
@@ -178,6 +181,11 @@
   }
 }
 
+/** Until the next list, the requests that were lost or wait would go to the dead server, which looks idle now. */
+function markIneligible(step: steps.Step, serverId: string): void {
+  step.setServer({ ...step.state.servers.get(serverId)!, eligible: false });
+}
+
 /** Fails requests with a refused fingerprint at once, also those that wait in a server, before they crash it. */
 function recordCrash(step: steps.Step, crashId: string, fingerprints: readonly string[]): void {
   step.change({
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -230,6 +230,8 @@
   readonly serverId: string;
   /** Set when the process is alive and sends malformed answers, so that no request is a suspect. */
   readonly isProcessAlive?: true;
+  /** Set if the next list does not contain the server: this event comes first, while the core still has the server. */
+  readonly isDead?: true;
 }
 
 /** A peer daemon had requests with these fingerprints in flight at a crash. */
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -203,6 +203,10 @@
         return;
       }
       const server = this.context.server(effect.serverId);
+      if (server === undefined) {
+        await this.giveUpUnsent(effect, lease.client, reservation.val);
+        return;
+      }
       this.sends += 1;
       const outcome = await this.relay(effect, lease, server, signal, reservation.val);
       this.sends -= outcome?.reason === verdict.FailureReason.ConnectFailed ? 1 : 0;
@@ -217,6 +221,18 @@
     }
   }
 
+  /** The server died or began to leave while the attempt waited for the reservation. */
+  private async giveUpUnsent(
+    effect: decision.Dispatch,
+    server: backend.RelayServer,
+    reservation: string | undefined,
+  ): Promise<void> {
+    this.attemptFailed(effect, routing.SERVER_GONE, true);
+    if (reservation !== undefined) {
+      await server.release(reservation);
+    }
+  }
+
   /** Only a stream with numbered events goes on behind the last delivered one at another server. */
   private async reserveRoom(
     { offer }: decision.Dispatch,
@@ -234,7 +250,7 @@
   private relay(
     effect: decision.Dispatch,
     lease: routing.BackendLease<backend.RelayServer>,
-    server: membership.EligibleServer | undefined,
+    server: membership.EligibleServer,
     signal: AbortSignal,
     reservation: string | undefined,
   ): Promise<verdict.RequestFailure | undefined> {
@@ -281,7 +297,7 @@
           ...cache,
         }),
         body: call.body,
-        incarnation: server?.incarnation,
+        incarnation: server.incarnation,
         freshConnection: false,
         timeoutMilliseconds: answerLimit.answerLimitMilliseconds(remaining),
         signal,
@@ -294,11 +310,11 @@
   /** Logs the inputs of the decision that selected the server. */
   private logDispatch(
     effect: decision.Dispatch,
-    server: membership.EligibleServer | undefined,
+    server: membership.EligibleServer,
     cacheSalt: string | undefined,
   ): void {
     const { requestId, profile } = this.call;
-    const weightsVersion = server?.weightsVersion;
+    const { weightsVersion } = server;
     logger.information('request dispatched', {
       requestId,
       service: profile.service,
@@ -306,7 +322,6 @@
       attempt: effect.attemptId,
       softwareVersion: effect.softwareVersion,
       weightsVersion,
-      isEligible: server !== undefined,
       cacheSalt,
       supersededMilliseconds:
         weightsVersion === undefined
@@ -326,8 +341,8 @@
   }
 
   /** Announces the prefixes to other daemons, which can have them copied from this server instead of recomputed. */
-  private announcePrefixes(serverId: string, server: membership.EligibleServer | undefined): void {
-    if (server?.weightsVersion !== undefined && this.hasNamespaceOfArrival) {
+  private announcePrefixes(serverId: string, server: membership.EligibleServer): void {
+    if (server.weightsVersion !== undefined && this.hasNamespaceOfArrival) {
       const hashes = decision.sharedPrefixHashes(server.weightsVersion, this.profile.prefixChain);
       this.context.placementBuffer.add({ serverId, hashes });
     }
@@ -346,10 +361,10 @@
   /** The salt contains the last observed weights version of the server; with other weights the server must refuse. */
   private cacheMetadata(
     effect: decision.Dispatch,
-    server: membership.EligibleServer | undefined,
+    server: membership.EligibleServer,
   ): { cacheSalt?: string; weightsVersion?: string; cacheSource?: string } {
     const cacheNamespace = this.currentNamespace;
-    const weightsVersion = server?.weightsVersion;
+    const { weightsVersion } = server;
     if (cacheNamespace === undefined || weightsVersion === undefined) {
       return {};
     }
--- a/src/membership/effect.ts
+++ b/src/membership/effect.ts
@@ -24,6 +24,8 @@
   readonly serverId: string;
   /** The process runs and sends malformed answers, so no request counts as the cause of a crash. */
   readonly isProcessAlive?: true;
+  /** Set if the server must not get new requests until a probe succeeds. */
+  readonly isDead?: true;
 }
 
 export type MembershipEffect = Probe | ReportToPeers | ServerCrashed;
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -1,3 +1,4 @@
+import type * as effect from './effect';
 import type * as event from './event';
 import * as membershipView from './membership-view';
 import * as serverChange from './server-change';
@@ -65,11 +66,21 @@
     server: next,
     effects: [
       ...(isNewlyFailing ? [serverChange.suspicionReport(server)] : []),
-      ...(isNewlyDead ? [serverChange.crashed(server, probe.answeredMalformed)] : []),
+      ...(isNewlyDead ? [died(server, probe)] : []),
     ],
   };
 }
 
+function died(
+  server: membershipView.ServerState,
+  { answeredMalformed }: event.ProbeFailed,
+): effect.MembershipEffect {
+  const isDead = true as const;
+  return answeredMalformed === true
+    ? serverChange.crashed(server, { isDead, isProcessAlive: true })
+    : serverChange.crashed(server, { isDead });
+}
+
 function endProbe(
   server: membershipView.ServerState,
   probe: event.ProbeSucceeded | event.ProbeFailed,
--- a/src/membership/server-change.ts
+++ b/src/membership/server-change.ts
@@ -90,10 +90,10 @@
 /** The effect that all requests on a server are lost. */
 export function crashed(
   server: membershipView.ServerState,
-  isProcessAlive = false,
+  details: Pick<effect.ServerCrashed, 'isProcessAlive' | 'isDead'> = {},
 ): effect.MembershipEffect {
   const kind = effect.MembershipEffectKind.ServerCrashed;
-  return { kind, serverId: server.machine.id, ...(isProcessAlive ? { isProcessAlive } : {}) };
+  return { kind, serverId: server.machine.id, ...details };
 }
 
 /** The broadcast that makes the peers probe a server too. */
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -219,6 +219,7 @@
           at: this.ports.task.now(),
           serverId: effect.serverId,
           isProcessAlive: effect.isProcessAlive,
+          isDead: effect.isDead,
         });
     }
   }
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -198,6 +198,7 @@
   assert.equal(crash, {
     kind: MembershipEffectKind.ServerCrashed,
     serverId: 'desk-1',
+    isDead: true,
     isProcessAlive: true,
   });
 });
