Cache namespaces: every request to an engine has one, whatever is unknown about its server

Callers of an isolated team shared cached prompt parts with others at engines whose weights version neither the list nor a report told, and after a document that had dropped the model of their service: such requests were sent without a salt, which engines take for one text that all share, over all teams and all versions of weights. Besides, callers without a team went on in the shared namespace of an outdated document, and a credential that the document does not contain shared with everybody on public routes, though its team may be a new, isolated one.

Cause: the salt was left out as a whole if one of its parts was unknown, though the namespace does not need the version. Of three ways, to wait, to use another engine, and a salt that nobody else has, the last one is taken: without a version the salt names the server, which drops its parts itself when its weights change, and nothing is copied from another server. Without a model each team is kept apart. Servers whose versions are both unknown no longer count as having the same weights (decision/cache-source), and placements are not looked up under an empty version. Names in namespaces are escaped where a header would lose or refuse them: a team whose name ends with a space had the namespace of the one without.

--- a/src/decision/cache-source.ts
+++ b/src/decision/cache-source.ts
@@ -50,13 +50,14 @@
   return home !== undefined && isUsableSource(home, choice.server) ? home : undefined;
 }
 
-/** Blocks computed with other weights are invalid, and a server that may be dead delays the request. */
+/** Blocks computed with other or unknown weights are invalid, and a server that may be dead delays the request. */
 function isUsableSource(server: state.ServerState, chosen: state.ServerState): boolean {
   return (
     server !== chosen &&
     server.eligible &&
     !server.record.suspected &&
     server.record.loading !== true &&
+    server.record.weightsVersion !== undefined &&
     server.record.weightsVersion === chosen.record.weightsVersion
   );
 }
--- a/src/decision/cached-prefix-lookup.ts
+++ b/src/decision/cached-prefix-lookup.ts
@@ -41,9 +41,11 @@
   cachedBlocks({ record, incarnation }: state.ServerState): number {
     const { index, chain, at } = this;
     const own = placement.cachedBlocks(index, record.id, incarnation, chain, at);
-    return placement.isPeerCacheEmpty(this.peerCache) || own >= chain.length - 1
+    const { weightsVersion } = record;
+    const isOwnEnough = placement.isPeerCacheEmpty(this.peerCache) || own >= chain.length - 1;
+    return isOwnEnough || weightsVersion === undefined
       ? own
-      : Math.max(own, this.placedBlocks(record.weightsVersion ?? '').get(record.id) ?? 0);
+      : Math.max(own, this.placedBlocks(weightsVersion).get(record.id) ?? 0);
   }
 
   private placedBlocks(weightsVersion: string): ReadonlyMap<string, number> {
--- a/src/gateway/cache-namespace.ts
+++ b/src/gateway/cache-namespace.ts
@@ -1,3 +1,21 @@
+/** Whose cached prompt parts a request uses and makes. */
+export interface CacheOwner {
+  readonly team?: string;
+  /**
+   * Set for a caller whose credential the routing document does not contain: a text that no other request has. Its team may be
+   * one of a newer document, and isolated.
+   */
+  readonly unknownCaller?: string;
+  /** Whether the prompt has parts, so that the server may keep some although the document knows no model of the service. */
+  readonly hasParts: boolean;
+}
+
+/** A backend server, as far as its weights are known. */
+export interface CachingServer {
+  readonly id: string;
+  readonly weightsVersion?: string;
+}
+
 /**
  * The namespace of the parts that teams share.
  *
@@ -6,20 +24,45 @@
  * sharedNamespace('desk', 7); // 'desk:7'
  */
 export function sharedNamespace(model: string, since: number | undefined): string {
-  return since === undefined ? escapeModel(model) : `${escapeModel(model)}:${since}`;
+  return since === undefined ? escapeName(model) : `${escapeName(model)}:${since}`;
+}
+
+/**
+ * The namespace of the parts of one owner, which nobody shares. Callers without a team and with a known model have one together.
+ *
+ * @param model empty if it is not known
+ * @example
+ * isolatedNamespace('desk', { team: 'depot', hasParts: true }); // 'desk.depot'
+ */
+export function isolatedNamespace(
+  model: string,
+  { team, unknownCaller = '' }: Pick<CacheOwner, 'team' | 'unknownCaller'>,
+): string {
+  return team === undefined
+    ? `${escapeName(model)}!${unknownCaller}`
+    : `${escapeName(model)}.${visible(team.replaceAll('%', '%25'))}`;
 }
 
 /**
- * The namespace of the parts of an isolated team.
+ * The text under which a server finds cached parts. Parts that were made with unknown weights are found at the same server only,
+ * which drops them when its weights change. An absent text would be one that all such requests share.
  *
  * @example
- * isolatedNamespace('desk', 'depot'); // 'desk.depot'
+ * cacheSalt('desk.depot', { id: 'i-1', weightsVersion: '3' }); // '3.desk.depot'
+ * cacheSalt('desk.depot', { id: 'i-1' }); // '@i-1.desk.depot'
  */
-export function isolatedNamespace(model: string, team: string): string {
-  return `${escapeModel(model)}.${team}`;
+export function cacheSalt(namespace: string, { id, weightsVersion }: CachingServer): string {
+  return `${weightsVersion ?? `@${escapeName(id)}`}.${namespace}`;
 }
 
 /** Removes the separators from a name, so that two namespaces are never the same text. */
-function escapeModel(model: string): string {
-  return model.replaceAll(/[%.:]/g, (separator) => `%${separator.charCodeAt(0).toString(16)}`);
+function escapeName(name: string): string {
+  return visible(
+    name.replaceAll(/[%.:!]/g, (separator) => `%${separator.charCodeAt(0).toString(16)}`),
+  );
+}
+
+/** Replaces what a header cannot contain, or loses at its ends; expects that `%` in the name is escaped already. */
+function visible(name: string): string {
+  return name.replaceAll(/[^!-~]/gu, (other) => `%u${other.codePointAt(0)!.toString(16)};`);
 }
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -196,7 +196,7 @@
           this.source.supersededMilliseconds(service, version),
         copyAgeMilliseconds: () => plane.copyAgeMilliseconds(),
         storeAddress: () => this.gateway.store?.address,
-        cacheNamespace: (service, team) => this.gateway.cacheNamespace(service, team),
+        cacheNamespace: (service, owner) => this.gateway.cacheNamespace(service, owner),
       },
       random,
       options,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -74,23 +74,42 @@
   }
 
   /**
-   * Under which cached prompt parts of a team are kept; absent for services without a model. It changes with the routing
-   * document, and a request that has waited must not use the one of its arrival.
+   * Under which the cached prompt parts of a request are kept; absent for prompts without parts at services without a model. It
+   * changes with the routing document, and a request that has waited must not use the one of its arrival. While the model is
+   * not known, as after a document that has dropped it, nobody shares.
    */
-  cacheNamespace(service: string, team: string | undefined): string | undefined {
-    const model = this.index?.service(service)?.engine?.model;
-    if (model === undefined) {
+  cacheNamespace(service: string, owner: cacheNamespace.CacheOwner): string | undefined {
+    const known = this.index?.service(service);
+    const model = known?.engine?.model;
+    if (model === undefined && known !== undefined && !owner.hasParts) {
       return undefined;
     }
-    // A team that has left the document is kept apart, since it may come back isolated.
-    const isIsolated =
-      team !== undefined &&
-      (this.index?.teamNamed(team)?.isIsolated !== false || this.mayTeamsBeIsolated);
-    return isIsolated
-      ? cacheNamespace.isolatedNamespace(model, team)
+    return model === undefined || this.isSeparate(owner)
+      ? cacheNamespace.isolatedNamespace(model ?? '', owner)
       : cacheNamespace.sharedNamespace(model, this.sharedSince);
   }
 
+  /** A team that has left the document is kept apart, since it may come back isolated. */
+  private isSeparate({ team, unknownCaller }: cacheNamespace.CacheOwner): boolean {
+    return (
+      unknownCaller !== undefined ||
+      this.mayTeamsBeIsolated ||
+      (team !== undefined && this.index?.teamNamed(team)?.isIsolated !== false)
+    );
+  }
+
+  private cacheOwner(
+    { credential, parts }: headerCodec.CallerMetadata,
+    team: routes.RoutedTeam | undefined,
+  ): cacheNamespace.CacheOwner {
+    const isUnknown = team === undefined && credential !== undefined;
+    return {
+      team: team?.name,
+      unknownCaller: isUnknown ? `${this.random.uniform()}/${this.nextId}` : undefined,
+      hasParts: parts.length > 0,
+    };
+  }
+
   /** Finds route and team from the headers alone; `Err` says why the request must not be served. */
   admit(
     path: string,
@@ -247,8 +266,9 @@
   ): relayExecution.RelayCall {
     const wait = Math.min(route.timeoutMilliseconds, metadata.waitMilliseconds ?? Infinity);
     const service = routes.chooseService(route.shares, this.shareOf(route, metadata, team));
-    const namespace = this.cacheNamespace(service, team?.name);
     this.nextId += 1;
+    const cacheOwner = this.cacheOwner(metadata, team);
+    const namespace = this.cacheNamespace(service, cacheOwner);
     return {
       requestId: metadata.requestId,
       method,
@@ -256,6 +276,7 @@
       headers,
       body,
       team: team?.name,
+      cacheOwner,
       cacheNamespace: namespace,
       deadline: arrivedAt + wait,
       lastEventId: metadata.lastEventId,
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -1,3 +1,4 @@
+import type * as cacheNamespace from './cache-namespace';
 import * as membership from '../membership';
 import * as routing from '../routing';
 import type * as headerCodec from './header-codec';
@@ -25,6 +26,9 @@
   readonly copyAgeMilliseconds: () => number;
   /** `host:port` of the KV cache store, if there is one. */
   readonly storeAddress: () => string | undefined;
-  /** Under which cached prompt parts of a team are kept at this moment; absent for services without a model. */
-  readonly cacheNamespace: (service: string, team: string | undefined) => string | undefined;
+  /** Under which the cached prompt parts of a request are kept at this moment; absent if its server keeps none. */
+  readonly cacheNamespace: (
+    service: string,
+    owner: cacheNamespace.CacheOwner,
+  ) => string | undefined;
 }
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -9,6 +9,7 @@
 import * as verdict from '../verdict';
 import * as answerLimit from './answer-limit';
 import * as answerReceiver from './answer-receiver';
+import * as cacheNamespaces from './cache-namespace';
 import * as forwardExecution from './forward-execution';
 import type * as relayContext from './relay-context';
 import type * as relayReply from './relay-reply';
@@ -26,6 +27,7 @@
   readonly headers: http.IncomingHttpHeaders;
   readonly body: Uint8Array;
   readonly team?: string;
+  readonly cacheOwner: cacheNamespaces.CacheOwner;
   /** Under which cached prompt parts were kept when the request arrived; the prefixes of the profile belong to it. */
   readonly cacheNamespace?: string;
   /** Monotonic time in milliseconds at which the caller's deadline or the route's timeout ends. */
@@ -349,7 +351,7 @@
   }
 
   private get currentNamespace(): string | undefined {
-    return this.context.cacheNamespace(this.profile.service, this.call.team);
+    return this.context.cacheNamespace(this.profile.service, this.call.cacheOwner);
   }
 
   /** Whether the prefixes by which servers are selected are those that servers keep now. */
@@ -358,25 +360,30 @@
     return cacheNamespace !== undefined && cacheNamespace === this.currentNamespace;
   }
 
-  /** The salt contains the last observed weights version of the server; with other weights the server must refuse. */
+  /** With other weights than the last observed ones the server must refuse. */
   private cacheMetadata(
     effect: decision.Dispatch,
     server: membership.EligibleServer,
   ): { cacheSalt?: string; weightsVersion?: string; cacheSource?: string } {
-    const cacheNamespace = this.currentNamespace;
-    const { weightsVersion } = server;
-    if (cacheNamespace === undefined || weightsVersion === undefined) {
-      return {};
-    }
+    const namespace = this.currentNamespace;
+    return namespace === undefined
+      ? {}
+      : {
+          cacheSalt: cacheNamespaces.cacheSalt(namespace, server),
+          weightsVersion: server.weightsVersion,
+          cacheSource: this.cacheSource(effect, server),
+        };
+  }
+
+  /** `host:port` of the server to copy cached parts from; parts of unknown weights are not copied. */
+  private cacheSource(
+    { cacheSource }: decision.Dispatch,
+    { weightsVersion }: membership.EligibleServer,
+  ): string | undefined {
+    const isUsable = weightsVersion !== undefined && this.hasNamespaceOfArrival;
     const source =
-      effect.cacheSource === undefined || !this.hasNamespaceOfArrival
-        ? undefined
-        : this.context.server(effect.cacheSource);
-    return {
-      cacheSalt: `${weightsVersion}.${cacheNamespace}`,
-      weightsVersion,
-      ...(source === undefined ? {} : { cacheSource: `${source.host}:${source.port}` }),
-    };
+      cacheSource === undefined || !isUsable ? undefined : this.context.server(cacheSource);
+    return source && `${source.host}:${source.port}`;
   }
 
   /** Reports what an answer says about limits: each gateway hears of a service's limit of refusals by itself within a second. */
--- a/test/control/cache-sharing.test.ts
+++ b/test/control/cache-sharing.test.ts
@@ -138,7 +138,7 @@
         const shared = cacheNamespace.sharedNamespace('desk', since);
         const used = [
           ...sharing.map((team) => [team, shared]),
-          ...isolated.map((team) => [team, cacheNamespace.isolatedNamespace('desk', team)]),
+          ...isolated.map((team) => [team, cacheNamespace.isolatedNamespace('desk', { team })]),
         ];
         used.forEach(([team, namespace]) => {
           makers.set(namespace, (makers.get(namespace) ?? new Set()).add(team));
@@ -158,13 +158,35 @@
 
 // Guards against names that read as a separator, with which two namespaces are the same text.
 suite('namespaces of other models, teams and times are other texts', () => {
-  const names = ['a', 'b', 'a.b', 'a:2', 'a%2e', 'b.a', '2'];
+  const names = [
+    '',
+    'a',
+    'b',
+    'a.b',
+    'a:2',
+    'a%2e',
+    'b.a',
+    '2',
+    'a!',
+    'a ',
+    'a%u20;',
+    'ä',
+    '\u{2028}',
+  ];
   const texts = names.flatMap((model) => [
     cacheNamespace.sharedNamespace(model, undefined),
     cacheNamespace.sharedNamespace(model, 2),
-    ...names.map((team) => cacheNamespace.isolatedNamespace(model, team)),
+    cacheNamespace.isolatedNamespace(model, {}),
+    cacheNamespace.isolatedNamespace(model, { unknownCaller: '0.5/2' }),
+    ...names.map((team) => cacheNamespace.isolatedNamespace(model, { team })),
   ]);
-  assert.is(new Set(texts).size, names.length * (names.length + 2));
+  assert.is(new Set(texts).size, names.length * (names.length + 4));
+  const servers = [...names.map((id) => ({ id })), { id: 'a', weightsVersion: '2' }];
+  const salts = texts.flatMap((text) =>
+    servers.map((server) => cacheNamespace.cacheSalt(text, server)),
+  );
+  assert.is(new Set(salts).size, texts.length * servers.length);
+  salts.forEach((salt) => assert.match(salt, /^[!-~]+$/));
   assert.is(cacheNamespace.sharedNamespace('desk', undefined), 'desk');
 });
 
