Membership: an entry of the list without a weights version does not remove the known one

A version now stays known while the incarnation is the same. If the weights have changed all the same, the server refuses the expected version. Of another process nothing is known, as before.

Test, failing before (undefined instead of v1): membership "an entry without a weights version keeps the one that is known of the process".

--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -117,13 +117,25 @@
     ? {
         ...server,
         machine,
-        weightsVersion: machine.weightsVersion,
+        weightsVersion: machine.weightsVersion ?? knownVersion(server, machine),
         loading: undefined,
         isLoadingPresumed: undefined,
       }
     : { ...server, machine };
 }
 
+/**
+ * The version that is known of the same process. An entry without one does not tell that the weights have changed, and a server
+ * with other weights refuses; of another process nothing is known.
+ */
+function knownVersion(
+  { machine: previous, weightsVersion }: membershipView.ServerState,
+  { incarnation }: backend.MachineRecord,
+): string | undefined {
+  const isSameProcess = incarnation !== undefined && incarnation === previous.incarnation;
+  return isSameProcess ? (weightsVersion ?? previous.weightsVersion) : undefined;
+}
+
 /** Time between two probes of a server that is not suspected. */
 function probeInterval({ probesPeriodically, servers }: membershipView.MembershipView): number {
   return probesPeriodically
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -203,6 +203,25 @@
   });
 });
 
+// Guards against a known weights version that is lost with an entry of the list which names none.
+suite('an entry without a weights version keeps the one that is known of the process', () => {
+  const incarnation = 'first';
+  const listed = (...versions: (string | undefined)[]) =>
+    versions.reduce(
+      (view, weightsVersion, at) =>
+        view.list(at, builder.machine('a', { weightsVersion, incarnation })),
+      new builder.ViewBuilder(),
+    );
+  const versionOf = ({ view }: builder.ViewBuilder) => membership.eligible(view)[0].weightsVersion;
+  assert.is(versionOf(listed('v1', undefined)), 'v1');
+  assert.is(versionOf(listed('v1', undefined, undefined)), 'v1');
+  assert.is(versionOf(listed('v1', undefined, 'v2')), 'v2');
+  const probed = listed('v0').probeSucceeded('a', 1, incarnation);
+  assert.is(versionOf(probed.list(2, builder.machine('a', { incarnation }))), 'v1');
+  const restarted = listed('v1').list(1, builder.machine('a', { incarnation: 'second' }));
+  assert.is(versionOf(restarted), undefined);
+});
+
 suite('a malformed report of a peer is ignored', () => {
   assert.is(membership.parseReport({ kind: 'leaving' }), undefined);
   assert.is(membership.parseReport('leaving'), undefined);
