List of VMs: what a daemon reads itself does not pass for the leader's edition

What callers saw: after a daemon had not heard the leader for 2.5 s, it took engines that the leader had reported as loading, or whose weights version only the leader had read, for engines that do not load and whose version is the list's, or unknown. Such requests are refused by loading engines, or leave without an expected version. This lasted until the record of the engine changed or the leader changed.

Cause: a daemon without contact reads the platform's list itself, which lacks what the leader adds (loading, weights version). It kept the leader's edition for that list. The leader's next message names the same edition, or changes that apply to it, and the daemon applied them to its own list: a field that is absent since nobody has added it passed for one that the leader had found absent.

Why the fix works: the leader's list is kept beside the one that the daemon reads itself. The leader's editions and changes refer to the former only, and a message with the known edition shows that it is still the leader's list, so that nothing has to be requested.

--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -28,9 +28,13 @@
  * reads the list from the platform itself.
  */
 export class SharedMachineList extends backend.MachineList {
+  /** The newest list, from the leader or read by this daemon itself. */
   private machines: readonly backend.MachineRecord[] | undefined;
 
-  /** Edition of this daemon's copy; unique across leaders. */
+  /** The leader's list, to which its changes apply: a list that this daemon reads itself lacks what the leader adds. */
+  private copy: readonly backend.MachineRecord[] | undefined;
+
+  /** Edition of the copy; unique across leaders. */
   private edition = '';
 
   /** Number of the last edition; starts from the clock, so that a restarted leader does not reuse one. */
@@ -163,21 +167,25 @@
     }
     this.leaderTerm = term;
     if (machines !== undefined) {
-      this.replaceMachines(machines, edition);
-    } else if (changes !== undefined && base === this.edition && this.machines !== undefined) {
-      this.replaceMachines(machineChanges.applyChanges(this.machines, changes), edition);
-    } else if (edition === this.edition) {
-      this.lastContactAt = this.ports.time.monotonic();
+      this.useCopy(machines, edition);
+    } else if (changes !== undefined && base === this.edition && this.copy !== undefined) {
+      this.useCopy(machineChanges.applyChanges(this.copy, changes), edition);
+    } else if (edition === this.edition && this.copy !== undefined) {
+      this.useCopy(this.copy, edition);
     } else {
       this.requestFullList(from);
     }
   }
 
-  private replaceMachines(machines: readonly backend.MachineRecord[], edition: string): void {
-    this.machines = machines;
+  private useCopy(copy: readonly backend.MachineRecord[], edition: string): void {
+    const isChanged = copy !== this.machines;
+    this.machines = copy;
+    this.copy = copy;
     this.edition = edition;
     this.lastContactAt = this.ports.time.monotonic();
-    this.listeners.forEach((listener) => listener());
+    if (isChanged) {
+      this.listeners.forEach((listener) => listener());
+    }
   }
 
   private sendFullList(to: string): void {
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -51,6 +51,38 @@
   assert.is(source.reads, 2);
 });
 
+// Guards against requests to an engine that loads weights: a list that a daemon has read itself, without what the leader adds,
+// passed for the leader's last edition once the leader was heard again.
+suite('a daemon that has read the list itself returns to that of the leader', async () => {
+  const loading = { ...countedList.RECORD, loading: true as const, weightsVersion: '2' };
+  const { peers, time, source, leader, other } = readers(() => loading);
+  await leader.read();
+  assert.equal((await other.read()).unwrap(), [loading]);
+  peers.isCut = true;
+  time.advance(2_600);
+  assert.equal((await other.read()).unwrap(), source.records);
+  peers.isCut = false;
+  await leader.read();
+  assert.equal((await other.read()).unwrap(), [loading]);
+});
+
+// Guards against changes of the leader's list that are applied to a list which a daemon has read itself.
+suite('a change of the list is not applied to one that a daemon has read itself', async () => {
+  const second = { ...countedList.RECORD, id: 'i-2' };
+  const loading = { ...countedList.RECORD, loading: true as const };
+  const { peers, time, source, leader, other } = readers((record) =>
+    record.id === loading.id ? loading : record,
+  );
+  await leader.read();
+  peers.isCut = true;
+  time.advance(2_600);
+  await other.read();
+  peers.isCut = false;
+  source.records = [countedList.RECORD, second];
+  await leader.read();
+  assert.equal((await other.read()).unwrap(), [loading, second]);
+});
+
 suite('a daemon that missed a change requests the full list', async () => {
   const { peers, time, source, leader, other } = readers();
   await leader.read();
