Requests never require the empty weights version

Cause: servingWeights counted the empty version as one that engines have. An engine without weights reports it, and the weights filter then takes the engine's unknown version and the request's for equal.

--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -270,4 +270,27 @@
   },
 );
 
+// Guards against requests that any weights may run: an engine without weights reports an empty version, which engines read as
+// "any" in a request.
+suite('a request never requires the empty weights version of engines that report none', () => {
+  const { ProbeSucceeded } = membership.MembershipEventKind;
+  const ids = ['desk-1', 'desk-2', 'desk-3'];
+  const view = new builder.ViewBuilder().list(0, ...ids.map((id) => builder.machine(id)));
+  ids.forEach((serverId) =>
+    view.apply({
+      kind: ProbeSucceeded,
+      at: 100,
+      serverId,
+      startedAt: 100,
+      incarnation: serverId,
+      weightsVersion: serverId === 'desk-3' ? 'v1' : '',
+      leaving: false,
+      jitter: 0.5,
+    }),
+  );
+  const [first, second, third] = membership.eligible(view.view);
+  assert.is(membership.servingWeights([first, second], 'inspection-desk', 'v2'), 'v2');
+  assert.is(membership.servingWeights([first, second, third], 'inspection-desk', 'v2'), 'v1');
+});
+
 suite.run();
