Emulated engine: requests that name no team share no cached blocks

An integration that follows the contract and leaves it out shared the blocks of all requests without a team.

Cause: an absent header was read as the empty text, which then was the owner of the blocks: one owner for all that are unknown.

Why the fix works: without a team there is no owner, so that blocks are neither looked up nor kept. The contract in docs/BACKENDS.md says so.

--- a/src/emulator/emulated-engine.ts
+++ b/src/emulator/emulated-engine.ts
@@ -278,6 +278,7 @@
     };
   }
 
+  /** A request that names no team uses and keeps no blocks: the absence of a team must not be one that all share. */
   private async prefill(
     request: receivedRequest.ReceivedRequest,
     promptTokens: number,
@@ -288,10 +289,7 @@
       team: receivedRequest.header(request, backend.HeaderName.Team),
       weightsVersion: state.weightsVersion,
     };
-    const chain = receivedRequest
-      .header(request, backend.HeaderName.PrefixChain)
-      .split(',')
-      .filter((chainHash) => chainHash !== '');
+    const chain = owner.team === '' ? [] : prefixChainOf(request);
     const blocks = state.cache.lookUp(owner, chain);
     const cachedTokens = Math.min(promptTokens, blocks * this.options.blockTokens);
     this.cachedTokens += cachedTokens;
@@ -378,6 +376,13 @@
   }
 }
 
+function prefixChainOf(request: receivedRequest.ReceivedRequest): readonly string[] {
+  return receivedRequest
+    .header(request, backend.HeaderName.PrefixChain)
+    .split(',')
+    .filter((chainHash) => chainHash !== '');
+}
+
 /** Usual ratio for English text; the emulated engine has no tokenizer. */
 const CHARACTERS_PER_TOKEN = 4;
 
--- a/test/emulator/emulated-engine.test.ts
+++ b/test/emulator/emulated-engine.test.ts
@@ -48,6 +48,19 @@
   assert.is((await post(source.engine.port, '/backend/kv/export', missing)).status, 404);
 });
 
+// Guards against cached blocks that callers of unknown teams share: without a team, all of them had the empty one.
+suite('requests that name no team use and keep no cached blocks', async () => {
+  const owner = build.buildOwner();
+  const { engine, adapter } = await build.buildEngine(owner);
+  const request = () =>
+    build.engineRequest('x'.repeat(9_000), { prefixChain: ['aa', 'bb'], team: '' });
+  await build.readStream((await adapter.start(request())).unwrap());
+  const second = (await adapter.start(request())).unwrap();
+  await build.readStream(second);
+  assert.is(second.head.cachedTokens, 0);
+  assert.is(engine.report().cachedBlocks, 0);
+});
+
 suite('a cache store returns no block to another team', async () => {
   const store = new emulator.EmulatedCacheStore();
   await store.listen();
