A stream of a split route that nobody names is refused

What callers saw: a caller that takes up a stream with Last-Event-Id and does not name the attempt that began it could get the rest from the other service of a split route.

Cause: the service of a resumable route follows from the id of the attempt that began the stream. Its absence was read as 'this attempt began it', so that a later attempt, which has another id, chose the service anew.

Evidence: the new test failed before the change: status 200 in place of 503 for a stream that no attempt is named for (7 of 8 passed).

Why the fix works: without that id the service is not known, as the software version is not known when several may have begun the stream; such a request is refused as not run, with the same reason. Routes with one service are not affected.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -153,6 +153,8 @@
       reply.fail(admitted.val);
     } else if (requestId === undefined) {
       reply.fail(NO_REQUEST_ID);
+    } else if (isServiceUnknown(admitted.val.route, metadata)) {
+      reply.fail(UNKNOWN_SERVICE);
     } else if (this.openRequests >= this.limits.maximumRequests) {
       reply.fail(TOO_MANY_REQUESTS);
     } else {
@@ -326,6 +328,17 @@
   return lastEventId !== undefined || resumes !== undefined;
 }
 
+/** Whether a caller takes up a stream that any of several services may have begun: the one is found by the attempt that began it. */
+function isServiceUnknown(route: routes.Route, metadata: headerCodec.CallerMetadata): boolean {
+  const services = route.shares.filter(({ weight }) => weight > 0);
+  return (
+    isResumable(route) &&
+    isTakenUp(metadata) &&
+    metadata.resumes === undefined &&
+    services.length > 1
+  );
+}
+
 function streamOf(
   metadata: headerCodec.CallerMetadata,
   service: string,
@@ -409,6 +422,13 @@
   'The request has no id.',
 );
 
+const UNKNOWN_SERVICE = verdict.failure(
+  FailureReason.StreamOriginUnknown,
+  Verdict.NotRun,
+  'The request does not name the attempt that began its stream, and several services may have; begin the stream anew.',
+  { retryAfterMilliseconds: 5_000 },
+);
+
 const OLDER_TABLE = verdict.failure(
   FailureReason.ShuttingDown,
   Verdict.NotRun,
--- a/test/platform/taken-up-stream.test.ts
+++ b/test/platform/taken-up-stream.test.ts
@@ -172,8 +172,8 @@
   });
 });
 
-// Guards against text joined from two services when the route splits its requests between them.
-suite('a stream of a split route is taken up at the service that began it', async () => {
+/** A gateway whose route for streams is split between two services, with their servers. */
+function createSplit() {
   const servers = ['desk', 'annex', 'desk', 'annex'].map(
     (service, index) =>
       new fakeBackendServer.FakeBackendServer(`i-${index}`, [versioned('v1')], 'v1', service),
@@ -189,13 +189,18 @@
   ];
   Object.assign(reply, { max_attempts: 1, service: undefined, traffic_split: split });
   content.services.push({ ...content.services[0], name: 'annex' });
+  return { servers, gateway: new builder.GatewayBuilder(servers, content) };
+}
+
+// Guards against text joined from two services when the route splits its requests between them.
+suite('a stream of a split route is taken up at the service that began it', async () => {
+  const { servers, gateway } = createSplit();
   const servicesOf = (id: string) =>
     new Set(
       servers
         .filter(({ requests }) => requests.some(({ path }) => path === `/reply/${id}`))
         .map(({ service }) => service),
     );
-  const gateway = new builder.GatewayBuilder(servers, content);
   await gateway.run(async () => {
     for (const id of IDS) {
       await begin(gateway, id);
@@ -206,4 +211,24 @@
   IDS.forEach((id) => assert.is(servicesOf(id).size, 1));
 });
 
+// Guards against text joined from two services when a caller does not name the attempt that began its stream: the service was then
+// chosen by the id of the later attempt.
+suite('a stream of a split route that nobody names is refused as not run', async () => {
+  const { servers, gateway } = createSplit();
+  await gateway.run(async () => {
+    for (const id of IDS) {
+      const answer = await gateway.send('POST', `/reply/${id}`, {
+        'x-figline-request-id': id,
+        'last-event-id': String(PIECES / 2),
+      });
+      assert.is(answer.status, 503);
+      assert.ok(Number(answer.headers['retry-after']) > 0);
+    }
+  });
+  assert.equal(
+    servers.flatMap(({ requests }) => requests),
+    [],
+  );
+});
+
 suite.run();
