Limits of refusals: an unknown number of gateways does not mean one

What callers saw: servers that fall over when they refuse too often got all slots and all refusals' worth of requests from each gateway that had not heard the number of gateways yet, as after a start, and for longer while it was cut off from the replicas.

Cause: the absence of the number was read as 'this gateway is alone'. The limits of retries and of requests read it as 'no share is known', and give none.

Why the fix works: without the number a gateway keeps to the smallest share: one slot at one server and the longest pause after a refusal. The first heartbeat of a replica names the number.

--- a/src/decision/refusal-limits.ts
+++ b/src/decision/refusal-limits.ts
@@ -60,10 +60,10 @@
 
 /**
  * This daemon's slots at a server: the whole part of its share, and at some servers one for the rest. Each daemon has a slot
- * at one server at least.
+ * at one server at least, and no more while the number of daemons is unknown.
  */
 function ownSlots(step: steps.Step, server: state.ServerState, slots: number): number {
-  const { daemons = 1 } = step.state;
+  const { daemons = Infinity } = step.state;
   const share = slots / daemons;
   const whole = Math.floor(share);
   const position = positionOf(step, server);
@@ -85,7 +85,7 @@
   { serverId }: state.AttemptState,
   { reason }: verdict.RequestFailure,
 ): void {
-  const { refusalLimits, daemons = 1 } = step.state;
+  const { refusalLimits, daemons = Infinity } = step.state;
   const perSecond = refusalLimits.perSecond.get(profile.service);
   if (perSecond === undefined || reason !== verdict.FailureReason.BackendRefused) {
     return;
--- a/test/decision/refusal-limit.test.ts
+++ b/test/decision/refusal-limit.test.ts
@@ -1,11 +1,15 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as decision from '../../src/decision';
+import * as verdict from '../../src/verdict';
 import * as builder from './builder';
 import * as refusalFleet from './refusal-fleet';
 
 const suite = uvu.suite('servers that fall over when they refuse too much');
 
+const { BackendRefused } = verdict.FailureReason;
+const { NotRun } = verdict.Verdict;
+
 const SECONDS = 8;
 
 /** Falls that the platform allows in one such time. */
@@ -53,6 +57,28 @@
   }).forEach((dispatches) => assert.is(dispatches.length, 1));
 });
 
+// Guards against servers that fall over when gateways start: one that does not know the number of gateways took itself for the only
+// one and used all slots and all refusals.
+suite(
+  'a gateway that does not know how many there are uses one slot and seldom tries again',
+  () => {
+    const driver = builder.createDriver(3, 6);
+    driver.state = { ...driver.state, daemons: undefined };
+    const [service] = driver.state.services.keys();
+    const { RefusalLimitChanged, AttemptFailed, DaemonsCounted } = decision.DecisionEventKind;
+    const { Dispatch } = decision.DecisionEffectKind;
+    driver.apply({ kind: RefusalLimitChanged, at: 0, service, refusalsPerSecond: 6 });
+    Array.from({ length: 18 }, (_, index) => driver.arrive(`request-${index}`));
+    const [{ requestId, attemptId }, ...others] = driver.takeEffects(Dispatch);
+    assert.is(others.length, 0);
+    const failure = verdict.failure(BackendRefused, NotRun, 'The server is full.');
+    driver.apply({ kind: AttemptFailed, at: driver.at, requestId, attemptId, failure }).wait(1_000);
+    assert.is(driver.takeEffects(Dispatch).length, 0);
+    driver.apply({ kind: DaemonsCounted, at: driver.at, daemons: 1 }).wait(100);
+    assert.ok(driver.takeEffects(Dispatch).length > 1);
+  },
+);
+
 // Guards against restrictions that stay when the servers are sound again.
 suite('a limit that is named no more restricts nothing', () => {
   const driver = builder.createDriver(1, 6);
