The start of the teams' sharing is not taken back

What callers saw: nothing so far; found by reading. If control daemons lose their history (all disks at once) and their register overtakes the one that the gateways have, teams share under the namespace of before the first isolation again, where parts of a team that is isolated now may still be, while the routing document stays in use.

Cause: the register's start of the sharing is absent both if teams never had to start anew and if the register knows nothing, and the absence replaced the known start.

Evidence: the new test failed before the change: undefined in place of 2 after a register without a document (2 of 3 passed).

Why the fix works: the start only ever increases, so that the latest known one holds.

--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -39,6 +39,8 @@
 
   private table: routes.RoutingTable | undefined;
 
+  private sharedSince: number | undefined;
+
   constructor(
     private readonly decode: RoutingDecoder,
     private readonly engineProperties: routes.EngineProperties,
@@ -62,6 +64,7 @@
   update(register: control.Register): ActiveRouting | undefined {
     const { routing } = register;
     this.register = register;
+    this.sharedSince = latestStart(this.sharedSince, register.cacheSharing?.since);
     if (routing !== undefined && routing.version !== this.decodedVersion) {
       this.decodedVersion = routing.version;
       this.decodeTable(routing);
@@ -75,7 +78,7 @@
         this.engineProperties,
         (model) => weights.get(model) ?? {},
       );
-      this.active = { table, snapshot, sharedSince: register.cacheSharing?.since };
+      this.active = { table, snapshot, sharedSince: this.sharedSince };
     }
     return this.active;
   }
@@ -128,4 +131,9 @@
   }
 }
 
+/** Sharing that has started anew stays so: without a start, teams would use the parts of before it. */
+function latestStart(known: number | undefined, next: number | undefined): number | undefined {
+  return known === undefined || next === undefined ? (next ?? known) : Math.max(known, next);
+}
+
 const logger = new logging.Logger('gateway');
--- a/test/gateway/routing-source.test.ts
+++ b/test/gateway/routing-source.test.ts
@@ -70,4 +70,31 @@
   ]);
 });
 
+// Guards against teams that share the parts of before again: a register of control daemons that have lost their history names no
+// start of the sharing, while the routing document stays in use.
+suite('a register that names no start of the sharing does not take back the known one', () => {
+  const engineProperties = {
+    prefillTokensPerSecond: 1,
+    decodeTokensPerSecond: 1,
+    checksFencing: true,
+  };
+  const source = new routingSource.RoutingSource(decode, engineProperties);
+  const teams = (isolated: string[], sharing: string[]) => ({ isolated, sharing });
+  const documents = [teams([], ['depot', 'market']), teams(['depot'], ['market'])];
+  const register = documents.reduce(
+    (before, next, index) =>
+      control.putRouting(before, { version: index + 1, text: 'model', teams: next }),
+    control.EMPTY_REGISTER,
+  );
+  assert.is(source.update(register)?.sharedSince, 2);
+  const withoutDocument = control.setDesiredWeights(control.EMPTY_REGISTER, 'model', 2, 0);
+  assert.is(source.update(withoutDocument)?.sharedSince, 2);
+  const resent = control.putRouting(withoutDocument, {
+    version: 2,
+    text: 'model',
+    teams: documents[1],
+  });
+  assert.is(source.update(resent)?.sharedSince, 2);
+});
+
 suite.run();
