Known desired weights are not lost with the register

What callers saw: nothing so far; found by reading. A register that does not name the desired weights of a model, as that of control daemons that have lost their history, took the oldest version that may begin requests away from gateways that knew it, so that requests could begin on any older weights.

Cause: a model that the register does not name was read as one for which no weights were ever set; the known version was replaced by none.

Why the fix works: versions only increase, so that the last ones that were named hold until the register names newer ones.

--- a/src/gateway/routing-source.ts
+++ b/src/gateway/routing-source.ts
@@ -1,3 +1,4 @@
+import * as immutable from 'immutable';
 import * as results from 'ts-results';
 import * as configuration from '../configuration';
 import * as control from '../control';
@@ -41,6 +42,9 @@
 
   private sharedSince: number | undefined;
 
+  /** By model, also of those that the register names no more: a model without desired weights may run any. */
+  private desired = immutable.Map<string, control.DesiredWeights>();
+
   constructor(
     private readonly decode: RoutingDecoder,
     private readonly engineProperties: routes.EngineProperties,
@@ -65,13 +69,14 @@
     const { routing } = register;
     this.register = register;
     this.sharedSince = latestStart(this.sharedSince, register.cacheSharing?.since);
+    this.desired = this.desired.merge(register.weights);
     if (routing !== undefined && routing.version !== this.decodedVersion) {
       this.decodedVersion = routing.version;
       this.decodeTable(routing);
     }
     const { table } = this;
     // Includes models that no service runs now; otherwise a due change of such a model would stay due for ever.
-    const weights = register.weights.map((desired, model) => this.weightsOf(model, desired));
+    const weights = this.desired.map((desired, model) => this.weightsOf(model, desired));
     if (table !== undefined) {
       const snapshot = routes.decisionSnapshot(
         table,
--- a/test/gateway/routing-source.test.ts
+++ b/test/gateway/routing-source.test.ts
@@ -97,4 +97,30 @@
   assert.is(source.update(resent)?.sharedSince, 2);
 });
 
+// Guards against requests on old weights: a register that does not name the weights of a model let all versions be used.
+suite('a register that names no weights of a model does not take back the known ones', () => {
+  const time = new clock.ManualClock();
+  const ages = {
+    dispatch: new weightsAge.WeightsAge(time, 6_000),
+    start: new weightsAge.WeightsAge(time, 7_000),
+  };
+  const engineProperties = {
+    prefillTokensPerSecond: 1,
+    decodeTokensPerSecond: 1,
+    checksFencing: true,
+  };
+  const source = new routingSource.RoutingSource(decode, engineProperties, ages);
+  const routed = control.putRouting(control.EMPTY_REGISTER, { version: 1, text: 'model' });
+  source.update(control.setDesiredWeights(routed, 'model', 2, time.now()));
+  time.advance(8_000);
+  source.refresh();
+  const minimumOf = () =>
+    [...source.snapshot.documents.values()].flatMap((document) =>
+      'minimumWeightsVersion' in document ? document.minimumWeightsVersion : [],
+    );
+  assert.equal(minimumOf(), ['2']);
+  source.update(routed);
+  assert.equal(minimumOf(), ['2']);
+});
+
 suite.run();
