--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -262,6 +262,9 @@
     }
     const cache = this.cacheMetadata(effect, server);
     this.logDispatch(effect, server, cache.cacheSalt);
+    if (cache.cacheSalt !== undefined && cache.weightsVersion === undefined) {
+      this.meter.weightsUnknown();
+    }
     this.announcePrefixes(effect.serverId, server);
     return new Promise((resolve) => {
       const receiver = new answerReceiver.AnswerReceiver(
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -21,6 +21,8 @@
   CancelledAttempts = 'cancelled_attempts',
   /** Streams that no server went on with after their callers had received a part. */
   CutStreams = 'cut_streams',
+  /** Attempts at servers whose weights version was unknown; they share cached parts only at that server. */
+  UnknownWeights = 'unknown_weights',
 }
 
 /** Names of the gauges, each with its unit. */
--- a/src/routing/request-meter.ts
+++ b/src/routing/request-meter.ts
@@ -72,6 +72,11 @@
     this.meter.count(metrics.Counter.CancelledAttempts, { ...this.tags, reason });
   }
 
+  /** Counts attempts at servers whose weights version is unknown. */
+  weightsUnknown(): void {
+    this.meter.count(metrics.Counter.UnknownWeights, this.tags);
+  }
+
   /** Counts streams that no server went on with after their callers had received a part. */
   streamCut(): void {
     this.meter.count(metrics.Counter.CutStreams, this.tags);
