--- a/src/backend/management-client.ts
+++ b/src/backend/management-client.ts
@@ -112,7 +112,8 @@
 
 const probeSchema = zod.object({
   incarnation: zod.string().min(1),
-  weightsVersion: zod.string(),
+  /** Empty for a server without weights. */
+  weightsVersion: zod.string().transform((version) => (version === '' ? undefined : version)),
   leaving: zod.boolean(),
   loading: zod.boolean().optional(),
 });
--- a/src/backend/probe-report.ts
+++ b/src/backend/probe-report.ts
@@ -1,8 +1,8 @@
 /** Answer of a backend server to a probe. */
 export interface ProbeReport {
   readonly incarnation: string;
-  /** Empty for a plain service. */
-  readonly weightsVersion: string;
+  /** Absent for a plain service, and if an engine does not name its weights. */
+  readonly weightsVersion?: string;
   readonly leaving: boolean;
   /** Whether the engine is loading weights; absent if it does not report this. */
   readonly loading?: boolean;
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -60,7 +60,8 @@
   readonly kind: MembershipEventKind.ProbeSucceeded;
   readonly startedAt: number;
   readonly incarnation: string;
-  readonly weightsVersion: string;
+  /** Absent for a plain service, and if an engine does not name its weights. */
+  readonly weightsVersion?: string;
   readonly leaving: boolean;
   readonly loading?: boolean;
   /** Uniform from 0 to 1; spreads the next probes of many daemons over time. */
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -7,7 +7,7 @@
 export interface EligibleServer extends backend.MachineRecord {
   /** Last observed incarnation, if any. */
   readonly incarnation?: string;
-  /** Weights version of the last answered probe, if any; empty for a plain service. */
+  /** Last weights version that the list or a probe named; absent for a plain service. */
   readonly weightsVersion?: string;
   /** Set while the server loads weights and refuses every request. */
   readonly loading?: true;
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -115,7 +115,7 @@
     ...server,
     condition: isOlder ? Suspected : Alive,
     failedProbes: 0,
-    weightsVersion: probe.weightsVersion,
+    weightsVersion: probe.weightsVersion ?? server.weightsVersion,
     loading: probe.loading,
     isLoadingPresumed: undefined,
   };
--- a/src/orders/engine-condition.ts
+++ b/src/orders/engine-condition.ts
@@ -8,7 +8,7 @@
     !engine.suspected &&
     engine.order === undefined &&
     engine.observation?.loading !== true &&
-    (engine.listedWeights ?? engine.observation?.weightsVersion) !== undefined
+    latestWeights(engine) !== undefined
   );
 }
 
@@ -80,12 +80,12 @@
   }
   const { observation } = engine;
   if (observation !== undefined && isRecent(state, observation, at)) {
-    return observation.weightsVersion !== desired;
+    return latestWeights(engine) !== desired;
   }
   return engine.listedWeights !== desired;
 }
 
-/** Whether an order may be sent: a read-back in this term has shown that the engine lacks the desired weights. */
+/** Whether an order may be sent: it is known that the engine lacks the desired weights, after a read-back in this term. */
 export function mayBeOrdered(
   state: states.OrderState,
   issuer: states.Issuer,
@@ -100,7 +100,7 @@
     observation !== undefined &&
     observation.startedAt >= earliestObservation &&
     isRecent(state, observation, at) &&
-    observation.weightsVersion !== state.desired.get(engine.service)?.weightsVersion
+    latestWeights(engine) !== state.desired.get(engine.service)?.weightsVersion
   );
 }
 
--- a/src/orders/event.ts
+++ b/src/orders/event.ts
@@ -77,7 +77,8 @@
   /** Monotonic time in milliseconds at which the read-back started. */
   readonly startedAt: number;
   readonly incarnation: string;
-  readonly weightsVersion: string;
+  /** Absent if the engine does not name its weights. */
+  readonly weightsVersion?: string;
   /** Absent if the engine does not report whether it is loading weights. */
   readonly loading?: boolean;
   /** Number of orders that the engine has accepted; absent if it does not report it. */
--- a/src/orders/planning.ts
+++ b/src/orders/planning.ts
@@ -193,9 +193,8 @@
  * The sort key for the age of an engine's weights. When versions follow each other quickly, an engine that the
  * last roll-out did not reach must not be skipped by the next one too.
  */
-function outdatedRank({ listedWeights, observation }: states.EngineState): string {
-  const version = observation?.weightsVersion ?? listedWeights ?? '';
-  return version.padStart(VERSION_DIGITS, '0');
+function outdatedRank(engine: states.EngineState): string {
+  return (conditions.latestWeights(engine) ?? '').padStart(VERSION_DIGITS, '0');
 }
 
 /** Pads numeric versions so that they sort as texts; version names that are no numbers sort among themselves. */
--- a/src/orders/state.ts
+++ b/src/orders/state.ts
@@ -30,7 +30,8 @@
   /** Monotonic time in milliseconds at which the read-back started. */
   readonly startedAt: number;
   readonly incarnation: string;
-  readonly weightsVersion: string;
+  /** Absent if the engine did not name its weights. */
+  readonly weightsVersion?: string;
   /** Absent if the engine does not report whether it is loading weights. */
   readonly loading?: boolean;
   /** Number of orders that the engine had accepted; absent if it does not report it. */
--- a/test/backend/http-plain-service.test.ts
+++ b/test/backend/http-plain-service.test.ts
@@ -34,6 +34,13 @@
   assert.is(service.report().acceptedConnections, 1);
 });
 
+// Guards against a server without weights whose empty version counts as a known one.
+suite('an empty weights version in a probe is none', async () => {
+  const owner = build.buildOwner();
+  const { adapter } = await build.buildPlain(owner);
+  assert.is((await adapter.probe()).unwrap().weightsVersion, undefined);
+});
+
 suite('a fresh connection is opened for the request and closed after it', async () => {
   const owner = build.buildOwner();
   const { service, adapter } = await build.buildPlain(owner);
--- a/test/membership/builder.ts
+++ b/test/membership/builder.ts
@@ -44,9 +44,10 @@
     incarnation: string,
     leaving = false,
     startedAt = at,
+    weights: Pick<membership.ProbeSucceeded, 'weightsVersion'> = { weightsVersion: 'v1' },
   ): this {
     const kind = MembershipEventKind.ProbeSucceeded;
-    const report = { incarnation, weightsVersion: 'v1', leaving };
+    const report = { incarnation, ...weights, leaving };
     return this.apply({ kind, at, serverId, startedAt, ...report, jitter: 0.5 });
   }
 
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -49,6 +49,12 @@
   assert.equal(view.probeSucceeded('desk-1', 300, 'c').eligibleIds(), ['desk-1', 'desk-2']);
 });
 
+// Guards against an engine whose known weights become unknown because one report does not name them.
+suite('a probe that names no weights leaves the known version', () => {
+  const view = alive().probeSucceeded('desk-1', 200, 'a', false, 200, {});
+  assert.is(membership.eligibleServer(view.view, 'desk-1')?.weightsVersion, 'v1');
+});
+
 suite('a late report about an earlier incarnation does not affect the current one', () => {
   const report = { kind: ReportKind.Leaving, serverId: 'desk-1', incarnation: 'a' };
   const view = alive().probeSucceeded('desk-1', 200, 'c').peerReported(210, report);
--- a/test/orders/succession.test.ts
+++ b/test/orders/succession.test.ts
@@ -202,6 +202,26 @@
   },
 );
 
+// Guards against an order, and its confirmation, from a report that does not tell which weights an engine has.
+suite('an engine whose report names no weights counts neither as outdated nor as switched', () => {
+  const unnamed = { loading: false, acceptedOrders: 3 };
+  const state = leaderOf({ a: '2', b: '2' }, '2');
+  assert.equal(ordered(observed(state, 'a', 10, unnamed), 30), []);
+  const waiting = unanswered(leaderOf({ a: '1', b: '2' }, '2'));
+  const readBack = observed(waiting, 'a', 900, unnamed);
+  assert.is(readBack.engines.get('a')!.order?.weightsVersion, '2');
+  const unlisted = orders.update(observed(state, 'b', 10, unnamed), {
+    kind: OrderEventKind.ServersChanged,
+    at: 20,
+    engines: [{ id: 'b', service: SERVICE, suspected: false }],
+  }).state;
+  assert.equal(ordered(unlisted, 30), []);
+  assert.equal(
+    orders.progress(unlisted).map(({ switched }) => switched),
+    [0],
+  );
+});
+
 // Guards against free load slots that stay unused because all read-backs go to engines that load.
 suite('engines that may be ordered next are read back while many load', () => {
   const weights = Object.fromEntries(
--- a/test/platform/odd-report.test.ts
+++ b/test/platform/odd-report.test.ts
@@ -67,4 +67,14 @@
   assert.ok(grown < 32 * 1_024 * 1_024, `${grown} bytes`);
 });
 
+// Guards against an engine of unknown weights whose version counts as known, and against that of another model.
+suite("a report tells the weights version of the service's model, or none", async () => {
+  const versionIn = async (report: string) => (await probe(report)).unwrap().weightsVersion;
+  assert.is(await versionIn('{"models":[{"name":"m","version":4}]}'), '4');
+  assert.is(await versionIn('{"models":[{"name":"n","version":9},{"name":"m","version":4}]}'), '4');
+  assert.is(await versionIn('{"models":[{"name":"n","version":9}]}'), undefined);
+  assert.is(await versionIn('{"models":[]}'), undefined);
+  assert.is(await versionIn('{}'), undefined);
+});
+
 suite.run();
