Shared list: an empty weights version of a leader is an unknown one

While machines are upgraded, a leader of an earlier release tells the gateways the version '' for an engine whose report names no models. They took it for a known version, and gave requests to that engine the salt '.NAMESPACE'. It is read as absent now, so that one rule for unknown versions holds in a mixed deployment too.

Seen failing before the change: sharing "an empty weights version in the list of a leader is none", expected undefined, actual ''.

--- a/src/gateway/shared-machine-list.ts
+++ b/src/gateway/shared-machine-list.ts
@@ -167,9 +167,10 @@
     }
     this.leaderTerm = term;
     if (machines !== undefined) {
-      this.useCopy(machines, edition);
+      this.useCopy(machines.map(withoutEmptyVersion), edition);
     } else if (changes !== undefined && base === this.edition && this.copy !== undefined) {
-      this.useCopy(machineChanges.applyChanges(this.copy, changes), edition);
+      const changed = machineChanges.applyChanges(this.copy, changes);
+      this.useCopy(changed.map(withoutEmptyVersion), edition);
     } else if (edition === this.edition && this.copy !== undefined) {
       this.useCopy(this.copy, edition);
     } else {
@@ -205,6 +206,11 @@
   }
 }
 
+/** Leaders of earlier releases send an empty version for unknown weights. */
+function withoutEmptyVersion(machine: backend.MachineRecord): backend.MachineRecord {
+  return machine.weightsVersion === '' ? { ...machine, weightsVersion: undefined } : machine;
+}
+
 const logger = new logging.Logger('machines');
 
 const recordSchema = zod.object({
--- a/test/gateway/sharing.test.ts
+++ b/test/gateway/sharing.test.ts
@@ -41,6 +41,14 @@
   assert.is(source.reads, 1);
 });
 
+// Guards against unknown weights that count as known: leaders of earlier releases send them as an empty version.
+suite('an empty weights version in the list of a leader is none', async () => {
+  const { leader, other } = readers((record) => ({ ...record, weightsVersion: '' }));
+  await leader.read();
+  const [server] = (await other.read()).unwrap();
+  assert.is(server.weightsVersion, undefined);
+});
+
 suite('a daemon that receives nothing reads the list itself', async () => {
   const { peers, time, source, leader, other } = readers();
   await leader.read();
