List of VMs: the weights version of the service's model by name

An entry that named several models got the version of the first one, and one that named only another model got that model's version. Requests would carry the salt and the required version of a model that the service does not run: the engine refuses them, or keeps parts under the wrong version. The version is the one of the service's model now, and absent if the entry does not name that model.

The tests of the list say by name which model their services run, in place of whether they are engines; the checks are the same.

Seen failing before the change: machine-list "an entry tells the weights version of the service's model, or none", expected ["2", undefined, undefined], actual ["9", "9", undefined].

--- a/test/platform/cut-management.test.ts
+++ b/test/platform/cut-management.test.ts
@@ -75,7 +75,7 @@
   await server.run(async () => {
     const list = new platformMachineList.PlatformMachineList(
       { host: '127.0.0.1', port: server.port },
-      { regionOf: () => 'port-louis', isEngine: () => true },
+      { regionOf: () => 'port-louis', modelOf: () => 'desk-model' },
       new clock.SystemClock(),
     );
     for (const answer of managementAnswers({ instances: [], next_page_token: null })) {
--- a/test/platform/endless-management.test.ts
+++ b/test/platform/endless-management.test.ts
@@ -65,7 +65,7 @@
 };
 
 function listOf(port: number, limits: backend.BackendLimits = PATIENT_LIMITS) {
-  const context = { regionOf: () => 'port-louis', isEngine: () => true };
+  const context = { regionOf: () => 'port-louis', modelOf: () => 'm' };
   const address = { host: '127.0.0.1', port };
   return new platformMachineList.PlatformMachineList(address, context, time, limits);
 }
--- a/test/platform/list-page.test.ts
+++ b/test/platform/list-page.test.ts
@@ -40,7 +40,7 @@
       this.server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = this.server.address() as net.AddressInfo;
-    const context = { regionOf: () => 'port-louis', isEngine: () => true };
+    const context = { regionOf: () => 'port-louis', modelOf: () => 'm' };
     this.list = new platformMachineList.PlatformMachineList(
       { host: '127.0.0.1', port },
       context,
--- a/test/platform/machine-list.test.ts
+++ b/test/platform/machine-list.test.ts
@@ -40,7 +40,10 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as net.AddressInfo;
-  const context = { regionOf: () => 'port-louis', isEngine: (name: string) => name === 'desk' };
+  const context = {
+    regionOf: () => 'port-louis',
+    modelOf: (name: string) => (name === 'desk' ? 'm' : undefined),
+  };
   const time = new clock.SystemClock();
   const list = new platformMachineList.PlatformMachineList(
     { host: '127.0.0.1', port },
@@ -77,6 +80,20 @@
   assert.is(second.weightsVersion, undefined);
 });
 
+// Guards against the weights version of another model, under which requests would be sent and engines not be ordered.
+suite("an entry tells the weights version of the service's model, or none", async () => {
+  const models = [{ name: 'n', version: 9 }, ...ENTRY.models];
+  const other = { ...ENTRY, id: 'i-2', models: [{ name: 'n', version: 9 }] };
+  const unnamed = { ...ENTRY, id: 'i-3', models: [] };
+  const read = await readPages([
+    { instances: [{ ...ENTRY, models }, other, unnamed], next_page_token: null },
+  ]);
+  assert.equal(
+    read.unwrap().map(({ weightsVersion }) => weightsVersion),
+    ['2', undefined, undefined],
+  );
+});
+
 // Guards against one invalid entry that makes the whole list unusable.
 suite('invalid entries are skipped, and the valid ones are used', async () => {
   const odd = [
