Orders: engines of a service without a desired version get none

When a routing document dropped an engine service within a second after a read-back of one of its engines, as during a roll-out, the leader compared the engine's version with the absent desired one, took the engine for outdated and planned an order with no version: the tick threw, and the leading control daemon ended. Operators saw a crash and an election at each such document until the membership list had dropped the engines.

An engine may be ordered only if its service has a desired version now.

Seen failing before the change: succession "engines of a service without a desired version get no orders", "Cannot read properties of undefined (reading 'weightsVersion')" in orderFor.

--- a/src/orders/engine-condition.ts
+++ b/src/orders/engine-condition.ts
@@ -93,6 +93,7 @@
   at: number,
 ): boolean {
   const { observation } = engine;
+  const desired = state.desired.get(engine.service)?.weightsVersion;
   const earliestObservation = Math.max(issuer.sendFrom, engine.nextOrderAt);
   return (
     isLoaded(engine) &&
@@ -100,7 +101,8 @@
     observation !== undefined &&
     observation.startedAt >= earliestObservation &&
     isRecent(state, observation, at) &&
-    latestWeights(engine) !== state.desired.get(engine.service)?.weightsVersion
+    desired !== undefined &&
+    latestWeights(engine) !== desired
   );
 }
 
--- a/test/orders/succession.test.ts
+++ b/test/orders/succession.test.ts
@@ -222,6 +222,14 @@
   );
 });
 
+// Guards against a leader that throws, and ends with it, when a document drops a service during a roll-out.
+suite('engines of a service without a desired version get no orders', () => {
+  const kind = OrderEventKind.DesiredChanged;
+  const state = leaderOf({ a: '1', b: '1' }, '2');
+  const dropped = orders.update(state, { kind, at: 20, services: [] }).state;
+  assert.equal(ordered(dropped, 30), []);
+});
+
 // Guards against free load slots that stay unused because all read-backs go to engines that load.
 suite('engines that may be ordered next are read back while many load', () => {
   const weights = Object.fromEntries(
