Reports: a missing `busy` is unknown, not "no"

A report without `busy` counted as one of an engine that carries out no order. After an order without an answer the leader then took the engine for idle, freed its load slot and sent the next order, which the engine refuses or, without a count of orders, carries out too.

--- a/test/platform/odd-report.test.ts
+++ b/test/platform/odd-report.test.ts
@@ -77,4 +77,14 @@
   assert.is(await versionIn('{}'), undefined);
 });
 
+// Guards against an order that is repeated while the first is carried out, because the report does not tell that it is.
+suite(
+  'a report that does not tell whether the engine loads weights is not taken as "no"',
+  async () => {
+    const loadingIn = async (report: string) => (await probe(report)).unwrap().loading;
+    assert.is(await loadingIn('{"busy":false}'), false);
+    assert.is(await loadingIn('{"seq":3}'), undefined);
+  },
+);
+
 suite.run();
