Streams without event ids: no other run after the first event

A server reads an absent Last-Event-Id as "from the start". A resumable stream whose events have no ids leaves none to send, so that after a break the next server, or another gateway, began the stream anew behind what the caller had: the caller got its first events twice in an answer that ended as complete.

Once the caller has received an event and no id, a failed attempt is the last one, the request is not forwarded, and a stream that begins all the same (after a crash that a probe found) is rejected at its head, before any event of it is delivered.

Seen failing before the change: unnumbered-stream, expected "piece 1", actual "piece 1, piece 1, piece 2" with a complete end.

--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -16,6 +16,11 @@
   complete?: (fields: logging.LogFields) => void;
 }
 
+/** Whether no other run can go on behind what the caller has received. */
+export function isFinal({ events, lastEventId, isStarted }: DeliveryProgress): boolean {
+  return isStarted === true || (events > 0 && lastEventId === undefined);
+}
+
 /** Dependencies of the receiver of one attempt. */
 export interface ReceiverPorts {
   readonly reply: relayReply.RelayReply;
@@ -79,11 +84,11 @@
     this.head = head;
     this.ports.onArrival();
     this.reportLoad(load);
-    const { events, isStarted } = this.ports.progress;
+    const { progress } = this.ports;
     const type = head.headers['content-type'] ?? '';
-    if (head.status === 200 && type.startsWith('text/event-stream') && isStarted !== true) {
+    if (head.status === 200 && type.startsWith('text/event-stream') && !isFinal(progress)) {
       this.splitter = new eventSplitter.EventSplitter(MAXIMUM_EVENT_BYTES);
-    } else if (events > 0 || isStarted === true) {
+    } else if (progress.events > 0 || progress.isStarted === true) {
       this.reject(NOT_RESUMED);
     }
   }
@@ -308,8 +313,8 @@
     if (!this.isSettled) {
       this.isSettled = true;
       this.tryBuffer(0);
-      const isFinal = failure !== undefined && this.ports.progress.isStarted === true;
-      this.onSettled(isFinal ? { ...failure, verdict: Verdict.Ran } : failure);
+      const isLast = failure !== undefined && isFinal(this.ports.progress);
+      this.onSettled(isLast ? { ...failure, verdict: Verdict.Ran } : failure);
     }
   }
 }
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -159,7 +159,7 @@
       decision.endsInTime(task.current as decision.DecisionState, this.profile, task.now()) &&
       this.context.forwarder.isActive &&
       !this.call.isForwarded &&
-      this.deliveryProgress.isStarted !== true &&
+      !answerReceiver.isFinal(this.deliveryProgress) &&
       verdict.mayRetry(combined, this.profile.idempotent)
     );
   }
