Resumable streams: a last event that cannot be read is refused, not taken for none

A Last-Event-Id that is no number, or two numbers in one header, was dropped. The server read the absent header as "from the start", so that a caller that has a part of the stream got it again. Such a request of a resumable route gets 400 now, before it is sent anywhere. An empty value still names no event, and other routes do not read the header.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -155,6 +155,8 @@
       reply.fail(NO_REQUEST_ID);
     } else if (isServiceUnknown(admitted.val.route, metadata)) {
       reply.fail(UNKNOWN_SERVICE);
+    } else if (metadata.hasInvalidLastEventId === true && isResumable(admitted.val.route)) {
+      reply.fail(INVALID_LAST_EVENT);
     } else if (this.openRequests >= this.limits.maximumRequests) {
       reply.fail(TOO_MANY_REQUESTS);
     } else {
@@ -429,6 +431,12 @@
   { retryAfterMilliseconds: 5_000 },
 );
 
+const INVALID_LAST_EVENT = verdict.failure(
+  FailureReason.BadRequest,
+  Verdict.NotRun,
+  'The last event that the request names is no number.',
+);
+
 const OLDER_TABLE = verdict.failure(
   FailureReason.ShuttingDown,
   Verdict.NotRun,
--- a/src/gateway/header-codec.ts
+++ b/src/gateway/header-codec.ts
@@ -19,6 +19,8 @@
   readonly parts: readonly PromptPart[];
   /** Last event of a broken stream that the caller has received. */
   readonly lastEventId?: number;
+  /** Set if the caller names a last event that cannot be read, which is not the same as none. */
+  readonly hasInvalidLastEventId?: true;
   /** Id of the caller's earlier request that brought the first event of the broken stream. */
   readonly resumes?: string;
 }
--- a/test/platform/gateway.test.ts
+++ b/test/platform/gateway.test.ts
@@ -93,6 +93,20 @@
   });
 });
 
+// Guards against a stream that begins anew for a caller that has a part of it, because its last event cannot be read.
+suite('a resumable stream with an unreadable last event is refused', async () => {
+  const server = createServer(fakeBackendServer.stream(3));
+  await new builder.GatewayBuilder([server]).run(async (gateway) => {
+    for (const last of ['seven', '7x', '-1', '2, 3']) {
+      const answer = await gateway.send('POST', '/reply/7', { 'last-event-id': last });
+      assert.is(answer.status, 400, last);
+    }
+    assert.is(server.requests.length, 0);
+    assert.is((await gateway.send('POST', '/reply/7', { 'last-event-id': '' })).status, 200);
+    assert.is((await gateway.send('GET', '/balance/7', { 'last-event-id': 'x' })).status, 200);
+  });
+});
+
 /** Guards against a grace time that is counted from the start of a daemon instead of the setting of the version. */
 suite(
   'a daemon that starts late sends no requests to old weights after the grace time',
