Headers: an unreadable figure in a list does not shift the others

Figures of X-Figline-Token-Counts and X-Figline-Server-Load that could not be read were dropped, so that the next one took their place: the output tokens counted as prompt tokens, and waiting requests of a plain service as its slots.

--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -124,6 +124,23 @@
   assert.is(headerCodec.readCaller({ authorization: 'Bearer key' }).credential, undefined);
 });
 
+// Guards against figures that count as others because one before them cannot be read.
+suite('an unreadable figure in a header does not shift the others', () => {
+  const tokens = (counts: string) => {
+    const { promptTokens, outputTokens } = headerCodec.readCaller({
+      'x-figline-token-counts': counts,
+    });
+    return [promptTokens, outputTokens];
+  };
+  assert.equal(tokens('many,80'), [0, 80]);
+  assert.equal(tokens(',80'), [0, 80]);
+  const loadIn = (value: string) =>
+    headerCodec.readAnswer({ status: 200, headers: { 'x-figline-server-load': value } }).load;
+  assert.is(loadIn('3,,8,250'), undefined);
+  assert.is(loadIn('x,3,1,8'), undefined);
+  assert.equal(loadIn('3,1,8,'), { running: 3, waiting: 1, slots: 8, slowness: 1 });
+});
+
 // Guards against a failure that is treated as a refusal, which would guarantee that the request did not run.
 suite('only an explicit refusal counts as not run', () => {
   const refusal = (status: number, headers = {}) =>
