Probes: an answer that names no run of the server is none of another run

A report without `born`, and a list entry without it, counted as the run "ID" of the server, and a health check, which names no run, as the run that the list named when the client was opened. Compared with the run that was known, each looked like a restart: all requests at the server were given up as lost although it ran on, at a plain service with each probe after its second restart under one id.

The run is absent now where it is not told: such a probe is no restart, leaves the leaving mark of the known run, and marks that run as leaving if it says so.

Seen failing before the change: - odd-report "a report without a start, and a health check, name no run of the server": expected undefined, actual i-1 - machine-list "an entry without a start names no run of the server": expected undefined, actual i-1 - membership "a probe that names no run is no restart": expected no effect, actual ["server-crashed"]; run with the type error that the incarnation was required

--- a/src/backend/probe-report.ts
+++ b/src/backend/probe-report.ts
@@ -1,6 +1,7 @@
 /** Answer of a backend server to a probe. */
 export interface ProbeReport {
-  readonly incarnation: string;
+  /** Run of the server's process; absent if the answer does not name it. */
+  readonly incarnation?: string;
   /** Absent for a plain service, and if an engine does not name its weights. */
   readonly weightsVersion?: string;
   readonly leaving: boolean;
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -59,7 +59,8 @@
 export interface ProbeSucceeded extends ServerEvent {
   readonly kind: MembershipEventKind.ProbeSucceeded;
   readonly startedAt: number;
-  readonly incarnation: string;
+  /** Absent if the answer does not name the run of the server's process. */
+  readonly incarnation?: string;
   /** Absent for a plain service, and if an engine does not name its weights. */
   readonly weightsVersion?: string;
   readonly leaving: boolean;
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -18,13 +18,16 @@
   const rescheduled = Number.isFinite(intervalMilliseconds)
     ? repeatWhileLoading(probed, probe)
     : probed;
-  const observed = serverChange.observeIncarnation(rescheduled, probe.incarnation);
+  const observed =
+    probe.incarnation === undefined
+      ? serverChange.unchanged(rescheduled)
+      : serverChange.observeIncarnation(rescheduled, probe.incarnation);
   const alive = serverChange.then(observed, (next) =>
     serverChange.unchanged(endSuspicion(next, probe)),
   );
   return probe.leaving
     ? serverChange.then(alive, (next) =>
-        serverChange.markLeaving(next, probe.at, probe.incarnation),
+        serverChange.markLeaving(next, probe.at, probe.incarnation ?? next.incarnation),
       )
     : serverChange.then(alive, (next) => serverChange.unchanged(removeOutdatedMark(next, probe)));
 }
@@ -127,7 +130,7 @@
   probe: event.ProbeSucceeded,
 ): membershipView.ServerState {
   const mark = server.leaving;
-  if (mark === undefined) {
+  if (mark === undefined || probe.incarnation === undefined) {
     return server;
   }
   const isOtherProcess = probe.incarnation !== mark.incarnation && probe.startedAt > mark.markedAt;
--- a/src/orders/event.ts
+++ b/src/orders/event.ts
@@ -76,7 +76,8 @@
   readonly serverId: string;
   /** Monotonic time in milliseconds at which the read-back started. */
   readonly startedAt: number;
-  readonly incarnation: string;
+  /** Absent if the answer does not name the run of the engine's process. */
+  readonly incarnation?: string;
   /** Absent if the engine does not name its weights. */
   readonly weightsVersion?: string;
   /** Absent if the engine does not report whether it is loading weights. */
--- a/src/orders/state.ts
+++ b/src/orders/state.ts
@@ -29,7 +29,8 @@
 export interface Observation {
   /** Monotonic time in milliseconds at which the read-back started. */
   readonly startedAt: number;
-  readonly incarnation: string;
+  /** Absent if the answer does not name the run of the engine's process. */
+  readonly incarnation?: string;
   /** Absent if the engine did not name its weights. */
   readonly weightsVersion?: string;
   /** Absent if the engine does not report whether it is loading weights. */
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -55,6 +55,25 @@
   assert.is(membership.eligibleServer(view.view, 'desk-1')?.weightsVersion, 'v1');
 });
 
+// Guards against requests given up as lost because a probe that does not name the server's run counts as one of another.
+suite('a probe that names no run is no restart', () => {
+  const view = alive().probeSucceeded('desk-1', 150, 'c');
+  view.takeEffects();
+  const probe: membership.ProbeSucceeded = {
+    kind: membership.MembershipEventKind.ProbeSucceeded,
+    serverId: 'desk-1',
+    at: 200,
+    startedAt: 200,
+    leaving: false,
+    jitter: 0.5,
+  };
+  view.apply(probe);
+  assert.equal(view.takeEffects(), []);
+  assert.is(membership.eligibleServer(view.view, 'desk-1')?.incarnation, 'c');
+  assert.equal(view.apply({ ...probe, leaving: true }).eligibleIds(), ['desk-2']);
+  assert.equal(view.apply({ ...probe, at: 300, startedAt: 300 }).eligibleIds(), ['desk-2']);
+});
+
 suite('a late report about an earlier incarnation does not affect the current one', () => {
   const report = { kind: ReportKind.Leaving, serverId: 'desk-1', incarnation: 'a' };
   const view = alive().probeSucceeded('desk-1', 200, 'c').peerReported(210, report);
--- a/test/platform/machine-list.test.ts
+++ b/test/platform/machine-list.test.ts
@@ -94,6 +94,14 @@
   );
 });
 
+// Guards against a start that counts as a restart once a report or a later list tells it.
+suite('an entry without a start names no run of the server', async () => {
+  const read = await readPages([
+    { instances: [{ ...ENTRY, born: undefined }], next_page_token: null },
+  ]);
+  assert.is(read.unwrap()[0].incarnation, undefined);
+});
+
 // Guards against one invalid entry that makes the whole list unusable.
 suite('invalid entries are skipped, and the valid ones are used', async () => {
   const odd = [
--- a/test/platform/odd-report.test.ts
+++ b/test/platform/odd-report.test.ts
@@ -10,7 +10,7 @@
 const suite = uvu.suite('odd reports of servers');
 
 /** The outcome of a probe of an engine that answers with `report`. */
-async function probe(report: string) {
+async function probe(report: string, models: readonly string[] = ['m']) {
   const server = http.createServer((_request, response) => response.end(report));
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -24,8 +24,9 @@
     service: 'desk',
     kind: backend.BackendKind.ModelEngine,
     phase: backend.MachinePhase.Live,
+    incarnation: 'i-1@17',
   };
-  const issuer = { holder: 'test', modelOf: () => 'm', healthPathOf: () => '/health' };
+  const issuer = { holder: 'test', modelOf: () => models[0], healthPathOf: () => '/health' };
   const codec = new platformHeaderCodec.PlatformHeaderCodec();
   const client = new serverClient.PlatformServer(machine, issuer, codec, new clock.SystemClock());
   const outcome = await client.probe();
@@ -87,4 +88,11 @@
   },
 );
 
+// Guards against requests given up as lost because a probe that does not name the server's run counts as one of another.
+suite('a report without a start, and a health check, name no run of the server', async () => {
+  assert.is((await probe('{"born":18}')).unwrap().incarnation, 'i-1@18');
+  assert.is((await probe('{"seq":3}')).unwrap().incarnation, undefined);
+  assert.is((await probe('', [])).unwrap().incarnation, undefined);
+});
+
 suite.run();
