Test: a stream that begins behind events without ids is rejected at its head

Seen failing with the rule taken out of the compiled receiver: expected '', actual "data: piece 1" written to the caller.

--- a/test/gateway/answer-receiver.test.ts
+++ b/test/gateway/answer-receiver.test.ts
@@ -278,4 +278,17 @@
   assert.is(received.settled, 1);
 });
 
+// Guards against the first events of a stream that are delivered twice, because no id tells another run where to go on.
+suite('a stream that begins behind events without ids is rejected at its head', () => {
+  const received = new Received();
+  received.progress.events = 1;
+  received.receiver.onHead(
+    { status: 200, headers: { 'content-type': 'text/event-stream' } },
+    undefined,
+  );
+  received.receiver.onData(Buffer.from('data: piece 1\n\n'));
+  assert.is(received.written, '');
+  assert.is(received.failure?.verdict, verdict.Verdict.Ran);
+});
+
 suite.run();
