HTTP listener: pass on QUERY requests without a body

What callers saw: a QUERY request without a body, or with an empty one of length 0, was answered 400 "The request is malformed."; no server received it, and callers do not send a request again after 400.

Cause: for QUERY alone, Fastify answers 400 itself if the content type is missing (FST_ERR_ROUTE_MISSING_CONTENT_TYPE), and the Fastify of the Nest adapter (5.11.3) also if there is no body (FST_ERR_ROUTE_MISSING_CONTENT). The listener hides the content type of requests without a body, so that both checks fail them.

Fix: Fastify is shown a content type and a transfer coding for such a request, reads the empty body and calls the handler. The caller's headers are forwarded from the raw request, as before. Other methods keep their path.

The test also sends an empty body with length 0 and with chunks by every method, which it did not before.

--- a/src/daemon/http-listener.ts
+++ b/src/daemon/http-listener.ts
@@ -22,8 +22,8 @@
 
 /**
  * Starts a Nest application on an address. Handlers receive requests of every method, and bodies of every method and content
- * type as buffers. `request.headers` names another content type than the caller; `request.raw.headers` has the caller's.
- * Rejects when the address is in use.
+ * type as buffers. `request.headers` can name another content type and transfer coding than the caller; `request.raw.headers`
+ * has the caller's. Rejects when the address is in use.
  *
  * @param prepare adds hooks to the server before it listens
  *
@@ -81,16 +81,26 @@
   server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
     done(null, body),
   );
-  // Fastify rejects requests whose content type it cannot parse or, for QUERY, is missing.
   server.addHook('onRequest', (request, _reply, done) => {
-    const { 'content-length': length, 'transfer-encoding': coding } = request.raw.headers;
-    const hasBody = coding !== undefined || Number(length ?? 0) > 0;
-    // Without a content type it calls the handler at once if there is no body.
-    request.headers = { 'content-type': hasBody ? ANY_CONTENT_TYPE : undefined };
+    request.headers = parsedHeaders(request.raw);
     done();
   });
 }
 
+/** Headers that Fastify is shown in place of the caller's, so that it reads any body and rejects no request. */
+function parsedHeaders({ method, headers }: http.IncomingMessage): http.IncomingHttpHeaders {
+  const { 'content-length': length, 'transfer-encoding': coding } = headers;
+  if (coding !== undefined || Number(length ?? 0) > 0) {
+    return { 'content-type': ANY_CONTENT_TYPE };
+  }
+  if (method === 'QUERY') {
+    // Fastify answers 400 to QUERY requests without a content type or without a body.
+    return { 'content-type': ANY_CONTENT_TYPE, 'transfer-encoding': 'chunked' };
+  }
+  // Without a content type Fastify calls the handler at once if there is no body.
+  return { 'content-type': undefined };
+}
+
 /** Answers bytes that are not HTTP and requests that do not arrive in time; no handler runs for these. */
 function rejectMalformed(error: NodeJS.ErrnoException, socket: net.Socket): void {
   if (error.code === 'ECONNRESET' || !socket.writable) {
--- a/test/platform/request-body.test.ts
+++ b/test/platform/request-body.test.ts
@@ -9,10 +9,12 @@
 /** Node.js and its client do not pass CONNECT on as a request. */
 const METHODS = http.METHODS.filter((method) => method !== 'CONNECT');
 
-/** Every way to send a body, and none. */
+/** Every way to send a body, an empty one, and none. */
 function framings(body: string): readonly (readonly [string, http.OutgoingHttpHeaders])[] {
   return [
     ['', {}],
+    ['', { 'content-length': 0 }],
+    ['', { 'transfer-encoding': 'chunked' }],
     [body, { 'content-length': body.length }],
     [body, { 'transfer-encoding': 'chunked' }],
   ];
