Tests: times of the gateway do not decide what cut answers show

Cause: callers, gateway and servers of these tests share a process, and their gateway gives a caller 1 s for the headers. When the process gets no processor time for longer, Node.js answers 408 before it reads what has arrived. The refusal is true: no server has received the request. The tests are about answers, and their gateway is meant to have times that decide nothing.

Fix: 60 s for headers, requests and idle connections of the gateways of these tests. No check changes.

--- a/test/platform/cut-cases.ts
+++ b/test/platform/cut-cases.ts
@@ -95,6 +95,14 @@
 /** More retries than the cases need, so that the budget does not decide what they show. */
 const RETRY_LIMITS = { ratio: 4, slack: 10_000, windowMilliseconds: 10_000 };
 
+/** Times in which every request arrives, also while the process, with its callers and servers, gets no processor time. */
+const CALLER_LIMITS = {
+  bodyBytes: 100_000,
+  headersMilliseconds: 60_000,
+  requestMilliseconds: 60_000,
+  idleMilliseconds: 60_000,
+};
+
 /** Answers the attempts of cases, and counts them. */
 export class CaseAnswers {
   private readonly byId: ReadonlyMap<string, Case>;
@@ -153,7 +161,7 @@
   changes: object = {},
 ): builder.GatewayBuilder {
   const none = undefined;
-  const all = { retryLimits: RETRY_LIMITS, ...changes };
+  const all = { retryLimits: RETRY_LIMITS, limits: CALLER_LIMITS, ...changes };
   return new builder.GatewayBuilder(servers, builder.document(20_000), none, none, none, all);
 }
 
