Daemon: ready once the weights of each service are known

Cause: a request asks for the configured version if no engine's version is known. A daemon was ready with the list of VMs, 0.1 s before its first probes start. A publish in this time, or before the daemon starts, makes all engines refuse the request (409, other weights); when the probes have shown the versions, it waits in the queue for engines with the published one, which a leader orders up to 5 s later. Once the versions are known, requests ask for the one that most engines have.

Fix: a daemon is ready once one engine of each service has answered a probe, or all of them are dead, and after 2 s, the longest time of a probe, at the latest. The gateways of a platform are not concerned: they send the version of the engine that they have selected.

Left: with more than about 400 engines, whose first probes are 5 ms apart, services late in the list may still be unknown after 2 s; and a service that is listed first while the daemon runs has the same 0.1 s.

--- a/src/daemon/daemon.ts
+++ b/src/daemon/daemon.ts
@@ -204,7 +204,7 @@
 
   private async becomeReady(): Promise<void> {
     await Promise.all([this.ports.plane.ready(), this.membership.start()]);
-    await this.waitForFirstRevision();
+    await Promise.all([this.waitForFirstRevision(), this.membership.weightsKnown()]);
     this.readiness.advance(readiness.DaemonStage.Ready);
     logger.information('ready', { revision: this.router.catalog.revision });
   }
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -4,4 +4,5 @@
 export * from './effect';
 export * from './report';
 export * from './serving-weights';
+export * from './unknown-weights';
 export * from './update';
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -46,6 +46,10 @@
 
   private resolveFirstList: (() => void) | undefined;
 
+  private resolveWeights: (() => void) | undefined;
+
+  private weightsTimer: clock.Timer | undefined;
+
   /** The list that was applied last. */
   private list: readonly backend.MachineRecord[] | undefined;
 
@@ -75,6 +79,22 @@
     await firstList;
   }
 
+  /**
+   * Resolves when the weights version of each service is known from one of its engines, or its engines are dead; after 2 s at the
+   * latest. Until then a request asks for the configured version, which all engines refuse before a roll-out has begun.
+   */
+  async weightsKnown(): Promise<void> {
+    if (!membership.hasUnknownWeights(this.current)) {
+      return;
+    }
+    await new Promise<void>((resolve) => {
+      this.resolveWeights = resolve;
+      this.weightsTimer = this.ports.time.setTimer(LONGEST_PROBE_MILLISECONDS, resolve);
+    });
+    this.weightsTimer?.cancel();
+    this.resolveWeights = undefined;
+  }
+
   /** Servers that are eligible for new requests. */
   servers(): readonly membership.EligibleServer[] {
     return membership.eligible(this.view);
@@ -126,6 +146,7 @@
 
   close(): void {
     this.isClosed = true;
+    this.resolveWeights?.();
     this.unsubscribe?.();
     this.unsubscribeFromList?.();
     this.listTimer?.cancel();
@@ -195,6 +216,9 @@
       const listed = membership.listed(this.view);
       const kind = decision.DecisionEventKind.ServersChanged;
       task.feed({ kind, at: task.now(), servers, listed });
+      if (this.resolveWeights !== undefined && !membership.hasUnknownWeights(servers)) {
+        this.resolveWeights();
+      }
     }
   }
 
@@ -315,6 +339,9 @@
 /** Name of the list of VMs in log lines about calls. */
 const LIST_NAME = 'vm-list';
 
+/** A probe is answered or given up in this time. */
+const LONGEST_PROBE_MILLISECONDS = backend.DEFAULT_LIMITS.managementMilliseconds;
+
 /** Probes that become due within this time start together. */
 const TICK_MILLISECONDS = 100;
 
--- a/test/orders/roll-out-builder.ts
+++ b/test/orders/roll-out-builder.ts
@@ -41,6 +41,11 @@
 
   private isLoading = false;
 
+  constructor(
+    /** The configured weights version when the daemon starts; the engines start with v1. */
+    private readonly configuredVersion = 'v1',
+  ) {}
+
   async run(engineCount: number, work: () => Promise<void>): Promise<void> {
     const options = { model: SERVICE.model, weightsVersion: 'v1', decodeTokensPerSecond: 2_000 };
     for (let index = 0; index < engineCount; index += 1) {
@@ -50,7 +55,7 @@
     }
     this.group = await groupBuilder.TestGroup.start(1);
     await this.group.leaderIndex();
-    await this.publish('v1', 0);
+    await this.publish(this.configuredVersion, 0);
     this.daemon = await daemonPackage.Daemon.start(this.ports(), OPTIONS);
     await groupBuilder.until(() => this.daemon.isReady);
     try {
--- a/test/orders/roll-out.test.ts
+++ b/test/orders/roll-out.test.ts
@@ -40,4 +40,19 @@
   });
 });
 
+// Guards against a daemon that starts during a roll-out and asks for weights that no engine has yet, which all engines refuse.
+suite('a daemon that starts before any engine has the new weights fails no request', async () => {
+  const builder = new rollOutBuilder.RollOutBuilder('v2');
+  await builder.run(4, async () => {
+    const load = builder.load(CALLERS);
+    await groupBuilder.until(() => builder.answers.length > CALLERS * 2);
+    builder.stopLoad();
+    await load;
+    assert.equal(
+      builder.answers.filter(({ status, isComplete }) => status !== 200 || !isComplete),
+      [],
+    );
+  });
+});
+
 suite.run();
