Membership: the requests of a crashed server wait for the list that belongs to the crash

A list that told of a server's restart led to requests at the new process while it loaded weights, and at servers that left according to the same list: the crash came first, and the requests that were lost or waited were dispatched by the list before. The engine refuses such a request, or the gateway finds no server to send it to; either way a retry is used up.

Cause: as for a server that is found dead, the crash is reported before the list, since the core must still have the server. Marking that one server as dead does not cover the others, nor one that lives on in another state.

The crash event now tells whether a list follows, and then dispatches nothing: the list does, in the same step of the membership task. What is decided without the queue, an offer of a silent stream, still needs the mark of the dead server.

--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -232,6 +232,8 @@
   readonly isProcessAlive?: true;
   /** Set if the next list does not contain the server: this event comes first, while the core still has the server. */
   readonly isDead?: true;
+  /** Set if a list follows at once, by which the lost requests and those that wait are dispatched. */
+  readonly isListNext?: true;
 }
 
 /** A peer daemon had requests with these fingerprints in flight at a crash. */
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -30,12 +30,20 @@
 ): transaction.Transaction<state.DecisionState, effect.DecisionEffect> {
   const step = new steps.Step(start, decisionEvent.at);
   apply(step, decisionEvent);
-  if (decisionEvent.kind !== event.DecisionEventKind.PieceReceived) {
+  if (mayDispatch(decisionEvent)) {
     dispatching.dispatchQueued(step);
   }
   return step.transaction();
 }
 
+/** The servers of a crash event may be those of an outdated list. */
+function mayDispatch(decisionEvent: event.DecisionEvent): boolean {
+  const { PieceReceived, ServerCrashed } = event.DecisionEventKind;
+  return decisionEvent.kind === ServerCrashed
+    ? decisionEvent.isListNext !== true
+    : decisionEvent.kind !== PieceReceived;
+}
+
 function apply(step: steps.Step, decisionEvent: event.DecisionEvent): void {
   switch (decisionEvent.kind) {
     case event.DecisionEventKind.ConfigurationChanged:
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -206,9 +206,10 @@
     if (step.state !== step.startState) {
       this.scheduleTick();
     }
+    const isListNext = changesServers(step, event);
     // The decision core needs a crash report while it still has the server; the list of servers excludes dead ones.
-    step.effects.forEach((effect) => this.carryOut(effect));
-    if (changesServers(step, event)) {
+    step.effects.forEach((effect) => this.carryOut(effect, isListNext));
+    if (isListNext) {
       const { task } = this.ports;
       const servers = membership.eligible(this.view);
       logChanges(this.current, servers);
@@ -222,7 +223,7 @@
     }
   }
 
-  private carryOut(effect: membership.MembershipEffect): void {
+  private carryOut(effect: membership.MembershipEffect, isListNext: boolean): void {
     const { MembershipEffectKind } = membership;
     switch (effect.kind) {
       case MembershipEffectKind.Probe:
@@ -244,6 +245,7 @@
           serverId: effect.serverId,
           isProcessAlive: effect.isProcessAlive,
           isDead: effect.isDead,
+          isListNext: isListNext || undefined,
         });
     }
   }
