Retries: one that was counted for a request which ends unsent is left to others

When the last server of a service died for a gateway, each request that was lost there used up a retry although no server could get it. Requests that failed later then ended for want of retries.

Cause: a retry is counted before the request is queued, and neither the refusal of a request that no server may get nor the end of one that waits gave it back.

A request that ends while it waits to use a counted retry returns it at the time at which it was counted, as one that waits and is counted anew.

Test, failing before: decision/dead-server "a retry that no server can get is not used up" (request c fails, although it is the first to be sent again).

--- a/src/decision/arrival.ts
+++ b/src/decision/arrival.ts
@@ -51,6 +51,7 @@
   target = serverSelection.findTarget(step, request),
 ): void {
   const { profile } = request;
+  step.setRequest(request);
   const status = suspicion.statusOf(step, profile);
   if (status === health.QuarantineStatus.Refused) {
     ending.fail(step, request, suspicion.failureOf(step, profile));
--- a/src/decision/ending.ts
+++ b/src/decision/ending.ts
@@ -24,7 +24,7 @@
   });
 }
 
-/** Removes a request from the state, after cancelling its running attempts. */
+/** Removes a request from the state, after cancelling its running attempts. A retry that it waited to use is left to others. */
 export function remove(step: steps.Step, requestId: string): void {
   const request = step.state.requests.get(requestId);
   if (request === undefined) {
@@ -33,8 +33,12 @@
   request.attempts.forEach((attempt) =>
     cancel(step, request, attempt, effect.CancelReason.RequestEnded),
   );
+  const { service } = request.profile;
+  if (request.retryCountedAt !== undefined) {
+    const budget = step.retryBudget(service);
+    step.setRetryBudget(service, admission.returnRetry(budget, request.retryCountedAt));
+  }
   if (request.entry !== undefined) {
-    const { service } = request.profile;
     step.setQueue(service, admission.remove(step.queue(service), request.entry));
   }
   step.change({
--- a/test/decision/dead-server.test.ts
+++ b/test/decision/dead-server.test.ts
@@ -1,12 +1,13 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as decision from '../../src/decision';
+import * as verdict from '../../src/verdict';
 import * as builder from './builder';
 
 const suite = uvu.suite('requests of a server that is found dead');
 
 const { ServerCrashed, ServersChanged } = decision.DecisionEventKind;
-const { Dispatch } = decision.DecisionEffectKind;
+const { Dispatch, Fail } = decision.DecisionEffectKind;
 
 /** Two requests at the only server, which has no room for the two that wait. */
 function fill(): builder.DecisionDriver {
@@ -42,4 +43,35 @@
   assert.ok(driver.takeEffects(Dispatch).length > 0);
 });
 
+/** Loses two requests with a dead server; then one of a server that lives. */
+function loseAfter(loss: (driver: builder.DecisionDriver) => void): decision.Fail[] {
+  const driver = builder.createDriver(1, 2);
+  const retryLimits = { ratio: 0, slack: 2, windowMilliseconds: 10_000 };
+  const options = { ...driver.state.options, retryLimits };
+  driver.state = { ...driver.state, options, daemons: 1 };
+  ['a', 'b'].forEach((id) => driver.arrive(id));
+  loss(driver);
+  driver.apply({ kind: ServersChanged, at: driver.at, servers: [] });
+  driver.apply({ kind: ServersChanged, at: driver.at, servers: builder.listServers(1) });
+  [Dispatch, Fail].forEach((kind) => driver.takeEffects(kind));
+  const [sent] = driver.arrive('c').takeEffects(Dispatch);
+  driver.loseConnection(sent, verdict.Verdict.MayHaveRun);
+  return driver.takeEffects(Fail);
+}
+
+// Guards against requests that fail for want of retries, which were counted for others that no server could get.
+suite('a retry that no server can get is not used up', () => {
+  assert.equal(
+    loseAfter((driver) => crash(driver, true)),
+    [],
+  );
+  assert.equal(
+    loseAfter((driver) => {
+      const kind = ServerCrashed;
+      driver.apply({ kind, at: driver.at, serverId: 'runner-0', isListNext: true });
+    }),
+    [],
+  );
+});
+
 suite.run();
