Tests: what a membership task tells the core of a dead server, and what an unsent offer costs

Two lines of the fix had no test: that the membership task passes on that a server is dead, and that an offer which is not sent returns its retry.

--- a/test/gateway/relay-offer.test.ts
+++ b/test/gateway/relay-offer.test.ts
@@ -1,6 +1,7 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as decision from '../../src/decision';
+import * as verdict from '../../src/verdict';
 import * as hangingServer from './hanging-server';
 import * as relayBuilder from './relay-builder';
 
@@ -37,6 +38,24 @@
   assert.equal(relay.released, [hangingServer.RESERVATION]);
 });
 
+// Guards against offers that use up a retry, or count as run, although nothing was sent.
+suite('an offer that is not sent costs no retry', async () => {
+  const relay = new relayBuilder.RelayBuilder();
+  const events: decision.DecisionEvent[] = [];
+  relay.task.feed = (event) => events.push(event);
+  await offer(relay, () => {
+    relay.servers = [];
+  });
+  const { AttemptFailed } = decision.DecisionEventKind;
+  const failed = events.filter(
+    (event): event is decision.AttemptFailed => event.kind === AttemptFailed,
+  );
+  assert.equal(
+    failed.map(({ failure, isUnsent }) => [failure.verdict, isUnsent]),
+    [[verdict.Verdict.NotRun, true]],
+  );
+});
+
 // Guards against offers that are never sent.
 suite('an offer is sent once the server has reserved room', async () => {
   const relay = new relayBuilder.RelayBuilder();
--- a/test/routing/membership-task.test.ts
+++ b/test/routing/membership-task.test.ts
@@ -87,13 +87,14 @@
   time: clock.ManualClock,
   pool: routing.BackendPool,
   read: backend.MachineList['read'],
+  feed: (event: decision.DecisionEvent) => void = () => {},
 ): routing.MembershipTask {
   return new routing.MembershipTask(
     {
       list: { read },
       pool,
       plane: new fakeControlPlane.FakeControlPlane(new fakeControlState.FakeControlState(), 'a'),
-      task: { now: () => time.monotonic(), feed: () => {} },
+      task: { now: () => time.monotonic(), feed },
       time,
       random: new clock.SeededRandomSource(1),
     },
@@ -189,4 +190,29 @@
   task.close();
 });
 
+// Guards against a core that uses a server which the task has just found dead, because the list comes after the crash.
+suite('a crash report says that the server is dead and that a list follows', async () => {
+  const time = new clock.ManualClock();
+  const server = new ThrowingService(Infinity);
+  const pool = new routing.BackendPool({ open: () => server });
+  const events: decision.DecisionEvent[] = [];
+  const read = async () => new results.Ok([machine('i-1')]);
+  const task = taskOf(time, pool, read, (event) => events.push(event));
+  await task.start();
+  const { ConnectFailed } = verdict.FailureReason;
+  task.attemptFailed('i-1', verdict.failure(ConnectFailed, verdict.Verdict.NotRun, 'down'));
+  await pass(time, 2_000);
+  task.close();
+  const { ServerCrashed, ServersChanged } = decision.DecisionEventKind;
+  const crash = events.findIndex(({ kind }) => kind === ServerCrashed);
+  const { serverId, isDead, isListNext } = events[crash] as decision.ServerCrashed;
+  assert.equal(
+    { serverId, isDead, isListNext },
+    { serverId: 'i-1', isDead: true, isListNext: true },
+  );
+  const next = events[crash + 1] as decision.ServersChanged;
+  assert.is(next.kind, ServersChanged);
+  assert.equal(next.servers, []);
+});
+
 suite.run();
