Tests: parts of unknown weights are not copied, with a prompt that is long enough to be copied

The check that nothing is copied between servers of unknown weights could not fail: the shared part of the prompt had 100 tokens, and less than 128 are never copied.

With 1,000 tokens, and without the checks for an unknown version in decision/cache-source and gateway/relay-execution, platform/cache-namespace "parts that were made with unknown weights stay at their server" fails: a copy from the other server is named.

--- a/test/platform/cache-namespace.test.ts
+++ b/test/platform/cache-namespace.test.ts
@@ -8,6 +8,9 @@
 
 const PROMPT = { 'x-figline-model': 'desk-model', 'x-figline-prompt-prefix': 'aa:100,bb:10' };
 
+/** Its shared part is long enough to be copied from another server. */
+const LONG_PROMPT = { ...PROMPT, 'x-figline-prompt-prefix': 'aa:1000,bb:10' };
+
 const MARKET = 'key-of-the-market';
 
 /** The depot is isolated, the market is not; the look-up is public. */
@@ -21,8 +24,13 @@
   return { ...document, version, routes, tenants };
 }
 
-function send(gateway: builder.GatewayBuilder, id: string, credential = builder.CREDENTIAL) {
-  const headers = { ...PROMPT, 'x-figline-request-id': id };
+function send(
+  gateway: builder.GatewayBuilder,
+  id: string,
+  credential = builder.CREDENTIAL,
+  prompt = PROMPT,
+) {
+  const headers = { ...prompt, 'x-figline-request-id': id };
   return gateway.send('GET', '/balance/7', { ...headers, authorization: `Token ${credential}` });
 }
 
@@ -96,7 +104,7 @@
   const gateway = new builder.GatewayBuilder(servers, documentOf(1, 1));
   gateway.weightsVersion = undefined;
   await gateway.run(async () => {
-    const sent = ['first', 'second'].map((id) => send(gateway, id, MARKET));
+    const sent = ['first', 'second'].map((id) => send(gateway, id, MARKET, LONG_PROMPT));
     await until(gateway, () => servers.every(({ requests }) => requests.length > 0));
     const headers = servers.map(({ requests }) => requests[0].headers);
     const [first, second] = headers.map((each) => each['x-figline-cache-salt']);
