Cache namespaces: prompts whose parts cannot be read, and credentials in documents without teams

At a service that the document takes for a plain one, a prompt whose parts this daemon cannot read, but an engine may, had no namespace; now any prompt has one. In a document without teams each request with a credential had a namespace of its own, so that no cached part was shared; a credential matters only where teams are named.

Tests of platform/cache-namespace: "a prompt has a namespace at a service without a model ..." and "credentials do not separate callers ..." failed before; "servers that report no model have no common version" guards against the empty version, which the reports no longer have.

--- a/src/gateway/cache-namespace.ts
+++ b/src/gateway/cache-namespace.ts
@@ -6,8 +6,8 @@
    * one of a newer document, and isolated.
    */
   readonly unknownCaller?: string;
-  /** Whether the prompt has parts, so that the server may keep some although the document knows no model of the service. */
-  readonly hasParts: boolean;
+  /** Whether there is a prompt, of which a server may keep parts although the document knows no model of its service. */
+  readonly hasPrompt: boolean;
 }
 
 /** A backend server, as far as its weights are known. */
@@ -32,7 +32,7 @@
  *
  * @param model empty if it is not known
  * @example
- * isolatedNamespace('desk', { team: 'depot', hasParts: true }); // 'desk.depot'
+ * isolatedNamespace('desk', { team: 'depot' }); // 'desk.depot'
  */
 export function isolatedNamespace(
   model: string,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -74,14 +74,14 @@
   }
 
   /**
-   * Under which the cached prompt parts of a request are kept; absent for prompts without parts at services without a model. It
+   * Under which the cached prompt parts of a request are kept; absent for requests without a prompt at services without a model. It
    * changes with the routing document, and a request that has waited must not use the one of its arrival. While the model is
    * not known, as after a document that has dropped it, nobody shares.
    */
   cacheNamespace(service: string, owner: cacheNamespace.CacheOwner): string | undefined {
     const known = this.index?.service(service);
     const model = known?.engine?.model;
-    if (model === undefined && known !== undefined && !owner.hasParts) {
+    if (model === undefined && known !== undefined && !owner.hasPrompt) {
       return undefined;
     }
     return model === undefined || this.isSeparate(owner)
@@ -99,14 +99,15 @@
   }
 
   private cacheOwner(
-    { credential, parts }: headerCodec.CallerMetadata,
+    { credential, parts, promptTokens }: headerCodec.CallerMetadata,
     team: routes.RoutedTeam | undefined,
   ): cacheNamespace.CacheOwner {
-    const isUnknown = team === undefined && credential !== undefined;
+    const isUnknown =
+      team === undefined && credential !== undefined && this.index?.needsCredential === true;
     return {
       team: team?.name,
       unknownCaller: isUnknown ? `${this.random.uniform()}/${this.nextId}` : undefined,
-      hasParts: parts.length > 0,
+      hasPrompt: parts.length > 0 || promptTokens > 0,
     };
   }
 
--- a/test/platform/cache-namespace.test.ts
+++ b/test/platform/cache-namespace.test.ts
@@ -13,6 +13,8 @@
 
 const MARKET = 'key-of-the-market';
 
+const PROBE_MILLISECONDS = 50;
+
 /** The depot is isolated, the market is not; the look-up is public. */
 function documentOf(version = 1, slots = 2, isPublic = false): object {
   const document = builder.document(undefined, slots) as { readonly routes: readonly object[] };
@@ -115,6 +117,26 @@
   });
 });
 
+// Guards against servers without a model in their reports, whose empty versions are taken for the same weights.
+suite('servers that report no model have no common version', async () => {
+  const servers = ['i-1', 'i-2'].map(
+    (id) => new fakeBackendServer.FakeBackendServer(id, [fakeBackendServer.hangUp]),
+  );
+  const gateway = new builder.GatewayBuilder(servers, documentOf());
+  gateway.weightsVersion = undefined;
+  servers.forEach((server) => Object.assign(server, { reportedVersion: undefined }));
+  await gateway.run(async () => {
+    for (let index = 0; index < 6; index += 1) {
+      await send(gateway, `${index}`, MARKET);
+      await gateway.time.sleep(PROBE_MILLISECONDS);
+    }
+  });
+  const headers = servers.map(({ requests }) => requests.at(-1)!.headers);
+  const [first, second] = headers.map((each) => each['x-figline-cache-salt']);
+  assert.is.not(first, second);
+  headers.forEach((each) => assert.is(each['x-figline-expect-version'], undefined));
+});
+
 // Guards against a request that loses its namespace with the model of its service, which a newer document has dropped.
 suite('a request whose service has lost its model keeps its team apart', async () => {
   const held: (() => void)[] = [];
@@ -141,6 +163,40 @@
   assert.is.not(salts.get('depot'), salts.get('market'));
 });
 
+// Guards against a prompt that reaches an engine without a namespace, since the document takes its service for a plain one.
+suite(
+  'a prompt has a namespace at a service without a model, and other requests have none',
+  async () => {
+    const server = new fakeBackendServer.FakeBackendServer('i-1', [fakeBackendServer.answer('')]);
+    const plain = { ...documentOf(), services: [{ name: 'desk', max_conns: 8 }] };
+    const gateway = new builder.GatewayBuilder([server], plain);
+    await gateway.run(async () => {
+      await send(gateway, 'parts');
+      const tokens = { 'x-figline-request-id': 'tokens', 'x-figline-token-counts': '12,3' };
+      await gateway.send('GET', '/balance/7', tokens);
+      await gateway.send('GET', '/balance/7', { 'x-figline-request-id': 'none' });
+    });
+    const salts = new Map(saltsOf(server));
+    assert.type(salts.get('parts'), 'string');
+    assert.is(salts.get('tokens'), salts.get('parts'));
+    assert.is(salts.get('none'), undefined);
+  },
+);
+
+// Guards against callers that share nothing because they send a credential which the document has no use for.
+suite('credentials do not separate callers in a document without teams', async () => {
+  const server = new fakeBackendServer.FakeBackendServer('i-1', [fakeBackendServer.answer('')]);
+  const gateway = new builder.GatewayBuilder([server], { ...documentOf(), tenants: undefined });
+  await gateway.run(async () => {
+    await send(gateway, 'a', 'one');
+    await send(gateway, 'b', 'two');
+  });
+  assert.equal(
+    saltsOf(server).map(([, salt]) => salt),
+    ['3.desk-model', '3.desk-model'],
+  );
+});
+
 // Guards against callers without a team that use parts of teams which have become isolated meanwhile.
 suite('a caller without a team is kept apart while the document may be outdated', async () => {
   const server = new fakeBackendServer.FakeBackendServer('i-1', [fakeBackendServer.answer('')]);
--- a/test/platform/fake-backend-server.ts
+++ b/test/platform/fake-backend-server.ts
@@ -19,6 +19,9 @@
 
   isDown = false;
 
+  /** Weights version that the server reports; absent while it has loaded no model. */
+  reportedVersion: number | undefined = 3;
+
   /** Whether the server grants reservations. */
   hasRoom = true;
 
@@ -74,7 +77,8 @@
       response.destroy();
       return;
     }
-    const models = [{ name: 'desk-model', version: 3 }];
+    const version = this.reportedVersion;
+    const models = version === undefined ? [] : [{ name: 'desk-model', version }];
     response.end(JSON.stringify({ models, busy: false, seq: 0, born: 1 }));
   }
 
