--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,10 +7,12 @@
 import * as placement from '../placement';
 import * as routes from '../routes';
 import * as verdict from '../verdict';
-import * as cacheNamespace from './cache-namespace';
+import type * as cacheNamespace from './cache-namespace';
 import * as forwardExecution from './forward-execution';
 import type * as forwardHeader from './forward-header';
+import * as refusals from './gateway-refusals';
 import type * as headerCodec from './header-codec';
+import * as namespaceAssignment from './namespace-assignment';
 import type * as relayContext from './relay-context';
 import * as relayExecution from './relay-execution';
 import type * as relayReply from './relay-reply';
@@ -35,12 +37,13 @@
   readonly team?: routes.RoutedTeam;
 }
 
+type IdentifiedMetadata = headerCodec.CallerMetadata & { readonly requestId: string };
+
 /** Finds the route and the team of a request and submits it to the decision task. */
 export class Gateway {
   private index: routes.RouteIndex | undefined;
 
-  /** Version of the routing document since which teams share cached prompt parts, if they ever had to start anew. */
-  private sharedSince: number | undefined;
+  private readonly namespaces: namespaceAssignment.NamespaceAssignment;
 
   private nextId = 0;
 
@@ -51,7 +54,13 @@
     private readonly context: relayContext.RelayContext,
     private readonly random: clock.RandomSource,
     private readonly limits: GatewayLimits,
-  ) {}
+  ) {
+    const ageLimit = SHARING_AGE_LIMITS * limits.copyAgeLimitMilliseconds;
+    this.namespaces = new namespaceAssignment.NamespaceAssignment(
+      random,
+      () => context.copyAgeMilliseconds() >= ageLimit,
+    );
+  }
 
   /** Version of the active routing table, if there is one. */
   get tableVersion(): number | undefined {
@@ -61,10 +70,10 @@
   /** Activates a routing table; a lower version is ignored. */
   useRouting({ table, snapshot, sharedSince }: routingSource.ActiveRouting): void {
     const { task } = this.context;
-    this.sharedSince = sharedSince;
     if (this.index === undefined || table.version > this.index.table.version) {
       this.index = new routes.RouteIndex(table);
     }
+    this.namespaces.use(this.index, sharedSince);
     const kind = decision.DecisionEventKind.ConfigurationChanged;
     task.feed({ kind, at: task.now(), snapshot });
   }
@@ -73,42 +82,9 @@
     return this.index?.store;
   }
 
-  /**
-   * Under which the cached prompt parts of a request are kept; absent for requests without a prompt at services without a model. It
-   * changes with the routing document, and a request that has waited must not use the one of its arrival. While the model is
-   * not known, as after a document that has dropped it, nobody shares.
-   */
+  /** Under which the cached prompt parts of a request are kept at this moment; absent if its server keeps none. */
   cacheNamespace(service: string, owner: cacheNamespace.CacheOwner): string | undefined {
-    const known = this.index?.service(service);
-    const model = known?.engine?.model;
-    if (model === undefined && known !== undefined && !owner.hasPrompt) {
-      return undefined;
-    }
-    return model === undefined || this.isSeparate(owner)
-      ? cacheNamespace.isolatedNamespace(model ?? '', owner)
-      : cacheNamespace.sharedNamespace(model, this.sharedSince);
-  }
-
-  /** A team that has left the document is kept apart, since it may come back isolated. */
-  private isSeparate({ team, unknownCaller }: cacheNamespace.CacheOwner): boolean {
-    return (
-      unknownCaller !== undefined ||
-      this.mayTeamsBeIsolated ||
-      (team !== undefined && this.index?.teamNamed(team)?.isIsolated !== false)
-    );
-  }
-
-  private cacheOwner(
-    { credential, parts, promptTokens }: headerCodec.CallerMetadata,
-    team: routes.RoutedTeam | undefined,
-  ): cacheNamespace.CacheOwner {
-    const isUnknown =
-      team === undefined && credential !== undefined && this.index?.needsCredential === true;
-    return {
-      team: team?.name,
-      unknownCaller: isUnknown ? `${this.random.uniform()}/${this.nextId}` : undefined,
-      hasPrompt: parts.length > 0 || promptTokens > 0,
-    };
+    return this.namespaces.namespaceOf(service, owner);
   }
 
   /** Finds route and team from the headers alone; `Err` says why the request must not be served. */
@@ -117,16 +93,16 @@
     headers: http.IncomingHttpHeaders,
   ): results.Result<Admitted, verdict.RequestFailure> {
     if (this.index === undefined) {
-      return new results.Err(NO_TABLE);
+      return new results.Err(refusals.NO_TABLE);
     }
     const route = this.index.route(headers.host ?? '', path);
     if (route === undefined) {
-      return new results.Err(this.refusalFromCopy(UNKNOWN_ROUTE));
+      return new results.Err(this.refusalFromCopy(refusals.UNKNOWN_ROUTE));
     }
     const { credential } = this.context.headerCodec.readCaller(headers);
     const team = this.index.team(credential);
     if (this.index.needsCredential && team === undefined && !route.isPublic) {
-      return new results.Err(this.refusalFromCopy(UNAUTHORIZED));
+      return new results.Err(this.refusalFromCopy(refusals.UNAUTHORIZED));
     }
     return new results.Ok({ route, team });
   }
@@ -153,34 +129,57 @@
     } else if (admitted.err) {
       reply.fail(admitted.val);
     } else if (requestId === undefined) {
-      reply.fail(NO_REQUEST_ID);
-    } else if (isServiceUnknown(admitted.val.route, metadata)) {
-      reply.fail(UNKNOWN_SERVICE);
-    } else if (metadata.hasInvalidLastEventId === true && isResumable(admitted.val.route)) {
-      reply.fail(INVALID_LAST_EVENT);
-    } else if (this.openRequests >= this.limits.maximumRequests) {
-      reply.fail(TOO_MANY_REQUESTS);
+      reply.fail(refusals.NO_REQUEST_ID);
     } else {
-      const call = this.callOf(incoming, { ...metadata, requestId }, admitted.val);
-      if (!call.isForwarded && this.context.forwarder.isActive) {
-        this.forwardInTime(call, reply);
-      } else if (call.stream !== undefined && isTakenUp(metadata)) {
-        this.takeUp(call, call.stream, reply);
-      } else {
-        this.submit(call, reply);
-      }
+      this.start(incoming, { ...metadata, requestId }, admitted.val, reply);
     }
   }
 
+  private start(
+    incoming: IncomingCall,
+    metadata: IdentifiedMetadata,
+    admitted: Admitted,
+    reply: relayReply.RelayReply,
+  ): void {
+    const refusal = this.refusalOf(admitted.route, metadata);
+    if (refusal !== undefined) {
+      reply.fail(refusal);
+      return;
+    }
+    const call = this.callOf(incoming, metadata, admitted);
+    if (!call.isForwarded && this.context.forwarder.isActive) {
+      this.forwardInTime(call, reply);
+    } else if (call.stream !== undefined && isTakenUp(metadata)) {
+      this.takeUp(call, call.stream, reply);
+    } else {
+      this.submit(call, reply);
+    }
+  }
+
+  private refusalOf(
+    route: routes.Route,
+    metadata: IdentifiedMetadata,
+  ): verdict.RequestFailure | undefined {
+    if (isServiceUnknown(route, metadata)) {
+      return refusals.UNKNOWN_SERVICE;
+    }
+    if (metadata.hasInvalidLastEventId === true && isResumable(route)) {
+      return refusals.INVALID_LAST_EVENT;
+    }
+    return this.openRequests >= this.limits.maximumRequests
+      ? refusals.TOO_MANY_REQUESTS
+      : undefined;
+  }
+
   /** Refuses what another gateway can do better: it has a newer routing document, or reaches the servers. */
   private refusalOfForwarded({ forwarded }: IncomingCall): verdict.RequestFailure | undefined {
     if (forwarded === undefined) {
       return undefined;
     }
     if ((this.tableVersion ?? Number.NEGATIVE_INFINITY) < forwarded.routingVersion) {
-      return OLDER_TABLE;
+      return refusals.OLDER_TABLE;
     }
-    return this.context.forwarder.isCutOff ? CUT_OFF : undefined;
+    return this.context.forwarder.isCutOff ? refusals.CUT_OFF : undefined;
   }
 
   /** Another gateway cannot answer the caller of this one after this one has stopped. */
@@ -199,12 +198,6 @@
     new forwardExecution.ForwardExecution(call, this.context, reply, start).run();
   }
 
-  /** Whether teams may have become isolated in documents that have not reached this gateway. */
-  private get mayTeamsBeIsolated(): boolean {
-    const limit = SHARING_AGE_LIMITS * this.limits.copyAgeLimitMilliseconds;
-    return this.context.copyAgeMilliseconds() >= limit;
-  }
-
   private refusalFromCopy(failure: verdict.RequestFailure): verdict.RequestFailure {
     const isRecent = this.context.copyAgeMilliseconds() < this.limits.copyAgeLimitMilliseconds;
     return verdict.refusalFromCopy(failure, isRecent);
@@ -266,13 +259,13 @@
 
   private callOf(
     { method, path, headers, body, arrivedAt, forwarded }: IncomingCall,
-    metadata: headerCodec.CallerMetadata & { readonly requestId: string },
+    metadata: IdentifiedMetadata,
     { route, team }: Admitted,
   ): relayExecution.RelayCall {
     const wait = Math.min(route.timeoutMilliseconds, metadata.waitMilliseconds ?? Infinity);
     const service = routes.chooseService(route.shares, this.shareOf(route, metadata, team));
     this.nextId += 1;
-    const cacheOwner = this.cacheOwner(metadata, team);
+    const cacheOwner = this.namespaces.ownerOf(metadata, team);
     const namespace = this.cacheNamespace(service, cacheOwner);
     return {
       requestId: metadata.requestId,
@@ -397,64 +390,3 @@
 const MAXIMUM_SHARED_PARTS = 16;
 
 const MAXIMUM_PART_CHARACTERS = 32;
-
-const { FailureReason, Verdict } = verdict;
-
-const NO_TABLE = verdict.failure(
-  FailureReason.ShuttingDown,
-  Verdict.NotRun,
-  'This router has no routing table yet; send the request again.',
-  { retryAfterMilliseconds: 500 },
-);
-
-const UNKNOWN_ROUTE = verdict.failure(
-  FailureReason.UnknownRoute,
-  Verdict.NotRun,
-  'No route takes this host and path.',
-);
-
-const UNAUTHORIZED = verdict.failure(
-  FailureReason.Unauthorized,
-  Verdict.NotRun,
-  'The credential is missing or unknown.',
-);
-
-const NO_REQUEST_ID = verdict.failure(
-  FailureReason.BadRequest,
-  Verdict.NotRun,
-  'The request has no id.',
-);
-
-const UNKNOWN_SERVICE = verdict.failure(
-  FailureReason.StreamOriginUnknown,
-  Verdict.NotRun,
-  'The request does not name the attempt that began its stream, and several services may have; begin the stream anew.',
-  { retryAfterMilliseconds: 5_000 },
-);
-
-const INVALID_LAST_EVENT = verdict.failure(
-  FailureReason.BadRequest,
-  Verdict.NotRun,
-  'The last event that the request names is no number.',
-);
-
-const OLDER_TABLE = verdict.failure(
-  FailureReason.ShuttingDown,
-  Verdict.NotRun,
-  'This router has an older routing table than the one that forwarded the request.',
-  { retryAfterMilliseconds: 200 },
-);
-
-const CUT_OFF = verdict.failure(
-  FailureReason.NoBackendServer,
-  Verdict.NotRun,
-  'This router cannot reach the backend servers.',
-  { retryAfterMilliseconds: 300 },
-);
-
-const TOO_MANY_REQUESTS = verdict.failure(
-  FailureReason.Overloaded,
-  Verdict.NotRun,
-  'This router holds as many requests as it can; the request was not sent.',
-  { retryAfterMilliseconds: 500 },
-);
