Replica group: any replica of the first start may form it, with the votes of all

Only the replica with the lowest address could form the group, and only if its own start had bootstrap, so that no replica could.

Each replica whose start had bootstrap may now form the group, by an election in which every initial replica must grant its vote, none of which may have an entry. A vote is on the disk before it is sent, and there is one in a term. A disk that was lost has forgotten its votes and entries, but one disk of each majority is left, whose replica refuses its vote, or has voted before and then refuses entries of earlier terms. The replica with the lowest address asks at once, the others after an election timeout. Messages and files are unchanged.

Changed checks: two tests took a group as formed after the answers alone; they now also require both votes, and that one vote, or votes without bootstrap, do not form it.

--- a/src/replica/state.ts
+++ b/src/replica/state.ts
@@ -87,6 +87,16 @@
   readonly receivedAt: number;
 }
 
+/** An attempt of a replica without a group to form it. */
+export interface Formation {
+  /** The term of the election; the attempt ends with it. */
+  readonly term: number;
+  /** Votes that arrive later do not count, since a disk may be lost meanwhile. */
+  readonly endsAt: number;
+  /** The other initial replicas that granted their vote, by address. */
+  readonly grants: immutable.Map<string, entry.Member>;
+}
+
 /** The group that applies from `index` on. */
 export interface GroupAt {
   readonly index: number;
@@ -125,6 +135,10 @@
   readonly progress: immutable.Map<string, Progress>;
   /** Answers to `Discover`, by address. */
   readonly answers: immutable.Map<string, DiscoverAnswer>;
+  /** Whether this replica may form a group, and all initial replicas have recently answered that they are in none. */
+  readonly isAgreed: boolean;
+  /** Not stored: after a restart, the votes of an earlier attempt count no more. */
+  readonly formation?: Formation;
   readonly incoming?: IncomingSnapshot;
 }
 
@@ -182,6 +196,7 @@
     grants: immutable.Set(),
     progress: immutable.Map(),
     answers: immutable.Map(),
+    isAgreed: false,
   };
 }
 
@@ -231,9 +246,9 @@
   return count * 2 > members.length;
 }
 
-/** Whether the replica has never been in a group. A term above 0 shows that a group exists. */
+/** Whether the replica has never been in a group. An attempt to form one raises the term, so that it shows no group. */
 export function isEmpty(state: ReplicaState): boolean {
-  return state.term === 0 && logs.lastIndex(state.log) === 0;
+  return logs.lastIndex(state.log) === 0;
 }
 
 /** The group history when the entries up to `index` remain and those of `added` follow. */
--- a/src/replica/update.ts
+++ b/src/replica/update.ts
@@ -3,6 +3,7 @@
 import * as effects from './effect';
 import * as election from './election';
 import * as events from './event';
+import * as formations from './formation';
 import * as logs from './log';
 import * as membershipChange from './membership-change';
 import * as message from './message';
@@ -58,6 +59,10 @@
   if (received.toId !== undefined && received.toId !== state.self.replicaId) {
     return step;
   }
+  // The vote would be refused, and a late request must not end the term of a group that was formed meanwhile.
+  if (formations.isFounder(received) && !states.isEmpty(state)) {
+    return step;
+  }
   const isNewTerm = TERM_KINDS.has(received.kind) && received.term > state.term;
   const current = isNewTerm ? election.adoptTerm(step, received.term) : step;
   switch (received.kind) {
@@ -68,7 +73,7 @@
     case message.MessageKind.Vote:
       return election.onVote(current, received);
     case message.MessageKind.VoteReply:
-      return election.onVoteReply(current, received);
+      return formations.onVoteReply(election.onVoteReply(current, received), received);
     case message.MessageKind.Append:
       return replication.onAppend(current, received);
     case message.MessageKind.AppendReply:
--- a/test/replica/replacement.test.ts
+++ b/test/replica/replacement.test.ts
@@ -159,11 +159,11 @@
 suite('a replica that may not bootstrap a group only joins one', () => {
   const empty = new builder.ReplicaBuilder(0);
   empty.state = { ...empty.state, mayBootstrap: false };
-  const body = { kind: MessageKind.DiscoverReply, empty: true, sameReplicas: true } as const;
-  empty.tick(10).receive(1, 0, body).receive(2, 0, body).tick(300);
-  assert.is(voterIds(empty), '');
-  const first = new builder.ReplicaBuilder(0).tick(10).receive(1, 0, body).receive(2, 0, body);
-  assert.is(voterIds(first), 'abc');
+  empty.tick(10).findEmpty([1, 2]).tick(5_000).findEmpty([1, 2]);
+  assert.is(empty.state.term, 0);
+  assert.is(voterIds(empty.receiveVote(1).receiveVote(2)), '');
+  const first = new builder.ReplicaBuilder(0).tick(10).findEmpty([1, 2]);
+  assert.is(voterIds(first.receiveVote(1).receiveVote(2)), 'abc');
 });
 
 /** Guards against a replaced voter that asks only voters of its own log, none of which leads any more. */
--- a/test/replica/replica-builder.ts
+++ b/test/replica/replica-builder.ts
@@ -95,6 +95,19 @@
     });
   }
 
+  /** Learns from the other members that they have never been in a group. */
+  findEmpty(members: readonly number[]): this {
+    const body = { kind: replica.MessageKind.DiscoverReply, empty: true, sameReplicas: true };
+    members.forEach((member) => this.receive(member, 0, body as replica.DiscoverReply));
+    return this;
+  }
+
+  /** Receives a vote of the current term from another member. */
+  receiveVote(from: number): this {
+    const body = { kind: replica.MessageKind.VoteReply as const, granted: true };
+    return this.receive(from, this.state.term, body);
+  }
+
   sent(kind: replica.MessageKind): replica.Message[] {
     return this.effects.flatMap((effect) =>
       effect.kind === replica.EffectKind.Send && effect.message.kind === kind
--- a/test/replica/replica.test.ts
+++ b/test/replica/replica.test.ts
@@ -117,12 +117,17 @@
   silent.receive(1, 0, discoverReply(true));
   silent.tick(60_000);
   assert.is(silent.state.term, 0);
+  assert.ok(replica.isEmpty(silent.state));
   const survivor = new builder.ReplicaBuilder(0).tick(1_000);
   survivor.receive(1, 0, discoverReply(true));
   survivor.receive(2, 0, discoverReply(false));
   assert.is(survivor.state.term, 0);
   survivor.receive(2, 0, discoverReply(true));
   assert.is(survivor.state.term, 1);
+  survivor.receiveVote(1);
+  assert.ok(replica.isEmpty(survivor.state));
+  survivor.receiveVote(2);
+  assert.is(survivor.state.term, 1);
   assert.is(replica.voters(survivor.state).length, 3);
 });
 
