Tests: publish in the first start only once the other control daemons listen

platform/first-start failed in 2 of 12 cases at a load average of 35 ("fetch failed"): after a pause of 0.4 s and the restart of the killed daemon it published through another one that had not opened its port yet.

--- a/test/platform/first-start.test.ts
+++ b/test/platform/first-start.test.ts
@@ -38,11 +38,12 @@
 [100, 300, 500, 700, 900].forEach((milliseconds) => {
   suite(`the daemon with the lowest address is killed after ${milliseconds} ms`, async () => {
     await firstStart.run(checkout, async (site) => {
-      site.spawn(...ALL);
+      const [, ...others] = site.spawn(...ALL);
       await firstStart.pause(milliseconds);
       await site.kill(0);
       await firstStart.pause(RESTART_MILLISECONDS);
       await site.start(0);
+      await Promise.all(others.map((process) => process.waitForLog('started')));
       await site.publish(1, 1);
       await assertOneGroup(site, 1);
     });
