Soak of gateways before engines: cache namespaces, runs and streams under overlapping faults

Real gateways and control daemons run before stand-ins of engines that keep who made each cached part by salt. The connections of each gateway pass a proxy of the test, which finds the process of a connection in the tables of the kernel, and is silent, refuses new connections or resets open ones for chosen gateways and engines, in series that overlap. Engines restart without a known model, report badly, leave and change weights; processes are killed or stand still; documents isolate other teams.

Checked: a salt in each request to an engine; no part of a team that is kept apart, or of other weights; only ids that callers sent, with their team and path; what must not run twice runs once, and not at all if it was answered 408, 421, 429 or 503; streams are complete and in order.

--- a/test/platform/replaced-control.ts
+++ b/test/platform/replaced-control.ts
@@ -35,28 +35,50 @@
 
   constructor(private readonly checkout: builtCheckout.BuiltCheckout) {}
 
-  async start(server: fakeBackendServer.FakeBackendServer, gateways: number): Promise<void> {
+  start(server: fakeBackendServer.FakeBackendServer, gateways: number): Promise<void> {
+    const listed = {
+      id: server.id,
+      service: 'desk',
+      addr: `127.0.0.1:${server.port}`,
+      models: [{ name: 'desk-model', version: 3 }],
+    };
+    return this.startWith([listed], builder.document(PATIENCE_MILLISECONDS), gateways);
+  }
+
+  /** Starts all processes; resolves once the gateways are ready. */
+  async startWith(
+    servers: readonly loopbackEnvironment.ListedServer[],
+    document: object,
+    gateways: number,
+  ): Promise<void> {
     await this.environment.start();
-    this.environment.listedServers = [
-      {
-        id: server.id,
-        service: 'desk',
-        addr: `127.0.0.1:${server.port}`,
-        models: [{ name: 'desk-model', version: 3 }],
-      },
-    ];
+    this.listServers(servers);
     const nodes = Array.from({ length: CONTROL_DAEMONS }, (_, index) =>
       this.environment.controlDaemon(`core-${index + 1}`),
     );
     this.control = nodes.map((node) => this.startNode(deployFile.Role.Control, node));
     await Promise.all(this.control.map(({ process }) => process.waitForLog('started')));
-    await this.publish(builder.document(PATIENCE_MILLISECONDS));
+    await this.publish(document);
     this.gateways = Array.from({ length: gateways }, (_, index) =>
       this.startNode(deployFile.Role.Gateway, this.environment.gateway(`front-${index + 1}`)),
     );
     await Promise.all(this.gateways.map(({ process }) => process.waitForLog('ready')));
   }
 
+  /** Replaces the simulated list. */
+  listServers(servers: readonly loopbackEnvironment.ListedServer[]): void {
+    this.environment.listedServers = servers;
+  }
+
+  /** The lines that all processes logged about a request, the ended ones included. */
+  logOf(requestId: string): readonly string[] {
+    return this.started.flatMap(({ node, process }) =>
+      process.log
+        .filter((line) => line.requestId === requestId)
+        .map((line) => `${node.name} ${JSON.stringify(line)}`),
+    );
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.started.map(({ process }) => process.stop('SIGKILL')));
     await this.environment.stop();
@@ -256,7 +278,7 @@
 }
 
 /** Activates a document with the added routes 1 to `count`; returns the status, or 0 without an answer. */
-export function publishRoutes({ node }: StartedNode, count: number): Promise<number> {
+export function publishRoutes(to: StartedNode, count: number): Promise<number> {
   const document = builder.document(PATIENCE_MILLISECONDS) as { readonly routes: object[] };
   const added = Array.from({ length: count }, (_, index) => ({
     ...document.routes[3],
@@ -264,8 +286,18 @@
     path_prefix: pathOf(index + 1),
   }));
   const routes = [...document.routes, ...added];
-  const body = JSON.stringify({ ...document, version: FIRST_VERSION + count, routes });
-  return statusOfFetch(`${node.url}/-/config`, { method: 'PUT', body });
+  return publishDocument(to, { ...document, version: FIRST_VERSION + count, routes });
+}
+
+/** Sends a routing document once; returns the status, or 0 without an answer. */
+export function publishDocument({ node }: StartedNode, document: object): Promise<number> {
+  return statusOfFetch(`${node.url}/-/config`, { method: 'PUT', body: JSON.stringify(document) });
+}
+
+/** Names new weights once; returns the status, or 0 without an answer. */
+export function putVersion({ node }: StartedNode, model: string, version: number): Promise<number> {
+  const body = JSON.stringify({ model, version });
+  return statusOfFetch(`${node.url}/-/version-put`, { method: 'POST', body });
 }
 
 /** The number of added routes in the document that a control daemon returns, if it returns one. */
--- a/test/soak/soak-run.ts
+++ b/test/soak/soak-run.ts
@@ -1,6 +1,7 @@
 import * as builtCheckout from '../platform/built-checkout';
 import * as fakeBackendServer from '../platform/fake-backend-server';
 import * as replacedControl from '../platform/replaced-control';
+import * as engineSoak from './engine-soak';
 import * as faultSoak from './fault-soak';
 
 /** A build of the sources that several soaks use one after the other. */
@@ -31,6 +32,11 @@
     }
   }
 
+  /** Plays one soak of gateways before engines, with processes of its own. */
+  playEngines(seed: number, seconds: number): Promise<engineSoak.EngineSoakReport> {
+    return new engineSoak.EngineSoak(this.checkout, seed).run(seconds);
+  }
+
   close(): void {
     this.checkout.remove();
   }
--- /dev/null
+++ b/test/soak/team-history.ts
@@ -0,0 +1,35 @@
+/** A routing document as far as it isolates teams. */
+interface Isolation {
+  readonly teams: ReadonlySet<string>;
+  /** Monotonic times in milliseconds. */
+  readonly sentAt: number;
+  acknowledgedAt: number | undefined;
+}
+
+/** Which teams the documents of an operator isolated, and since when they have to be in force. */
+export class TeamHistory {
+  private readonly documents: Isolation[] = [];
+
+  /** Records a document before it is sent first; the result records its acknowledgement. */
+  send(teams: ReadonlySet<string>, sentAt: number): (acknowledgedAt: number) => void {
+    const document: Isolation = { teams, sentAt, acknowledgedAt: undefined };
+    this.documents.push(document);
+    return (acknowledgedAt) => {
+      document.acknowledgedAt = acknowledgedAt;
+    };
+  }
+
+  /** Whether a team was isolated at a moment by all documents that a gateway may have used then. */
+  isIsolated(team: string, at: number): boolean {
+    const inForce = this.documents.findLastIndex(
+      ({ acknowledgedAt = Infinity }) => acknowledgedAt + IN_FORCE_MILLISECONDS <= at,
+    );
+    const possible = this.documents
+      .slice(Math.max(0, inForce))
+      .filter(({ sentAt }) => sentAt <= at);
+    return inForce >= 0 && possible.every(({ teams }) => teams.has(team));
+  }
+}
+
+/** The time in which a document has to apply, and the longest time for which the connections hold a request. */
+const IN_FORCE_MILLISECONDS = 2_500 + 3_000;
--- a/tools/local/loopback-environment.ts
+++ b/tools/local/loopback-environment.ts
@@ -14,6 +14,10 @@
   readonly models?: readonly { readonly name: string; readonly version: number }[];
   /** Version of its software; `v1` if absent. */
   readonly softwareVersion?: string;
+  /** `ready` if absent. */
+  readonly state?: 'ready' | 'draining';
+  /** Start of its process in Unix milliseconds; 1 if absent. */
+  readonly born?: number;
 }
 
 /** Listening addresses and settings file of a process of the platform. */
@@ -205,8 +209,10 @@
   addr,
   models = [],
   softwareVersion: version = 'v1',
+  state = 'ready',
+  born = 1,
 }: ListedServer): object {
-  return { id, service, addr, zone: ZONE, version, state: 'ready', models, born: 1 };
+  return { id, service, addr, zone: ZONE, version, state, models, born };
 }
 
 /** Ports that the operating system has just assigned and released; it reuses them only after many others. */
--- a/tools/local/platform-process.ts
+++ b/tools/local/platform-process.ts
@@ -84,6 +84,11 @@
     return this.logLines;
   }
 
+  /** Process id, which stays the same after the end of the process. */
+  get id(): number {
+    return this.process.pid!;
+  }
+
   /** Processor time and memory usage so far. */
   usage(): processUsage.ProcessUsage {
     return processUsage.readUsage(this.process.pid!);
