Soak: the last control daemon, gateway, route and kind of fault are picked too

The upper limit of RandomSource.integer is excluded, and the soak of routes subtracted one more: it never sent a request to the third gateway or on the newest route, never let an operator restart a gateway, and never killed a control daemon.

--- a/test/soak/fault-soak.ts
+++ b/test/soak/fault-soak.ts
@@ -94,7 +94,7 @@
     await replacedControl.pause(this.random.integer(300, 1_000));
     for (let attempt = 0; attempt < PUBLISH_ATTEMPTS; attempt += 1) {
       const { control } = this.site;
-      const target = control[this.random.integer(0, control.length - 1)];
+      const target = control[this.random.integer(0, control.length)];
       if ((await replacedControl.publishRoutes(target, route)) === 200) {
         this.acknowledgedAt.set(route, performance.now());
         return;
@@ -193,7 +193,7 @@
   }
 
   private pick<Value>(values: readonly Value[]): Value {
-    return values[this.random.integer(0, values.length - 1)];
+    return values[this.random.integer(0, values.length)];
   }
 
   private record(fault: string): void {
