Soak of engines: no fault begins after the last request

Pauses before faults went on for up to 20 s after the end of the traffic, so that a soak of 18 s lasted about 45 s.

--- a/test/soak/soak-schedule.ts
+++ b/test/soak/soak-schedule.ts
@@ -31,6 +31,21 @@
     }
   }
 
+  /** Repeats a fault after random pauses in milliseconds; none begins after the end. */
+  async repeatAfterPauses(
+    random: clock.RandomSource,
+    [low, high]: readonly [low: number, high: number],
+    work: () => Promise<void>,
+  ): Promise<void> {
+    await this.repeat(async () => {
+      const remaining = this.endsAt - performance.now();
+      await replacedControl.pause(Math.min(random.integer(low, high), remaining));
+      if (performance.now() < this.endsAt) {
+        await work();
+      }
+    });
+  }
+
   record(fault: string): void {
     this.faults.push(`${this.timeOf(performance.now())} ms: ${fault}`);
   }
