--- a/test/soak/engine-soak.ts
+++ b/test/soak/engine-soak.ts
@@ -108,7 +108,9 @@
       ),
     );
     return {
-      violations: violations.map(({ at, text }) => `${schedule.timeOf(at)} ms: ${text}`),
+      violations: violations.map(
+        ({ at, text }) => `${schedule.timeOf(at)} ms, ${timeOfDay(at)}: ${text}`,
+      ),
       traces: violations
         .slice(0, TRACED_VIOLATIONS)
         .flatMap(({ requestId }) => this.site.logOf(requestId)),
@@ -134,6 +136,11 @@
   }
 }
 
+/** The time of day as the log lines of the processes have it. */
+function timeOfDay(at: number): string {
+  return new Date(performance.timeOrigin + at).toISOString();
+}
+
 function sum(numbers: readonly number[]): number {
   return numbers.reduce((total, number) => total + number, 0);
 }
--- a/test/soak/operator-changes.ts
+++ b/test/soak/operator-changes.ts
@@ -41,6 +41,7 @@
       replacedControl.publishDocument(control, document),
     );
     acknowledge(performance.now());
+    this.schedule.record(`document ${this.version} is acknowledged`);
   }
 
   private async changeWeights(random: clock.RandomSource): Promise<void> {
