--- a/src/gateway/forward-execution.ts
+++ b/src/gateway/forward-execution.ts
@@ -7,7 +7,7 @@
 import * as forwardHeader from './forward-header';
 import type * as forwarderModule from './forwarder';
 import type * as headerCodec from './header-codec';
-import type * as relayExecution from './relay-execution';
+import type * as relayCall from './relay-call';
 import type * as relayReply from './relay-reply';
 
 /** Objects that all forwarded requests share. */
@@ -58,7 +58,7 @@
   private sends: number | undefined;
 
   constructor(
-    private readonly call: relayExecution.RelayCall,
+    private readonly call: relayCall.RelayCall,
     private readonly context: ForwardContext,
     private readonly reply: relayReply.RelayReply,
     private readonly start: ForwardStart,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import * as refusals from './gateway-refusals';
 import type * as headerCodec from './header-codec';
 import * as namespaceAssignment from './namespace-assignment';
+import type * as relayCall from './relay-call';
 import type * as relayContext from './relay-context';
 import * as relayExecution from './relay-execution';
 import type * as relayReply from './relay-reply';
@@ -183,7 +184,7 @@
   }
 
   /** Another gateway cannot answer the caller of this one after this one has stopped. */
-  private forwardInTime(call: relayExecution.RelayCall, reply: relayReply.RelayReply): void {
+  private forwardInTime(call: relayCall.RelayCall, reply: relayReply.RelayReply): void {
     const { task } = this.context;
     const state = task.current as decision.DecisionState;
     if (decision.endsInTime(state, call.profile, task.now())) {
@@ -193,7 +194,7 @@
     }
   }
 
-  private forward(call: relayExecution.RelayCall, reply: relayReply.RelayReply): void {
+  private forward(call: relayCall.RelayCall, reply: relayReply.RelayReply): void {
     const start = { progress: { events: 0, lastEventId: call.lastEventId }, runs: 0 };
     new forwardExecution.ForwardExecution(call, this.context, reply, start).run();
   }
@@ -217,7 +218,7 @@
     return task.activeRequests + this.lookups + forwarder.activeRequests;
   }
 
-  private submit(call: relayExecution.RelayCall, reply: relayReply.RelayReply): void {
+  private submit(call: relayCall.RelayCall, reply: relayReply.RelayReply): void {
     const execution = new relayExecution.RelayExecution(call, this.context, reply);
     reply.onCallerDisconnect(() => execution.cancel());
     this.context.task.submit(execution);
@@ -225,7 +226,7 @@
 
   /** Submits the rest of a broken stream once it is known which software version may go on with it. */
   private async takeUp(
-    call: relayExecution.RelayCall,
+    call: relayCall.RelayCall,
     stream: streamOrigins.StreamIdentity,
     reply: relayReply.RelayReply,
   ): Promise<void> {
@@ -261,7 +262,7 @@
     { method, path, headers, body, arrivedAt, forwarded }: IncomingCall,
     metadata: IdentifiedMetadata,
     { route, team }: Admitted,
-  ): relayExecution.RelayCall {
+  ): relayCall.RelayCall {
     const wait = Math.min(route.timeoutMilliseconds, metadata.waitMilliseconds ?? Infinity);
     const service = routes.chooseService(route.shares, this.shareOf(route, metadata, team));
     this.nextId += 1;
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -1,4 +1,3 @@
-import type * as http from 'node:http';
 import * as results from 'ts-results';
 import * as backend from '../backend';
 import * as clock from '../clock';
@@ -9,43 +8,22 @@
 import * as verdict from '../verdict';
 import * as answerLimit from './answer-limit';
 import * as answerReceiver from './answer-receiver';
-import * as cacheNamespaces from './cache-namespace';
+import * as answerReports from './answer-reports';
+import * as cacheUse from './cache-use';
+import * as dispatchLog from './dispatch-log';
 import * as forwardExecution from './forward-execution';
+import * as handOver from './hand-over';
+import type * as relayCall from './relay-call';
 import type * as relayContext from './relay-context';
 import type * as relayReply from './relay-reply';
 import * as roomReservation from './room-reservation';
-import type * as streamOrigins from './stream-origins';
-
-/** A request after admission to the gateway. */
-export interface RelayCall {
-  readonly profile: decision.RequestProfile;
-  /** Id that the caller sent; the profile has one of the router. */
-  readonly requestId: string;
-  readonly method: string;
-  /** Path and query string. */
-  readonly path: string;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: Uint8Array;
-  readonly team?: string;
-  readonly cacheOwner: cacheNamespaces.CacheOwner;
-  /** Under which cached prompt parts were kept when the request arrived; the prefixes of the profile belong to it. */
-  readonly cacheNamespace?: string;
-  /** Monotonic time in milliseconds at which the caller's deadline or the route's timeout ends. */
-  readonly deadline: number;
-  /** Last event that the caller received before it sent the request again. */
-  readonly lastEventId?: number;
-  /** Version of the routing document by which the route was chosen. */
-  readonly routingVersion: number;
-  /** Whether another gateway has sent the request, which must not be forwarded again. */
-  readonly isForwarded: boolean;
-  /** Present if the caller may take up the answer again at any gateway. */
-  readonly stream?: streamOrigins.StreamIdentity;
-}
 
 /** Runs one request: relays its unchanged content between the caller and the servers that the core selected. */
 export class RelayExecution extends routing.StreamExecution {
   private readonly deliveryProgress: answerReceiver.DeliveryProgress;
 
+  private readonly cacheUse: cacheUse.CacheUse;
+
   private readonly timer: clock.Timer;
 
   private isOriginKnown = false;
@@ -62,23 +40,21 @@
   /** Attempts whose request may have reached a server. */
   private sends = 0;
 
-  /** Another gateway that is asked to go on with the stream while this one has a run; absent if none is. */
-  private handOver: forwardExecution.ForwardExecution | undefined;
-
-  /** Monotonic time in milliseconds at which another gateway was asked last. */
-  private handOverAt = Number.NEGATIVE_INFINITY;
+  private readonly handOver: handOver.HandOver;
 
   /** The attempt whose events the core was told of last, and when. */
   private reportedEvents: { readonly attemptId?: string; readonly at: number } = { at: 0 };
 
   constructor(
-    private readonly call: RelayCall,
+    private readonly call: relayCall.RelayCall,
     protected override readonly context: relayContext.RelayContext,
     private readonly reply: relayReply.RelayReply,
   ) {
     super(call.profile, context);
     this.loggedId = call.requestId;
     this.deliveryProgress = { events: 0, lastEventId: call.lastEventId };
+    this.cacheUse = new cacheUse.CacheUse(call, context);
+    this.handOver = new handOver.HandOver(context.time);
     const remaining = Math.max(0, call.deadline - context.time.monotonic());
     this.timer = context.time.setTimer(remaining, () => this.expire());
   }
@@ -124,25 +100,10 @@
   }
 
   private offerToGateway(): void {
-    const now = this.context.time.monotonic();
-    if (this.handOver === undefined && now - this.handOverAt >= HAND_OVER_INTERVAL_MILLISECONDS) {
-      this.handOverAt = now;
-      this.handOver = this.forwarding({
-        takenOver: () => {
-          this.handOver = undefined;
-          this.abandon();
-        },
-        refused: () => {
-          this.handOver = undefined;
-        },
-      });
-      this.handOver.run();
-    }
-  }
-
-  private endHandOver(): void {
-    this.handOver?.cancel();
-    this.handOver = undefined;
+    this.handOver.offer(
+      (ownRun) => this.forwarding(ownRun),
+      () => this.abandon(),
+    );
   }
 
   /** Stops every attempt and notifies the core, because the caller has closed its connection. */
@@ -178,7 +139,7 @@
   protected override end(): void {
     super.end();
     this.timer.cancel();
-    this.endHandOver();
+    this.handOver.cancel();
   }
 
   protected override async runAttempt(
@@ -260,12 +221,14 @@
     if (effect.offer === true && this.isRunningElsewhere(effect)) {
       this.beginOffer(effect);
     }
-    const cache = this.cacheMetadata(effect, server);
-    this.logDispatch(effect, server, cache.cacheSalt);
+    const cache = this.cacheUse.metadata(effect, server);
+    const { cacheSalt } = cache;
+    const { lastEventId } = this.deliveryProgress;
+    dispatchLog.logDispatch(call, context, { effect, server, cacheSalt, lastEventId });
     if (cache.cacheSalt !== undefined && cache.weightsVersion === undefined) {
       this.meter.weightsUnknown();
     }
-    this.announcePrefixes(effect.serverId, server);
+    this.cacheUse.announce(server);
     return new Promise((resolve) => {
       const receiver = new answerReceiver.AnswerReceiver(
         {
@@ -278,8 +241,9 @@
             this.lastArrivalAt = context.time.monotonic();
             context.stallDetector.dataReceived(effect.serverId);
           },
-          onLoad: (load) => this.reportLoad(lease.machine, load),
-          onLimits: (limits) => this.reportLimits(effect, limits),
+          onLoad: (load) => answerReports.reportLoad(context, lease.machine, load),
+          onLimits: (limits) =>
+            answerReports.reportLimits(context, call.profile.service, effect.serverId, limits),
         },
         (failure) => {
           this.receivers.delete(receiver);
@@ -312,108 +276,11 @@
     });
   }
 
-  /** Logs the inputs of the decision that selected the server. */
-  private logDispatch(
-    effect: decision.Dispatch,
-    server: membership.EligibleServer,
-    cacheSalt: string | undefined,
-  ): void {
-    const { requestId, profile } = this.call;
-    const { weightsVersion } = server;
-    logger.information('request dispatched', {
-      requestId,
-      service: profile.service,
-      backendServer: effect.serverId,
-      attempt: effect.attemptId,
-      softwareVersion: effect.softwareVersion,
-      weightsVersion,
-      cacheSalt,
-      supersededMilliseconds:
-        weightsVersion === undefined
-          ? undefined
-          : this.context.supersededMilliseconds(profile.service, weightsVersion),
-      queuedMilliseconds: Math.round(effect.queuedMilliseconds),
-      offer: effect.offer,
-      expectedCachedTokens: effect.expectedCachedTokens,
-      cacheSource: effect.cacheSource,
-      resumeFrom: effect.resumeFrom,
-      lastEventId: this.deliveryProgress.lastEventId,
-      resumes:
-        this.call.stream?.firstRequestId === requestId
-          ? undefined
-          : this.call.stream?.firstRequestId,
-    });
-  }
-
-  /** Announces the prefixes to other daemons, which can have them copied from this server instead of recomputed. */
-  private announcePrefixes(serverId: string, server: membership.EligibleServer): void {
-    if (server.weightsVersion !== undefined && this.hasNamespaceOfArrival) {
-      const hashes = decision.sharedPrefixHashes(server.weightsVersion, this.profile.prefixChain);
-      this.context.placementBuffer.add({ serverId, hashes });
-    }
-  }
-
-  private get currentNamespace(): string | undefined {
-    return this.context.cacheNamespace(this.profile.service, this.call.cacheOwner);
-  }
-
-  /** Whether the prefixes by which servers are selected are those that servers keep now. */
-  private get hasNamespaceOfArrival(): boolean {
-    const { cacheNamespace } = this.call;
-    return cacheNamespace !== undefined && cacheNamespace === this.currentNamespace;
-  }
-
-  /** With other weights than the last observed ones the server must refuse. */
-  private cacheMetadata(
-    effect: decision.Dispatch,
-    server: membership.EligibleServer,
-  ): { cacheSalt?: string; weightsVersion?: string; cacheSource?: string } {
-    const namespace = this.currentNamespace;
-    return namespace === undefined
-      ? {}
-      : {
-          cacheSalt: cacheNamespaces.cacheSalt(namespace, server),
-          weightsVersion: server.weightsVersion,
-          cacheSource: this.cacheSource(effect, server),
-        };
-  }
-
-  /** `host:port` of the server to copy cached parts from; parts of unknown weights are not copied. */
-  private cacheSource(
-    { cacheSource }: decision.Dispatch,
-    { weightsVersion }: membership.EligibleServer,
-  ): string | undefined {
-    const isUsable = weightsVersion !== undefined && this.hasNamespaceOfArrival;
-    const source =
-      cacheSource === undefined || !isUsable ? undefined : this.context.server(cacheSource);
-    return source && `${source.host}:${source.port}`;
-  }
-
-  /** Reports what an answer says about limits: each gateway hears of a service's limit of refusals by itself within a second. */
-  private reportLimits(
-    { serverId }: decision.Dispatch,
-    { requestsPerSecond, refusalsPerSecond }: backend.ServerLimits,
-  ): void {
-    const { task, requestLimits } = this.context;
-    const { service } = this.profile;
-    requestLimits.observe(serverId, requestsPerSecond);
-    const { refusalLimits } = task.current as decision.DecisionState;
-    if (refusalLimits.perSecond.get(service) !== refusalsPerSecond) {
-      const kind = decision.DecisionEventKind.RefusalLimitChanged;
-      logger.information('limit of refusals of a service changed', {
-        service,
-        backendServer: serverId,
-        refusalsPerSecond: refusalsPerSecond ?? 'none',
-      });
-      task.feed({ kind, at: task.now(), service, refusalsPerSecond });
-    }
-  }
-
   /** Reports the first event of an attempt at once and later ones together, several times a second. */
   private reportEvent(effect: decision.Dispatch): void {
     this.meter.pieceReceived();
     this.attemptDelivers(effect.attemptId);
-    this.endHandOver();
+    this.handOver.cancel();
     this.rememberOrigin(effect);
     const { task } = this.context;
     const at = task.now();
@@ -439,25 +306,6 @@
     }
   }
 
-  /** Ignores the load of engines, which the daemons exchange themselves, including the memory that requests use. */
-  private reportLoad(machine: backend.MachineRecord, load: backend.RelayLoad): void {
-    if (machine.kind === backend.BackendKind.ModelEngine) {
-      return;
-    }
-    const { task } = this.context;
-    task.feed({
-      kind: decision.DecisionEventKind.LoadReported,
-      at: task.now(),
-      serverId: machine.id,
-      incarnation: machine.incarnation ?? machine.id,
-      weightsVersion: '',
-      ageMilliseconds: LOAD_AGE_MILLISECONDS,
-      runningRequests: load.running,
-      queuedRequests: load.waiting,
-      queuedPrefillTokens: 0,
-    });
-  }
-
   protected override holdDelivery(): void {
     this.receivers.forEach((receiver) => receiver.hold());
   }
@@ -515,8 +363,6 @@
   }
 }
 
-const logger = new logging.Logger('gateway');
-
 const NOT_NUMBERED = verdict.failure(
   verdict.FailureReason.Overloaded,
   verdict.Verdict.NotRun,
@@ -529,12 +375,6 @@
 /** Above the usual time to the first token, and below the time in which callers give up. */
 const SILENCE_MILLISECONDS = 1_000;
 
-/** Servers that other gateways found full may have room after this time. */
-const HAND_OVER_INTERVAL_MILLISECONDS = 500;
-
-/** One-way delay from a server in another region. */
-const LOAD_AGE_MILLISECONDS = 10;
-
 const TIMED_OUT = verdict.failure(
   verdict.FailureReason.Timeout,
   verdict.Verdict.MayHaveRun,
--- a/test/gateway/relay-builder.ts
+++ b/test/gateway/relay-builder.ts
@@ -6,6 +6,7 @@
 import * as routing from '../../src/routing';
 import type * as verdict from '../../src/verdict';
 import * as bufferBudget from '../../src/gateway/buffer-budget';
+import type * as relayCall from '../../src/gateway/relay-call';
 import * as relayExecution from '../../src/gateway/relay-execution';
 import type * as relayContext from '../../src/gateway/relay-context';
 import type * as relayReply from '../../src/gateway/relay-reply';
@@ -45,7 +46,7 @@
   /** An execution of request `a`, whose caller waits for `deadline` milliseconds. */
   execution(
     deadline: number,
-    changes: Partial<relayExecution.RelayCall> = {},
+    changes: Partial<relayCall.RelayCall> = {},
   ): relayExecution.RelayExecution {
     const call = {
       profile: builder.profile('a', 0),
@@ -56,7 +57,7 @@
     };
     const reply = { fail: (failure: verdict.RequestFailure) => this.failures.push(failure) };
     return new relayExecution.RelayExecution(
-      call as unknown as relayExecution.RelayCall,
+      call as unknown as relayCall.RelayCall,
       this.context(),
       reply as unknown as relayReply.RelayReply,
     );
