Replica group: log when a change of voters is committed

Cause: the leader logs "voters change" when it appends the change, and nothing is logged when the change is committed. The set-up took that line for a complete replacement and killed the oldest control daemon at once. If that one is the leader, the change is lost with it: the group is the leader and one more, the other voter has no majority, and the daemon that stands still was removed before. An operator who goes by the log makes the same mistake; "figline status" shows committed voters, but the platform has no such call.

The leader now logs "change of voters is committed" with the voters, also a leader that commits what the one before began, and the set-up waits for that line.

What remains: with one of three control VMs standing still and being replaced, the group has two voters for the two round trips between the removal and the addition; if the leader loses its disk for good within them, it stays without a majority.

--- a/src/replica/effect.ts
+++ b/src/replica/effect.ts
@@ -62,6 +62,7 @@
   QuorumLost = 'stepped down: no majority answered within an election timeout',
   GroupBootstrapped = 'bootstrapped the replica group',
   GroupChanged = 'voters change',
+  GroupCommitted = 'change of voters is committed',
   ReplicasDiffer = 'another daemon has other initial replica addresses; no group is bootstrapped',
   CommittedConflict = 'an entry of the leader differs from a committed one; the replica stops',
 }
--- a/src/replica/replication.ts
+++ b/src/replica/replication.ts
@@ -189,7 +189,24 @@
     .sort((left, right) => right - left);
   const index = matchIndexes[Math.floor(matchIndexes.length / 2)] ?? 0;
   const isCommitted = index > state.commitIndex && logs.termAt(state.log, index) === state.term;
-  return isCommitted ? steps.withState(step, { commitIndex: index, isCaughtUp: true }) : step;
+  return isCommitted
+    ? reportGroup(
+        steps.withState(step, { commitIndex: index, isCaughtUp: true }),
+        state.commitIndex,
+      )
+    : step;
+}
+
+/** Reports the voters of a change that is committed now: until then it can be lost with the leader. */
+function reportGroup(step: steps.Step, previousCommitIndex: number): steps.Step {
+  const { groups, commitIndex } = step.state;
+  const committed = groups.findLast(
+    ({ index }) => index > previousCommitIndex && index <= commitIndex,
+  );
+  const addresses = committed?.group.voters.map(({ address }) => address);
+  return addresses === undefined
+    ? step
+    : steps.report(step, effects.Notice.GroupCommitted, addresses.join(', '));
 }
 
 function appendMissing(step: steps.Step, entries: readonly entry.Entry[]): steps.Step {
--- a/test/platform/replaced-control.ts
+++ b/test/platform/replaced-control.ts
@@ -178,12 +178,13 @@
     );
   }
 
+  /** A leader that has begun to add a voter takes the change with it if it is killed before that is committed. */
   private isVoter({ node }: StartedNode): boolean {
     const address = new URL(node.url).hostname;
     return this.control.some(({ process }) =>
       process.log.some(
         ({ message, detail }) =>
-          message === 'voters change' && String(detail).includes(`${address}:`),
+          message === 'change of voters is committed' && String(detail).includes(`${address}:`),
       ),
     );
   }
--- a/test/replica/replacement.test.ts
+++ b/test/replica/replacement.test.ts
@@ -34,6 +34,18 @@
     .join('');
 }
 
+/** The voters of the changes that the last event has logged as committed. */
+function committedGroups(leader: builder.ReplicaBuilder): (string | undefined)[] {
+  return leader.effects.flatMap((effect) =>
+    effect.kind === replica.EffectKind.Report && effect.notice === replica.Notice.GroupCommitted
+      ? [effect.detail]
+      : [],
+  );
+}
+
+/** The addresses of the voters that are left without the lost one. */
+const REMAINING = '10.0.0.0:7000, 10.0.0.1:7000';
+
 /** Guards against a voter without the log, and against two changes whose majorities do not overlap. */
 suite(
   'a lost id is removed once a learner has caught up, and only then the learner is added',
@@ -62,6 +74,31 @@
   assert.is(committedIds(leader), 'ab');
 });
 
+/** Guards against a log that names a change of voters complete while its leader can still take it along. */
+suite('a change of voters is logged as committed once a majority has it', () => {
+  const leader = leaderWithLearner().pass([FOLLOWER, REPLACEMENT]);
+  leader.receiveFrom(REPLACEMENT, TERM, appendReply(2));
+  assert.equal(committedGroups(leader), []);
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(3));
+  assert.equal(committedGroups(leader), [REMAINING]);
+});
+
+/** Guards against a log that lacks a change which the leader after the one that began it commits. */
+suite('a new leader logs the change of voters that it commits', () => {
+  const entries = [1, 2].map((index) => ({
+    index,
+    term: 1,
+    timestamp: index,
+    kind: replica.EntryKind.Group,
+    group: index === 1 ? builder.GROUP : { voters: builder.MEMBERS.slice(0, 2) },
+  }));
+  const durable = { hardState: { term: TERM - 1 }, entries };
+  const leader = new builder.ReplicaBuilder(0, durable).elect(1);
+  assert.equal(committedGroups(leader), []);
+  leader.receiveFrom(FOLLOWER, TERM, appendReply(3));
+  assert.equal(committedGroups(leader), [REMAINING]);
+});
+
 /** Guards against a group of four voters that the loss of two disks of the same VM blocks. */
 suite('a learner whose disk is lost before its addition commits blocks nothing', () => {
   const leader = leaderWithLearner().pass([FOLLOWER, REPLACEMENT]);
