Gateway: each request has a cache salt, also at services that the document calls plain

A prompt in the body alone (no, zero or unreadable token counts, no readable prompt prefix) to a service that this gateway's document knows without a model was sent without a salt. If the server is an engine by then, it takes the absent salt for one that all callers share, across teams that must be apart.

Cause: whether a request holds a prompt was read from its headers, whose absence counted as "no prompt", and that again as "no salt". Neither the headers nor the document tell what the server is: the list's models are read by the document too, so that the entry of such a server names none.

Now the namespace is always a text, and the type requires it up to the headers of the attempt. At a service without a model each team is by itself. The expected version follows what is known of the server alone, no longer whether there is a namespace. What the document and the headers tell is kept as isForEngine, and decides only what may be absent without harm: the rank (plain services and requests without a known prompt get none, as before) and the counter of unknown weights (plain services don't count).

Looked at for the same class, no change: a gateway that runs a forwarded request admits it anew and computes the salt itself, and drops a salt of the caller; reservations, probes, reports and orders hold no prompt.

Test: platform/cache-namespace, "each request has a namespace at a plain service ..." twice; both failed on the code before ("body (type)", 9 of 11 passed), 11 of 11 pass now. They take the place of "a prompt has a namespace at a service without a model, and other requests have none", whose last line required that a request without a prompt in its headers has no salt, the fault itself; all that it required of prompts is still there. "a plain service has neither unknown weights nor ranks" passed before too.

--- a/src/gateway/cache-namespace.ts
+++ b/src/gateway/cache-namespace.ts
@@ -6,8 +6,6 @@
    * one of a newer document, and isolated.
    */
   readonly unknownCaller?: string;
-  /** Whether there is a prompt, of which a server may keep parts although the document knows no model of its service. */
-  readonly hasPrompt: boolean;
 }
 
 /** A backend server, as far as its weights are known. */
--- a/src/gateway/cache-use.ts
+++ b/src/gateway/cache-use.ts
@@ -5,10 +5,10 @@
 import type * as relayCall from './relay-call';
 import type * as relayContext from './relay-context';
 
-/** What a server is told about the cached prompt parts of one attempt. */
-export type CacheMetadata = Pick<
+/** What a server is told of one attempt in case it is an engine. */
+export type EngineMetadata = Pick<
   headerCodec.AttemptMetadata,
-  'cacheSalt' | 'weightsVersion' | 'cacheSource'
+  'cacheSalt' | 'weightsVersion' | 'cacheSource' | 'priority'
 >;
 
 /** Under which cached prompt parts one request runs, and from where they are copied. */
@@ -21,16 +21,20 @@
     >,
   ) {}
 
-  /** With other weights than the last observed ones the server must refuse. */
-  metadata(effect: decision.Dispatch, server: membership.EligibleServer): CacheMetadata {
-    const namespace = this.currentNamespace;
-    return namespace === undefined
-      ? {}
-      : {
-          cacheSalt: cacheNamespaces.cacheSalt(namespace, server),
-          weightsVersion: server.weightsVersion,
-          cacheSource: this.cacheSource(effect, server),
-        };
+  /**
+   * With other weights than the last observed ones the server must refuse. Requests of plain services have a salt too: the server
+   * may be an engine by now, and an absent salt would be one that all teams share. A rank is spared there, since its absence
+   * allows nothing.
+   */
+  metadata(effect: decision.Dispatch, server: membership.EligibleServer): EngineMetadata {
+    const { isForEngine, profile } = this.call;
+    const { weightsVersion } = server;
+    return {
+      cacheSalt: cacheNamespaces.cacheSalt(this.currentNamespace, server),
+      weightsVersion,
+      cacheSource: this.cacheSource(effect, server),
+      priority: isForEngine || weightsVersion !== undefined ? profile.priority : undefined,
+    };
   }
 
   /** Announces the prefixes to other daemons, which can have them copied from this server instead of recomputed. */
@@ -41,14 +45,13 @@
     }
   }
 
-  private get currentNamespace(): string | undefined {
+  private get currentNamespace(): string {
     return this.context.cacheNamespace(this.call.profile.service, this.call.cacheOwner);
   }
 
   /** Whether the prefixes by which servers are selected are those that servers keep now. */
   private get hasNamespaceOfArrival(): boolean {
-    const { cacheNamespace } = this.call;
-    return cacheNamespace !== undefined && cacheNamespace === this.currentNamespace;
+    return this.call.cacheNamespace === this.currentNamespace;
   }
 
   /** `host:port` of the server to copy cached parts from; parts of unknown weights are not copied. */
--- a/src/gateway/dispatch-log.ts
+++ b/src/gateway/dispatch-log.ts
@@ -8,7 +8,7 @@
 export interface LoggedDispatch {
   readonly effect: decision.Dispatch;
   readonly server: membership.EligibleServer;
-  readonly cacheSalt: string | undefined;
+  readonly cacheSalt: string;
   /** Last event that the caller has received. */
   readonly lastEventId: number | undefined;
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -83,8 +83,8 @@
     return this.index?.store;
   }
 
-  /** Under which the cached prompt parts of a request are kept at this moment; absent if its server keeps none. */
-  cacheNamespace(service: string, owner: cacheNamespace.CacheOwner): string | undefined {
+  /** Under which the cached prompt parts of a request are kept at this moment, if its server is an engine. */
+  cacheNamespace(service: string, owner: cacheNamespace.CacheOwner): string {
     return this.namespaces.namespaceOf(service, owner);
   }
 
@@ -277,6 +277,7 @@
       team: team?.name,
       cacheOwner,
       cacheNamespace: namespace,
+      isForEngine: this.namespaces.isForEngine(service, metadata),
       deadline: arrivedAt + wait,
       lastEventId: metadata.lastEventId,
       routingVersion: this.tableVersion ?? 0,
@@ -348,7 +349,7 @@
 /** Includes the ids of all earlier parts in each id: the same part after another beginning is a different prefix. */
 function chainOf(
   parts: readonly headerCodec.PromptPart[],
-  namespace: string | undefined,
+  namespace: string,
 ): Pick<decision.RequestProfile, 'prefixChain' | 'chainTokens'> {
   const chain: string[] = [];
   const chainTokens: number[] = [];
--- a/src/gateway/header-codec.ts
+++ b/src/gateway/header-codec.ts
@@ -32,10 +32,10 @@
   readonly serverId: string;
   readonly team?: string;
   readonly remainingMilliseconds: number;
-  /** 0 is the most urgent. */
-  readonly priority: number;
-  /** Cached prompt parts match only requests with the same salt. */
-  readonly cacheSalt?: string;
+  /** 0 is the most urgent; absent for a server that has no ranks. */
+  readonly priority?: number;
+  /** Cached prompt parts match only requests with the same salt; an absent one would be common to all callers. */
+  readonly cacheSalt: string;
   /** The required weights version; a server with other weights refuses. */
   readonly weightsVersion?: string;
   /** `host:port` of the server or store to copy cached parts from. */
--- a/src/gateway/namespace-assignment.ts
+++ b/src/gateway/namespace-assignment.ts
@@ -24,7 +24,7 @@
   }
 
   ownerOf(
-    { credential, parts, promptTokens }: headerCodec.CallerMetadata,
+    { credential }: headerCodec.CallerMetadata,
     team: routes.RoutedTeam | undefined,
   ): cacheNamespace.CacheOwner {
     const isUnknown =
@@ -32,21 +32,33 @@
     return {
       team: team?.name,
       unknownCaller: isUnknown ? this.nextUnknownCaller() : undefined,
-      hasPrompt: parts.length > 0 || promptTokens > 0,
     };
   }
 
   /**
-   * The namespace at this moment; absent for requests without a prompt at services without a model. It changes with the routing
-   * document, and a request that has waited must not use the one of its arrival. While the model is not known, as after a
-   * document that has dropped it, nobody shares.
+   * Whether a request is one for an engine as far as the document and the headers tell: no proof, since its server may be an
+   * engine of a newer document, and its prompt may be in the body alone.
+   *
+   * @example
+   * assignment.isForEngine('ledger', metadata); // false for a plain service and a request without a prompt in its headers
    */
-  namespaceOf(service: string, owner: cacheNamespace.CacheOwner): string | undefined {
+  isForEngine(
+    service: string,
+    { parts, promptTokens }: Pick<headerCodec.CallerMetadata, 'parts' | 'promptTokens'>,
+  ): boolean {
     const known = this.index?.service(service);
-    const model = known?.engine?.model;
-    if (model === undefined && known !== undefined && !owner.hasPrompt) {
-      return undefined;
-    }
+    return (
+      known === undefined || known.engine !== undefined || parts.length > 0 || promptTokens > 0
+    );
+  }
+
+  /**
+   * The namespace at this moment, for plain services too: their servers may be engines of a newer document. It changes with the
+   * routing document, and a request that has waited must not use the one of its arrival. While the model is not known, teams
+   * do not share.
+   */
+  namespaceOf(service: string, owner: cacheNamespace.CacheOwner): string {
+    const model = this.index?.service(service)?.engine?.model;
     return model === undefined || this.isSeparate(owner)
       ? cacheNamespace.isolatedNamespace(model ?? '', owner)
       : cacheNamespace.sharedNamespace(model, this.sharedSince);
--- a/src/gateway/relay-call.ts
+++ b/src/gateway/relay-call.ts
@@ -16,7 +16,9 @@
   readonly team?: string;
   readonly cacheOwner: cacheNamespaces.CacheOwner;
   /** Under which cached prompt parts were kept when the request arrived; the prefixes of the profile belong to it. */
-  readonly cacheNamespace?: string;
+  readonly cacheNamespace: string;
+  /** Whether the routing document or the headers of the request tell that it is one for an engine. */
+  readonly isForEngine: boolean;
   /** Monotonic time in milliseconds at which the caller's deadline or the route's timeout ends. */
   readonly deadline: number;
   /** Last event that the caller received before it sent the request again. */
--- a/src/gateway/relay-context.ts
+++ b/src/gateway/relay-context.ts
@@ -26,9 +26,6 @@
   readonly copyAgeMilliseconds: () => number;
   /** `host:port` of the KV cache store, if there is one. */
   readonly storeAddress: () => string | undefined;
-  /** Under which the cached prompt parts of a request are kept at this moment; absent if its server keeps none. */
-  readonly cacheNamespace: (
-    service: string,
-    owner: cacheNamespace.CacheOwner,
-  ) => string | undefined;
+  /** Under which the cached prompt parts of a request are kept at this moment, if its server is an engine. */
+  readonly cacheNamespace: (service: string, owner: cacheNamespace.CacheOwner) => string;
 }
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -225,7 +225,7 @@
     const { cacheSalt } = cache;
     const { lastEventId } = this.deliveryProgress;
     dispatchLog.logDispatch(call, context, { effect, server, cacheSalt, lastEventId });
-    if (cache.cacheSalt !== undefined && cache.weightsVersion === undefined) {
+    if (call.isForEngine && server.weightsVersion === undefined) {
       this.meter.weightsUnknown();
     }
     this.cacheUse.announce(server);
@@ -260,7 +260,6 @@
           serverId: effect.serverId,
           team: call.team,
           remainingMilliseconds: Math.max(1, remaining),
-          priority: call.profile.priority,
           resumeAfter: this.deliveryProgress.lastEventId,
           reservation,
           ...cache,
--- a/test/gateway/relay-builder.ts
+++ b/test/gateway/relay-builder.ts
@@ -76,7 +76,7 @@
       bufferBudget: new bufferBudget.BufferBudget(),
       forwarder: { isActive: false },
       server: (id: string) => this.servers.find((server) => server.id === id),
-      cacheNamespace: () => undefined,
+      cacheNamespace: () => 'desk',
     } as unknown as relayContext.RelayContext;
   }
 }
--- a/test/platform/cache-namespace.test.ts
+++ b/test/platform/cache-namespace.test.ts
@@ -1,6 +1,8 @@
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
 import * as control from '../../src/control';
+import * as metrics from '../../src/metrics';
+import * as recordingMetrics from '../support/recording-metrics';
 import * as fakeBackendServer from './fake-backend-server';
 import * as builder from './gateway-builder';
 
@@ -26,6 +28,21 @@
   return { ...document, version, routes, tenants };
 }
 
+/** A document that names no model for the service. */
+function plainDocument(): object {
+  return { ...documentOf(), services: [{ name: 'desk', max_conns: 8 }] };
+}
+
+/** Sends a request whose headers name no prompt. */
+function sendPlain(gateway: builder.GatewayBuilder, id: string, headers: object = {}) {
+  return gateway.send(
+    'POST',
+    '/charge/7',
+    { 'x-figline-request-id': id, ...headers },
+    'a prompt of which the headers say nothing',
+  );
+}
+
 function send(
   gateway: builder.GatewayBuilder,
   id: string,
@@ -164,24 +181,54 @@
 });
 
 // Guards against a prompt that reaches an engine without a namespace, since the document takes its service for a plain one.
-suite(
-  'a prompt has a namespace at a service without a model, and other requests have none',
-  async () => {
+[undefined, '3'].forEach((listedVersion) => {
+  const listed = listedVersion === undefined ? 'no weights' : 'weights';
+  suite(`each request has a namespace at a plain service whose server has ${listed}`, async () => {
     const server = new fakeBackendServer.FakeBackendServer('i-1', [fakeBackendServer.answer('')]);
-    const plain = { ...documentOf(), services: [{ name: 'desk', max_conns: 8 }] };
-    const gateway = new builder.GatewayBuilder([server], plain);
+    const gateway = new builder.GatewayBuilder([server], plainDocument());
+    gateway.weightsVersion = listedVersion;
     await gateway.run(async () => {
       await send(gateway, 'parts');
-      const tokens = { 'x-figline-request-id': 'tokens', 'x-figline-token-counts': '12,3' };
-      await gateway.send('GET', '/balance/7', tokens);
-      await gateway.send('GET', '/balance/7', { 'x-figline-request-id': 'none' });
+      await sendPlain(gateway, 'tokens', { 'x-figline-token-counts': '12,3' });
+      await sendPlain(gateway, 'body');
+      await sendPlain(gateway, 'zero', { 'x-figline-token-counts': '0,0' });
+      await sendPlain(gateway, 'unreadable', {
+        'x-figline-token-counts': 'many',
+        'x-figline-prompt-prefix': 'part',
+      });
+      await sendPlain(gateway, 'market', { authorization: `Token ${MARKET}` });
     });
     const salts = new Map(saltsOf(server));
-    assert.type(salts.get('parts'), 'string');
-    assert.is(salts.get('tokens'), salts.get('parts'));
-    assert.is(salts.get('none'), undefined);
-  },
-);
+    assert.is(salts.size, 6);
+    salts.forEach((salt, id) => assert.type(salt, 'string', id));
+    ['tokens', 'body', 'zero', 'unreadable'].forEach((id) =>
+      assert.is(salts.get(id), salts.get('parts'), id),
+    );
+    assert.is.not(salts.get('market'), salts.get('body'));
+    server.requests.forEach(({ headers }) =>
+      assert.is(headers['x-figline-expect-version'], listedVersion),
+    );
+  });
+});
+
+// Guards against requests of plain services that count as attempts at engines of unknown weights, or have a rank without use.
+suite('a plain service has neither unknown weights nor ranks', async () => {
+  const server = new fakeBackendServer.FakeBackendServer('i-1', [fakeBackendServer.answer('')]);
+  const gateway = new builder.GatewayBuilder([server], plainDocument());
+  const meter = new recordingMetrics.RecordingMetrics();
+  Object.assign(gateway, { weightsVersion: undefined, meter });
+  const unknownWeights = () =>
+    meter.observations.filter(({ name }) => name === metrics.Counter.UnknownWeights).length;
+  await gateway.run(async () => {
+    await sendPlain(gateway, 'plain');
+    assert.is(unknownWeights(), 0);
+    await send(gateway, 'prompt');
+    assert.is(unknownWeights(), 1);
+  });
+  const [plain, prompt] = server.requests.map(({ headers }) => headers);
+  assert.is(plain['x-figline-request-priority'], undefined);
+  assert.type(prompt['x-figline-request-priority'], 'string');
+});
 
 // Guards against callers that share nothing because they send a credential which the document has no use for.
 suite('credentials do not separate callers in a document without teams', async () => {
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -45,6 +45,8 @@
   /** Weights version of all servers according to the list; absent if it names none. */
   weightsVersion: string | undefined = '3';
 
+  meter: metrics.Metrics = new metrics.DisabledMetrics();
+
   private daemon!: gateway.GatewayDaemon;
 
   constructor(
@@ -212,7 +214,7 @@
       },
       headerCodec,
       decode: routingDocument.decodeRouting,
-      meter: new metrics.DisabledMetrics(),
+      meter: this.meter,
       time: this.time,
       random: new clock.SeededRandomSource(1),
     };
