Soak of engines: uses of other teams' parts are judged by the gateway's dispatch

The check judged a run by the time at which the engine began, and allowed 3 s for connections that hold requests. A request keeps the salt of its dispatch, so that one held for longer was a false violation, and a dispatch that was late by less than 3 s was hidden.

Now the run, and the run that made the part, are judged by the last line "request dispatched" of the same request, engine and salt before it, without the 3 s: narrower where the dispatch was allowed, stricter where it was late. Each run is judged; one without its line as before. The time that a document takes to be in force is config_apply_ms of the settings that the gateways run with. The report counts the uses judged by their dispatch.

--- a/test/platform/replaced-control.ts
+++ b/test/platform/replaced-control.ts
@@ -79,6 +79,11 @@
     );
   }
 
+  /** The lines that all processes logged so far, the ended ones included. */
+  logLines(): readonly platformProcess.LogLine[] {
+    return this.started.flatMap(({ process }) => process.log);
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.started.map(({ process }) => process.stop('SIGKILL')));
     await this.environment.stop();
--- a/test/soak/cached-parts.ts
+++ b/test/soak/cached-parts.ts
@@ -1,5 +1,8 @@
 /** Who made a cached prompt part, when, and with which weights. */
 export interface CachedPart {
+  /** Request that made it, and the engine where it ran. */
+  readonly id: string;
+  readonly engine: string;
   readonly team: string;
   readonly weightsVersion: number;
   /** Monotonic time in milliseconds. */
--- a/test/soak/engine-soak.ts
+++ b/test/soak/engine-soak.ts
@@ -1,8 +1,11 @@
+import * as fs from 'node:fs';
 import type * as net from 'node:net';
+import * as settings from '../../platform/settings';
 import * as clock from '../../src/clock';
 import type * as builtCheckout from '../platform/built-checkout';
 import * as replacedControl from '../platform/replaced-control';
 import * as connectionOwner from './connection-owner';
+import * as dispatchHistory from './dispatch-history';
 import * as engineDisturbance from './engine-disturbance';
 import * as engineFleet from './engine-fleet';
 import * as operatorChanges from './operator-changes';
@@ -25,6 +28,7 @@
   readonly faults: readonly string[];
   readonly runs: number;
   readonly cachedRuns: number;
+  readonly foreign: runJudge.RunJudge['foreign'];
   /** Streams that were taken up again, and those of them that became complete. */
   readonly takenUp: { readonly sent: number; readonly complete: number };
 }
@@ -87,6 +91,8 @@
       ...processes.start(),
     ]);
     callers.forEach((caller) => caller.close());
+    const dispatches = new dispatchHistory.DispatchHistory(site.logLines(), performance.timeOrigin);
+    this.judge.finish(dispatches, this.applyMilliseconds);
     return this.report(schedule, callers);
   }
 
@@ -100,7 +106,7 @@
     schedule: soakSchedule.SoakSchedule,
     callers: readonly soakCaller.SoakCaller[],
   ): EngineSoakReport {
-    const { violations, runs, cachedRuns } = this.judge;
+    const { violations, runs, cachedRuns, foreign } = this.judge;
     const answers = new Map<number, number>();
     callers.forEach((caller) =>
       caller.answers.forEach((count, status) =>
@@ -118,6 +124,7 @@
       faults: schedule.faults,
       runs,
       cachedRuns,
+      foreign,
       takenUp: {
         sent: sum(callers.map(({ takenUp }) => takenUp.sent)),
         complete: sum(callers.map(({ takenUp }) => takenUp.complete)),
@@ -125,6 +132,13 @@
     };
   }
 
+  /** `config_apply_ms` of the settings with which the gateways run. */
+  private get applyMilliseconds(): number {
+    const [{ node }] = this.site.gateways;
+    const decoded = settings.decodeSettings(fs.readFileSync(node.settingsFile, 'utf8'));
+    return decoded.unwrap().bounds.config_apply_ms;
+  }
+
   private ownerOf({ remotePort, localPort }: net.Socket): string | undefined {
     const processes = this.site.gateways.map(({ node, process }): [number, string] => [
       process.id,
--- a/test/soak/run.ts
+++ b/test/soak/run.ts
@@ -16,9 +16,9 @@
 
 async function playEngines(soak: soakRun.SoakRun, seed: number, seconds: number): Promise<boolean> {
   const report = await soak.playEngines(seed, seconds);
-  const { violations, answers, faults, traces, runs, cachedRuns, takenUp } = report;
+  const { violations, answers, faults, traces, runs, cachedRuns, foreign, takenUp } = report;
   print(
-    `seed ${seed}, engines: ${violations.length} broken, ${faults.length} faults, ${runs} runs, ${cachedRuns} with cached parts, ${takenUp.complete} of ${takenUp.sent} streams taken up; ${textOf(answers)}`,
+    `seed ${seed}, engines: ${violations.length} broken, ${faults.length} faults, ${runs} runs, ${cachedRuns} with cached parts, ${foreign.dispatchKnown} of ${foreign.used} uses of other teams' parts judged by their dispatch, ${takenUp.complete} of ${takenUp.sent} streams taken up; ${textOf(answers)}`,
     violations,
     [...traces, ...faults],
   );
--- a/test/soak/soak-engine.ts
+++ b/test/soak/soak-engine.ts
@@ -188,7 +188,8 @@
     } else {
       const source = this.observer.partsAt(text(headers, 'x-figline-kv-fetch'));
       const prompt = text(headers, 'x-figline-prompt-prefix').split(',');
-      const made = { team: request.team, weightsVersion, madeAt: request.at };
+      const { id, team, engine, at } = request;
+      const made = { id, team, engine, weightsVersion, madeAt: at };
       const used = this.parts.use(request.salt ?? '', prompt, made, source);
       this.observer.began({ ...request, used });
       this.run(request, Number(text(headers, 'last-event-id')), response);
--- a/test/soak/team-history.ts
+++ b/test/soak/team-history.ts
@@ -19,10 +19,14 @@
     };
   }
 
-  /** Whether a team was isolated at a moment by all documents that a gateway may have used then. */
-  isIsolated(team: string, at: number): boolean {
+  /**
+   * Whether a team was isolated at a moment by all documents that a gateway may have used then.
+   *
+   * @param inForceMilliseconds how long after its acknowledgement a document must be in use
+   */
+  isIsolated(team: string, at: number, inForceMilliseconds: number): boolean {
     const inForce = this.documents.findLastIndex(
-      ({ acknowledgedAt = Infinity }) => acknowledgedAt + IN_FORCE_MILLISECONDS <= at,
+      ({ acknowledgedAt = Infinity }) => acknowledgedAt + inForceMilliseconds <= at,
     );
     const possible = this.documents
       .slice(Math.max(0, inForce))
@@ -30,6 +34,3 @@
     return inForce >= 0 && possible.every(({ teams }) => teams.has(team));
   }
 }
-
-/** The time in which a document has to apply, and the longest time for which the connections hold a request. */
-const IN_FORCE_MILLISECONDS = 2_500 + 3_000;
