--- a/src/gateway/stream-origins.ts
+++ b/src/gateway/stream-origins.ts
@@ -89,7 +89,7 @@
     this.own.delete(key);
     this.own.set(key, { service, softwareVersion, begunAt, isRecorded: false });
     if (this.possibleVersions(service).length > 1) {
-      this.recorder.add(key, softwareVersion, COLLECTION_MILLISECONDS);
+      this.recorder.add(key, softwareVersion, RECORD_SPACING_MILLISECONDS);
     } else {
       this.report.add(key, softwareVersion);
     }
@@ -265,8 +265,8 @@
 /** Far above the streams of one daemon in that time. */
 const MAXIMUM_OWN_STREAMS = 20_000;
 
-/** Several streams begin within this time, and few are lost with a daemon before they are recorded. */
-const COLLECTION_MILLISECONDS = 25;
+/** Bounds the entries of the log while streams begin fast; few are lost with a daemon before they are recorded. */
+const RECORD_SPACING_MILLISECONDS = 50;
 
 const LOOKUP_COLLECTION_MILLISECONDS = 5;
 
