Answers that say that their server leaves end new requests there at once

What callers saw: nothing yet, but a server that leaves was sent requests until the platform's list or a report said so, although each of its answers had said it (Server-Leaving: 1): 10 or more of 30 requests of one gateway to two servers in the new test (2, if it refuses them).

Cause: the header was not read.

Fix: the header codec reads it into AnswerMetadata.isLeaving. A relayed answer of any kind reports it with the run that the request expected; the answers of management calls (report, health check, order, reservation) with the run that was known when the call was sent. The membership core marks that run as leaving (LeavingMark, source Answer), by the same path as a refusal that says so: first choices, retries, hedges, moved and resumed streams and waiting requests see the list of eligible servers without it, and requests in flight go on. The answer of an earlier run, or of the server that had the id at another address, marks nothing. No read of the list ends the mark, and an entry that is missing from a list keeps it for 30 s. Where the list names no run, the server is probed again every 5 s; one that is not answered counts for nothing. If all servers leave, requests fail at once with 503 and Retry-After. Callers cannot set the header; in answers it passes as Server-Limit does.

Read in the code on the way: a probe or a peer's report that concerns another run replaced the mark of the present run; it does not now.

A gateway reports an answer once, to the control daemons that it is linked to, so that the leader orders the server nothing.

Property tests over orders of answers, lists, restarts and clocks: test/membership/leaving.test.ts.

--- a/src/backend/index.ts
+++ b/src/backend/index.ts
@@ -2,6 +2,7 @@
 export * from './machine';
 export * from './load-report';
 export * from './probe-report';
+export * from './server-run';
 export * from './engine-stream';
 export * from './model-engine';
 export * from './plain-service';
--- a/src/backend/relay-exchange.ts
+++ b/src/backend/relay-exchange.ts
@@ -15,6 +15,8 @@
   readonly isGenuine: boolean;
   readonly load?: relayServer.RelayLoad;
   readonly limits: relayServer.ServerLimits;
+  /** Present if the server says that it leaves. */
+  readonly isLeaving?: true;
   /** When a refused request may be sent again, if the answer says so to the caller. */
   readonly retryAfterMilliseconds?: number;
 }
@@ -85,6 +87,9 @@
 
   protected override receiveHead(head: httpRequest.HttpHead): void {
     this.receiver.onLimits(this.metadata?.limits ?? {});
+    if (this.metadata?.isLeaving === true) {
+      this.receiver.onLeaving();
+    }
     if (this.metadata?.refusal !== undefined) {
       return;
     }
--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -26,6 +26,8 @@
 export interface RelayReceiver {
   /** Called for each answer, refusals too. */
   onLimits(limits: ServerLimits): void;
+  /** Called for each answer which says that the server leaves, refusals too. */
+  onLeaving(): void;
   onHead(head: httpRequest.HttpHead, load: RelayLoad | undefined): void;
   onData(chunk: Buffer): void;
   onEnd(): void;
--- a/src/gateway/answer-receiver.ts
+++ b/src/gateway/answer-receiver.ts
@@ -34,6 +34,7 @@
   readonly bufferBudget: bufferBudget.BufferBudget;
   readonly onLoad: (load: backend.RelayLoad) => void;
   readonly onLimits: (limits: backend.ServerLimits) => void;
+  readonly onLeaving: () => void;
 }
 
 /**
@@ -80,6 +81,10 @@
     this.ports.onLimits(limits);
   }
 
+  onLeaving(): void {
+    this.ports.onLeaving();
+  }
+
   onHead(head: backend.HttpHead, load: backend.RelayLoad | undefined): void {
     this.head = head;
     this.ports.onArrival();
--- a/src/gateway/answer-reports.ts
+++ b/src/gateway/answer-reports.ts
@@ -1,6 +1,7 @@
 import * as backend from '../backend';
 import * as decision from '../decision';
 import * as logging from '../logging';
+import type * as membership from '../membership';
 import type * as relayContext from './relay-context';
 
 type ReportContext = Pick<relayContext.RelayContext, 'task' | 'requestLimits'>;
@@ -25,6 +26,15 @@
   }
 }
 
+/** Reports an answer which says that its server leaves; it concerns the run that the request expected. */
+export function reportLeaving(
+  { observer }: Pick<relayContext.RelayContext, 'observer'>,
+  machine: backend.MachineRecord,
+  { incarnation }: membership.EligibleServer,
+): void {
+  observer.answeredAsLeaving({ machine, incarnation });
+}
+
 /** Ignores the load of engines, which the daemons exchange themselves, including the memory that requests use. */
 export function reportLoad(
   { task }: ReportContext,
--- a/src/gateway/connectivity-observer.ts
+++ b/src/gateway/connectivity-observer.ts
@@ -1,3 +1,4 @@
+import type * as backend from '../backend';
 import * as routing from '../routing';
 import * as verdict from '../verdict';
 import type * as cutDetector from './cut-detector';
@@ -15,6 +16,10 @@
     this.membership.incarnationObserved(serverId, incarnation);
   }
 
+  override answeredAsLeaving(answer: backend.LeavingAnswer): void {
+    this.membership.answeredAsLeaving(answer);
+  }
+
   override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
     this.membership.attemptFailed(serverId, failure);
     if (CONNECTION_REASONS.has(failure.reason)) {
--- a/src/gateway/forward-execution.ts
+++ b/src/gateway/forward-execution.ts
@@ -151,6 +151,7 @@
           onArrival: () => {},
           onLoad: () => {},
           onLimits: () => {},
+          onLeaving: () => {},
         },
         resolve,
       );
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -244,6 +244,7 @@
           onLoad: (load) => answerReports.reportLoad(context, lease.machine, load),
           onLimits: (limits) =>
             answerReports.reportLimits(context, call.profile.service, effect.serverId, limits),
+          onLeaving: () => answerReports.reportLeaving(context, lease.machine, server),
         },
         (failure) => {
           this.receivers.delete(receiver);
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -4,6 +4,7 @@
 export enum MembershipEventKind {
   ListRead = 'list-read',
   RefusedAsLeaving = 'refused-as-leaving',
+  AnsweredAsLeaving = 'answered-as-leaving',
   Refused = 'refused',
   ConnectionFailed = 'connection-failed',
   AnswerMalformed = 'answer-faulty',
@@ -34,6 +35,16 @@
   readonly kind: MembershipEventKind.RefusedAsLeaving;
 }
 
+/** An answer of any kind said that its server leaves. */
+export interface AnsweredAsLeaving extends ServerEvent {
+  readonly kind: MembershipEventKind.AnsweredAsLeaving;
+  /** Address to which the call was sent. */
+  readonly host: string;
+  readonly port: number;
+  /** Run of the server's process that was known when the call was sent; absent if none was. */
+  readonly incarnation?: string;
+}
+
 /** A server refused a request for another reason; it may be loading weights. */
 export interface Refused extends ServerEvent {
   readonly kind: MembershipEventKind.Refused;
@@ -94,6 +105,7 @@
 export type MembershipEvent =
   | ListRead
   | RefusedAsLeaving
+  | AnsweredAsLeaving
   | Refused
   | ConnectionFailed
   | AnswerMalformed
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -32,6 +32,8 @@
 export enum LeavingSource {
   /** A refusal, a probe or the platform's list, as observed by this daemon. */
   Own = 'own',
+  /** An answer to this daemon; the other daemons hear it from their own answers, so that it is reported once. */
+  Answer = 'answer',
   Peer = 'peer',
 }
 
@@ -47,6 +49,15 @@
   readonly reportedAt: number;
 }
 
+/** The mark of a server that is no longer listed. */
+export interface RemovedMark {
+  readonly mark: LeavingMark;
+  readonly address: Pick<backend.MachineRecord, 'host' | 'port'>;
+  readonly incarnation?: string;
+  readonly previousIncarnation?: string;
+  readonly removedAt: number;
+}
+
 /** The state of one backend server. Times are monotonic milliseconds. */
 export interface ServerState {
   readonly machine: backend.MachineRecord;
@@ -76,10 +87,16 @@
   /** Whether servers that are not suspected are probed at intervals. */
   readonly probesPeriodically: boolean;
   readonly servers: immutable.Map<string, ServerState>;
+  /** Marks of servers that are no longer listed, by id: an entry that was missing from one list has not started again. */
+  readonly removed: immutable.Map<string, RemovedMark>;
 }
 
 /** The view before the platform's list was read. */
-export const EMPTY_VIEW: MembershipView = { probesPeriodically: true, servers: immutable.Map() };
+export const EMPTY_VIEW: MembershipView = {
+  probesPeriodically: true,
+  servers: immutable.Map(),
+  removed: immutable.Map(),
+};
 
 /**
  * The servers that may get new requests, in the order of their ids.
--- a/src/membership/probe-outcome.ts
+++ b/src/membership/probe-outcome.ts
@@ -1,5 +1,6 @@
 import type * as effect from './effect';
 import type * as event from './event';
+import * as leavingMarks from './leaving';
 import * as membershipView from './membership-view';
 import * as serverChange from './server-change';
 
@@ -25,11 +26,25 @@
   const alive = serverChange.then(observed, (next) =>
     serverChange.unchanged(endSuspicion(next, probe)),
   );
-  return probe.leaving
-    ? serverChange.then(alive, (next) =>
-        serverChange.markLeaving(next, probe.at, probe.incarnation ?? next.incarnation),
-      )
+  const marked = probe.leaving
+    ? serverChange.then(alive, (next) => markLeaving(next, probe, intervalMilliseconds))
     : serverChange.then(alive, (next) => serverChange.unchanged(removeOutdatedMark(next, probe)));
+  return serverChange.then(marked, (next) =>
+    serverChange.unchanged(leavingMarks.scheduleProbe(next, probe.at)),
+  );
+}
+
+/** Where neither probes at intervals nor the list show the next run, the mark is one that is probed again. */
+function markLeaving(
+  server: membershipView.ServerState,
+  probe: event.ProbeSucceeded,
+  intervalMilliseconds: number,
+): serverChange.ServerChange {
+  const { Answer, Own } = membershipView.LeavingSource;
+  const incarnation = probe.incarnation ?? server.incarnation;
+  const isRunListed = server.machine.incarnation !== undefined;
+  const source = Number.isFinite(intervalMilliseconds) || isRunListed ? Own : Answer;
+  return serverChange.markLeaving(server, probe.at, incarnation, source);
 }
 
 /**
@@ -47,6 +62,10 @@
     const ended = endProbe(server, probe, intervalMilliseconds);
     return serverChange.unchanged({ ...ended, nextProbeAt });
   }
+  if (isOnlyProbedAgain(server, intervalMilliseconds)) {
+    const ended = endProbe(server, probe, intervalMilliseconds);
+    return serverChange.unchanged(leavingMarks.scheduleProbe(ended, probe.at));
+  }
   const { Dead, Suspected } = membershipView.ServerCondition;
   const failedProbes = server.failedProbes + 1;
   const isDead = failedProbes >= FAILED_PROBES_OF_A_DEAD_SERVER;
@@ -74,6 +93,15 @@
   };
 }
 
+/** A server that gets no requests and that nothing suspects: its running requests find out themselves whether it is dead. */
+function isOnlyProbedAgain(
+  server: membershipView.ServerState,
+  intervalMilliseconds: number,
+): boolean {
+  const isAlive = server.condition === membershipView.ServerCondition.Alive;
+  return isAlive && !Number.isFinite(intervalMilliseconds) && leavingMarks.isProbedAgain(server);
+}
+
 function died(
   server: membershipView.ServerState,
   { answeredMalformed }: event.ProbeFailed,
@@ -130,10 +158,15 @@
   probe: event.ProbeSucceeded,
 ): membershipView.ServerState {
   const mark = server.leaving;
-  if (mark === undefined || probe.incarnation === undefined) {
+  if (mark === undefined || probe.startedAt <= mark.markedAt) {
     return server;
   }
-  const isOtherProcess = probe.incarnation !== mark.incarnation && probe.startedAt > mark.markedAt;
+  // A server that leaves says so in all its answers, so that one which does not is of a later run.
+  const { Own } = membershipView.LeavingSource;
+  const isOtherProcess =
+    probe.incarnation === undefined
+      ? mark.source !== Own && mark.incarnation === undefined
+      : probe.incarnation !== mark.incarnation;
   return isOtherProcess ? { ...server, leaving: undefined } : server;
 }
 
--- a/src/membership/server-change.ts
+++ b/src/membership/server-change.ts
@@ -53,13 +53,19 @@
   server: membershipView.ServerState,
   at: number,
   incarnation: string | undefined,
+  source = membershipView.LeavingSource.Own,
 ): ServerChange {
   const mark = server.leaving;
-  const { Own } = membershipView.LeavingSource;
-  if (mark !== undefined && mark.source === Own && mark.incarnation === incarnation) {
+  const { Answer, Own } = membershipView.LeavingSource;
+  // A late answer of an earlier run must not replace the mark of the present one.
+  if (incarnation !== undefined && incarnation === server.previousIncarnation) {
     return unchanged(server);
   }
-  const leaving = { incarnation, source: Own, markedAt: at, reportedAt: at };
+  const isEnough = mark?.source === Own || source === Answer;
+  if (mark !== undefined && isEnough && mark.incarnation === incarnation) {
+    return unchanged(server);
+  }
+  const leaving = { incarnation, source, markedAt: at, reportedAt: at };
   return { server: { ...server, leaving }, effects: [leavingReport(server, incarnation)] };
 }
 
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -2,6 +2,7 @@
 import * as transaction from '../transaction';
 import type * as effect from './effect';
 import * as event from './event';
+import * as leavingMarks from './leaving';
 import * as membershipView from './membership-view';
 import * as probeOutcome from './probe-outcome';
 import * as report from './report';
@@ -29,22 +30,34 @@
       return changeOne(view, membershipEvent.report.serverId, (server) =>
         applyPeerReport(server, membershipEvent.report, membershipEvent.at),
       );
+    case MembershipEventKind.AnsweredAsLeaving:
+      return view.servers.has(membershipEvent.serverId)
+        ? observe(view, membershipEvent)
+        : transaction.create(view, leavingMarks.markUnlisted(view, membershipEvent), []);
     default:
-      return changeOne(view, membershipEvent.serverId, (server) =>
-        applyObservation(server, membershipEvent, probeInterval(view)),
-      );
+      return observe(view, membershipEvent);
   }
 }
 
+type Observation = Exclude<event.MembershipEvent, event.ListRead | event.Tick | event.PeerReported>;
+
+function observe(view: membershipView.MembershipView, observed: Observation): Step {
+  return changeOne(view, observed.serverId, (server) =>
+    applyObservation(server, observed, probeInterval(view)),
+  );
+}
+
 function applyObservation(
   server: membershipView.ServerState,
-  observed: Exclude<event.MembershipEvent, event.ListRead | event.Tick | event.PeerReported>,
+  observed: Observation,
   intervalMilliseconds: number,
 ): serverChange.ServerChange {
   const { MembershipEventKind } = event;
   switch (observed.kind) {
     case MembershipEventKind.RefusedAsLeaving:
       return serverChange.markLeaving(server, observed.at, server.incarnation);
+    case MembershipEventKind.AnsweredAsLeaving:
+      return leavingMarks.markAnswered(server, observed);
     case MembershipEventKind.Refused:
       return probeRefusing(server, observed.at, Number.isFinite(intervalMilliseconds));
     case MembershipEventKind.ConnectionFailed:
@@ -66,11 +79,13 @@
  */
 function readList(view: membershipView.MembershipView, list: event.ListRead): Step {
   const effects: effect.MembershipEffect[] = [];
+  const unlisted: membershipView.ServerState[] = [];
   const listed = new Set(list.machines.map(({ id }) => id));
   const servers = view.servers.withMutations((mutable) => {
-    view.servers.forEach((_, id) => {
+    view.servers.forEach((server, id) => {
       if (!listed.has(id)) {
         mutable.delete(id);
+        unlisted.push(server);
       }
     });
     list.machines.forEach((machine, index) => {
@@ -81,7 +96,9 @@
       }
     });
   });
-  return transaction.create(view, servers === view.servers ? view : { ...view, servers }, effects);
+  const removed = leavingMarks.removedMarks(view.removed, unlisted, listed, list.at);
+  const isSame = servers === view.servers && removed === view.removed;
+  return transaction.create(view, isSame ? view : { ...view, servers, removed }, effects);
 }
 
 function applyRecord(
@@ -95,8 +112,12 @@
     ? list.at + index * PROBE_SPACING_MILLISECONDS
     : Number.POSITIVE_INFINITY;
   const server =
-    existing === undefined || hasMoved(existing.machine, machine)
-      ? serverChange.newServer(machine, firstProbeAt)
+    existing === undefined || leavingMarks.hasMoved(existing.machine, machine)
+      ? leavingMarks.withRemovedMark(
+          serverChange.newServer(machine, firstProbeAt),
+          view.removed.get(machine.id),
+          list.at,
+        )
       : updateMachine(existing, machine);
   return serverChange.then(reportIfListedAsLeaving(server, list), (next) =>
     machine.incarnation === undefined
@@ -155,10 +176,6 @@
     : serverChange.unchanged(server);
 }
 
-function hasMoved(previous: backend.MachineRecord, machine: backend.MachineRecord): boolean {
-  return previous.host !== machine.host || previous.port !== machine.port;
-}
-
 /**
  * Suspects a server after a failed connection, which alone does not mean that it is dead: a probe decides.
  */
@@ -242,7 +259,9 @@
   if (received.kind === report.ReportKind.Suspected) {
     return serverChange.probeNow(server, at);
   }
-  if (server.leaving !== undefined && server.leaving.incarnation === received.incarnation) {
+  const isKnown =
+    server.leaving !== undefined && server.leaving.incarnation === received.incarnation;
+  if (isKnown || leavingMarks.isMarkedByAnswer(server)) {
     return serverChange.unchanged(server);
   }
   const leaving = {
@@ -251,7 +270,7 @@
     markedAt: at,
     reportedAt: at,
   };
-  return serverChange.unchanged({ ...server, leaving });
+  return serverChange.unchanged(leavingMarks.scheduleProbe({ ...server, leaving }, at));
 }
 
 /** Starts the probes that are due and repeats this daemon's leaving reports, since broadcasts get lost. */
--- a/src/routing/backend-pool.ts
+++ b/src/routing/backend-pool.ts
@@ -13,6 +13,13 @@
 /** Client of a backend server of any kind. */
 export type BackendClient = backend.ModelEngine | backend.PlainService | backend.RelayServer;
 
+/** The runs of the processes of all servers. */
+export interface ServerRuns {
+  /** The run of a server's process that is known now; absent if none is. */
+  incarnationOf(serverId: string): string | undefined;
+  answeredAsLeaving(answer: backend.LeavingAnswer): void;
+}
+
 interface PoolEntry {
   /** The latest record of the server on the platform's list. */
   machine: backend.MachineRecord;
@@ -28,8 +35,16 @@
 export class BackendPool {
   private entries = new Map<string, PoolEntry>();
 
+  /** Where the clients learn of and report the runs of their servers. */
+  private runs: ServerRuns = UNKNOWN_RUNS;
+
   constructor(private readonly factory: backendFactory.BackendFactory) {}
 
+  /** Sets where the clients learn of and report the runs of their servers. */
+  useRuns(runs: ServerRuns): void {
+    this.runs = runs;
+  }
+
   /** Opens clients for new servers; closes those of removed servers as soon as they are unused. */
   update(machines: readonly backend.MachineRecord[]): void {
     const next = new Map<string, PoolEntry>();
@@ -96,11 +111,16 @@
   }
 
   private open(machine: backend.MachineRecord): PoolEntry {
-    const client = this.factory.open(machine);
+    const client = this.factory.open(machine, {
+      incarnation: () => this.runs.incarnationOf(machine.id),
+      answeredAsLeaving: (incarnation) => this.runs.answeredAsLeaving({ machine, incarnation }),
+    });
     return { machine, client, uses: 0, isRetired: false };
   }
 }
 
+const UNKNOWN_RUNS: ServerRuns = { incarnationOf: () => undefined, answeredAsLeaving: () => {} };
+
 function renewed(entry: PoolEntry, machine: backend.MachineRecord): PoolEntry {
   return Object.assign(entry, { machine });
 }
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -61,6 +61,7 @@
   ) {
     super();
     this.view = { ...membership.EMPTY_VIEW, probesPeriodically: probesRoutinely };
+    ports.pool.useRuns(this);
   }
 
   /**
@@ -131,6 +132,17 @@
     this.apply({ kind, at: this.now(), serverId, incarnation });
   }
 
+  /** The last observed run of a server's process, also of one that must not get requests. */
+  incarnationOf(serverId: string): string | undefined {
+    return this.view.servers.get(serverId)?.incarnation;
+  }
+
+  override answeredAsLeaving({ machine, incarnation }: backend.LeavingAnswer): void {
+    const kind = membership.MembershipEventKind.AnsweredAsLeaving;
+    const { id: serverId, host, port } = machine;
+    this.apply({ kind, at: this.now(), serverId, host, port, incarnation });
+  }
+
   override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
     const at = this.now();
     if (failure.reason === verdict.FailureReason.BackendLeaving) {
--- a/test/gateway/answer-receiver.test.ts
+++ b/test/gateway/answer-receiver.test.ts
@@ -72,6 +72,7 @@
       },
       onLoad: () => {},
       onLimits: () => {},
+      onLeaving: () => {},
       bufferBudget: budget,
     };
     this.receiver = new answerReceiver.AnswerReceiver(this.ports, (failure) => {
--- a/test/platform/fake-backend-server.ts
+++ b/test/platform/fake-backend-server.ts
@@ -19,6 +19,9 @@
 
   isDown = false;
 
+  /** Whether every answer, to management calls too, says that the server leaves. */
+  isLeaving = false;
+
   /** Weights version that the server reports; absent while it has loaded no model. */
   reportedVersion: number | undefined = 3;
 
@@ -91,6 +94,9 @@
       chunks.push(chunk);
     }
     const { method = '', url = '', headers } = request;
+    if (this.isLeaving) {
+      response.setHeader('server-leaving', '1');
+    }
     if (url === '/-/report') {
       this.report(response);
       return;
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -47,6 +47,9 @@
 
   meter: metrics.Metrics = new metrics.DisabledMetrics();
 
+  /** Run of each server's process according to the list; absent if it names none. */
+  runOf: (server: TestServer) => string | undefined = firstRunOf;
+
   private daemon!: gateway.GatewayDaemon;
 
   constructor(
@@ -195,6 +198,7 @@
       ...machineOf(server),
       ...(this.weightsVersion === undefined ? {} : { weightsVersion: this.weightsVersion }),
       port: this.portOf(server),
+      incarnation: this.runOf(server),
       ...(server.id === this.loadingServer ? { loading: true as const } : {}),
     }));
   }
@@ -203,14 +207,15 @@
     const headerCodec = new platformHeaderCodec.PlatformHeaderCodec();
     const issuer = {
       holder: 'test',
-      modelOf: () => 'desk-model',
+      modelOf: (service: string) => (service === PLAIN_SERVICE ? undefined : 'desk-model'),
       healthPathOf: () => '/health',
     };
     return {
       plane: this.plane,
       list: { read: async () => new results.Ok(this.machines()) },
       backends: {
-        open: (machine) => new serverClient.PlatformServer(machine, issuer, headerCodec, this.time),
+        open: (machine, run) =>
+          new serverClient.PlatformServer(machine, issuer, headerCodec, this.time, undefined, run),
       },
       headerCodec,
       decode: routingDocument.decodeRouting,
@@ -221,6 +226,9 @@
   }
 }
 
+/** A service of servers that run no model. */
+export const PLAIN_SERVICE = 'ledger';
+
 export const WEIGHTS_GRACE_MILLISECONDS = 6_000;
 
 /** Age of a desired version from which requests must not begin on older weights. */
@@ -272,20 +280,26 @@
   };
 }
 
-function machineOf(server: TestServer): Omit<backend.MachineRecord, 'port'> {
+function machineOf(server: TestServer): Omit<backend.MachineRecord, 'port' | 'incarnation'> {
   return {
     id: server.id,
     host: '127.0.0.1',
     zone: 'pl-caudan',
     region: 'port-louis',
     service: server.service ?? 'desk',
-    kind: backend.BackendKind.ModelEngine,
+    kind:
+      server.service === PLAIN_SERVICE
+        ? backend.BackendKind.PlainService
+        : backend.BackendKind.ModelEngine,
     phase: backend.MachinePhase.Live,
-    incarnation: `${server.id}@1`,
     softwareVersion: server.softwareVersion,
   };
 }
 
+function firstRunOf({ id }: TestServer): string {
+  return `${id}@1`;
+}
+
 async function readAnswer(response: http.IncomingMessage): Promise<Answer> {
   const chunks: Buffer[] = [];
   let isComplete = true;
--- a/test/platform/unusable-address.test.ts
+++ b/test/platform/unusable-address.test.ts
@@ -49,6 +49,7 @@
       },
       {
         onLimits: () => {},
+        onLeaving: () => {},
         onHead: () => {},
         onData: () => {},
         onEnd: () => {},
--- a/test/support/observation-recorder.ts
+++ b/test/support/observation-recorder.ts
@@ -7,6 +7,8 @@
 
   override incarnationObserved(): void {}
 
+  override answeredAsLeaving(): void {}
+
   override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
     this.failures.push({ serverId, reason: failure.reason });
   }
