Pauses: a server that refuses with Retry-After gets nothing until the end

What was seen: a server that turned a request away with 503 and Retry-After went on getting requests of the gateway that it had told. Callers got their answers from other servers, at the cost of a retry each. While all servers asked for a pause, callers waited for refusals one after the other.

Cause: the time was read for answers of other gateways only. For servers, the answer was a refusal without a time.

Fix: the end of the pause is kept by server and run of its process, outside the server's record, where no read of the list changes it. Selection leaves such servers out before anything else, and all choices go through it: first ones, retries, hedges, offers, queued and resumed requests, and those of other daemons. A request waits for the end of a pause only if no server takes it now and the first pause ends before its deadline; else it fails at once as not run, with a Retry-After up to the first end. The queue pass is due when a pause ends. The membership core delays probes of a server that pauses, unless it may be dead, and no longer takes such a refusal for a sign of loading.

--- a/src/backend/relay-server.ts
+++ b/src/backend/relay-server.ts
@@ -34,7 +34,7 @@
   onFailure(failure: verdict.RequestFailure, load: RelayLoad | undefined): void;
 }
 
-/** Limits that a server in need names in an answer. */
+/** What a server in need asks for in an answer. */
 export interface ServerLimits {
   /** Requests a second that the server takes from all daemons together; absent if it names no limit. */
   readonly requestsPerSecond?: number;
@@ -43,6 +43,8 @@
    * together; absent if it names no limit.
    */
   readonly refusalsPerSecond?: number;
+  /** Time for which a server that turns the request away wants none of this daemon; absent if it asks for no pause. */
+  readonly pauseMilliseconds?: number;
 }
 
 /** Load that a server reports in each answer. */
--- a/src/decision/deadline-check.ts
+++ b/src/decision/deadline-check.ts
@@ -2,7 +2,9 @@
 import * as placement from '../placement';
 import * as verdict from '../verdict';
 import * as arrivalCheck from './arrival-check';
+import * as retryAfter from './retry-after';
 import type * as serverSelection from './server-selection';
+import * as serviceAvailability from './service-availability';
 import * as serviceTiming from './service-timing';
 import type * as state from './state';
 import type * as steps from './step';
@@ -17,8 +19,9 @@
     request: state.RequestState,
     target: serverSelection.Target | undefined,
   ): verdict.RequestFailure | undefined {
-    const wait = expectedWait(step, request, target);
-    const available = request.profile.firstTokenDeadline - step.at;
+    const pause = target === undefined ? serviceAvailability.pauseMilliseconds(step, request) : 0;
+    const wait = pause > 0 ? pausedQueueWait(step, request) : expectedWait(step, request, target);
+    const available = request.profile.firstTokenDeadline - step.at - pause;
     const timing = serviceTiming.of(step, request.profile.service);
     const needed = wait * timing.waitSafetyFactor + timing.firstPieceMilliseconds;
     if (available > 0 && (wait === 0 || needed <= available)) {
@@ -38,17 +41,7 @@
     verdict.FailureReason.DeadlineUnreachable,
     verdict.Verdict.NotRun,
     'The first token cannot be produced before the deadline.',
-    { retryAfterMilliseconds: retryAfter(milliseconds) },
-  );
-}
-
-/** Milliseconds after which a resend may succeed, within the limits below. */
-function retryAfter(milliseconds: number): number {
-  return Math.round(
-    Math.min(
-      MAXIMUM_RETRY_AFTER_MILLISECONDS,
-      Math.max(MINIMUM_RETRY_AFTER_MILLISECONDS, milliseconds),
-    ),
+    { retryAfterMilliseconds: retryAfter.retryAfterMilliseconds(milliseconds) },
   );
 }
 
@@ -64,10 +57,21 @@
   return Math.max(queueWait(step, request), targetWait(step, request, target.server));
 }
 
-/** The wait for a slot at any server, behind the other queued requests of this daemon. */
-function queueWait(step: steps.Step, request: state.RequestState): number {
+/** The wait behind the other queued requests of this daemon once the first server takes requests again. */
+function pausedQueueWait(step: steps.Step, request: state.RequestState): number {
+  const slots = step.state.services.get(request.profile.service)?.slotsPerRunner ?? 1;
+  return queueWait(step, request, slots);
+}
+
+/**
+ * The wait for a slot at any server, behind the other queued requests of this daemon.
+ *
+ * @param leastSlots slots that this daemon will have even if it has no requests at the servers now
+ */
+function queueWait(step: steps.Step, request: state.RequestState, leastSlots = 0): number {
   const { service, team } = request.profile;
-  const own = step.pool(service).reduce((sum, server) => sum + server.load.own.requests, 0);
+  const running = step.pool(service).reduce((sum, server) => sum + server.load.own.requests, 0);
+  const own = Math.max(running, leastSlots);
   const share = step.state.shares.get(team, 1);
   const { costRatio } = serviceTiming.of(step, service);
   return admission.expectedWait(step.queue(service), request.lane, team, share, own) * costRatio;
@@ -87,6 +91,3 @@
   const backlog = admission.backlogFor(step.queue(service), server.record.id);
   return (backlog * costRatio) / (slots * ownFraction);
 }
-
-const MINIMUM_RETRY_AFTER_MILLISECONDS = 100;
-const MAXIMUM_RETRY_AFTER_MILLISECONDS = 30_000;
--- a/src/decision/dispatching.ts
+++ b/src/decision/dispatching.ts
@@ -9,6 +9,7 @@
 import * as ending from './ending';
 import * as requestLimits from './request-limits';
 import * as retries from './retries';
+import * as serverPauses from './server-pauses';
 import * as serviceTiming from './service-timing';
 import * as slots from './slots';
 import type * as state from './state';
@@ -40,6 +41,7 @@
   return (
     queuePass === undefined ||
     step.at - queuePass.at >= PASS_MILLISECONDS ||
+    serverPauses.hasEndedSince(step, queuePass.at) ||
     passInputs(step).some((input, index) => input !== queuePass.inputs[index])
   );
 }
@@ -47,8 +49,8 @@
 function passInputs({ state }: steps.Step): readonly unknown[] {
   const { servers, pendingLoads, queues, services, quarantine, crashEvidence, slowdowns } = state;
   const { suspicions } = crashEvidence;
-  const { requestLimits: limits, refusalLimits } = state;
-  const restrictions = [quarantine, suspicions, slowdowns, limits, refusalLimits];
+  const { requestLimits: limits, refusalLimits, serverPauses: pauses } = state;
+  const restrictions = [quarantine, suspicions, slowdowns, limits, refusalLimits, pauses];
   return [servers, pendingLoads, queues, services, ...restrictions];
 }
 
--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -59,6 +59,7 @@
   RequestCancelled = 'request-cancelled',
   ServerLimitChanged = 'server-limit-changed',
   RefusalLimitChanged = 'refusal-limit-changed',
+  ServerPaused = 'server-paused',
   LoadReported = 'load-reported',
   LoadsReported = 'loads-reported',
   CacheEvicted = 'cache-evicted',
@@ -187,6 +188,15 @@
   readonly refusalsPerSecond?: number;
 }
 
+/** A server has turned a request away and wants none of this daemon for a time. */
+export interface ServerPaused extends EventBase {
+  readonly kind: DecisionEventKind.ServerPaused;
+  readonly serverId: string;
+  /** The run of the server's process to which the request was sent; absent if it was unknown. */
+  readonly incarnation?: string;
+  readonly pauseMilliseconds: number;
+}
+
 /** The load of all servers at one moment, from one message. */
 export interface LoadsReported extends EventBase {
   readonly kind: DecisionEventKind.LoadsReported;
@@ -282,6 +292,7 @@
   | RequestCancelled
   | ServerLimitChanged
   | RefusalLimitChanged
+  | ServerPaused
   | LoadReported
   | LoadsReported
   | CacheEvicted
--- a/src/decision/periodic-tasks.ts
+++ b/src/decision/periodic-tasks.ts
@@ -7,6 +7,7 @@
 import * as hedging from './hedging';
 import * as relocation from './relocation';
 import * as retries from './retries';
+import * as serverPauses from './server-pauses';
 import * as serviceTiming from './service-timing';
 import * as silentStreams from './silent-streams';
 import * as stragglers from './stragglers';
@@ -31,6 +32,7 @@
   }
   if (step.at - step.state.prunedAt >= PRUNE_INTERVAL_MILLISECONDS) {
     step.applyPendingLoads();
+    serverPauses.prune(step);
     step.change({
       prunedAt: step.at,
       servers: step.state.servers.map((server) => {
--- a/src/decision/server-selection.ts
+++ b/src/decision/server-selection.ts
@@ -9,6 +9,7 @@
 import * as cachedPrefixLookup from './cached-prefix-lookup';
 import * as refusalLimits from './refusal-limits';
 import * as requestLimits from './request-limits';
+import * as serverPauses from './server-pauses';
 import * as standardFilters from './standard-filters';
 import * as suspectPartition from './suspect-partition';
 import * as softwareVersions from './software-version';
@@ -41,7 +42,7 @@
     standardFilters.PERMISSION_FILTERS,
     step,
     request,
-    preferUnsuspected(servers),
+    usableServers(step, servers),
   );
   const ready = filterServers(standardFilters.READINESS_FILTERS, step, request, permitted);
   if (ready.length === 0) {
@@ -78,7 +79,7 @@
     standardFilters.PERMISSION_FILTERS,
     step,
     request,
-    preferUnsuspected(softwareVersions.compatibleServers(step, request)),
+    usableServers(step, softwareVersions.compatibleServers(step, request)),
   );
   if (permitted.length === 0) {
     return undefined;
@@ -183,6 +184,14 @@
     : NO_SERVERS;
 }
 
+/** One that may be dead is used while all others pause, so that the pauses come first. */
+function usableServers(
+  step: steps.Step,
+  servers: readonly state.ServerState[],
+): readonly state.ServerState[] {
+  return preferUnsuspected(serverPauses.withoutPaused(step, servers));
+}
+
 /** Servers that may be dead are used only when no other is left. */
 function preferUnsuspected(servers: readonly state.ServerState[]): readonly state.ServerState[] {
   const unsuspected = servers.filter((server) => server.eligible && !server.record.suspected);
--- a/src/decision/server-updates.ts
+++ b/src/decision/server-updates.ts
@@ -4,6 +4,7 @@
 import * as membership from '../membership';
 import * as placement from '../placement';
 import type * as event from './event';
+import * as serverPauses from './server-pauses';
 import * as serviceAvailability from './service-availability';
 import type * as state from './state';
 import type * as steps from './step';
@@ -188,7 +189,9 @@
       : addDeadIncarnation(server.deadIncarnations, server.incarnation);
   step.setServer({ ...server, incarnation, deadIncarnations });
   step.change({ index: placement.forgetServer(step.state.index, serverId, incarnation) });
-  if (server.incarnation !== undefined) {
+  if (server.incarnation === undefined) {
+    serverPauses.bindPause(step, serverId, incarnation);
+  } else {
     step.change({ timings: health.forgetTimings(step.state.timings, serverId) });
   }
 }
--- a/src/decision/service-availability.ts
+++ b/src/decision/service-availability.ts
@@ -1,6 +1,8 @@
 import * as verdict from '../verdict';
 import * as ending from './ending';
+import * as retryAfter from './retry-after';
 import * as runLimit from './run-limit';
+import * as serverPauses from './server-pauses';
 import * as softwareVersions from './software-version';
 import type * as state from './state';
 import type * as steps from './step';
@@ -13,25 +15,55 @@
   unavailable.forEach((request) => ending.fail(step, request, unavailableFailure(step, request)));
 }
 
-/** Whether the request's service is configured and has a server that may get the request. */
+/** Whether the request's service is configured and has a server that may get the request before its deadline. */
 export function isAvailable(step: steps.Step, request: state.RequestState): boolean {
   return (
     step.state.services.has(request.profile.service) &&
-    softwareVersions
-      .compatibleServers(step, request)
-      .some(({ eligible, record }) => eligible && runLimit.mayRunAt(request, record.id))
+    softwareVersions.compatibleServers(step, request).some((server) => mayGet(request, server)) &&
+    (step.state.serverPauses.isEmpty() ||
+      pauseMilliseconds(step, request) <= serverPauses.affordableMilliseconds(step, request))
   );
 }
 
+/** Milliseconds until the first server takes the request; 0 unless all that may get it pause. */
+export function pauseMilliseconds(step: steps.Step, request: state.RequestState): number {
+  if (step.state.serverPauses.isEmpty()) {
+    return 0;
+  }
+  const servers = softwareVersions.compatibleServers(step, request);
+  return serverPauses.waitMilliseconds(
+    step,
+    servers.filter((server) => mayGet(request, server)),
+  );
+}
+
+function mayGet(request: state.RequestState, { eligible, record }: state.ServerState): boolean {
+  return eligible && runLimit.mayRunAt(request, record.id);
+}
+
 /** The failure of a request that no server may get. */
 export function unavailableFailure(
   step: steps.Step,
   request: state.RequestState,
 ): verdict.RequestFailure {
+  const pause = pauseMilliseconds(step, request);
+  if (pause > 0) {
+    return pauseFailure(pause);
+  }
   const isServiceUp = step.pool(request.profile.service).some((server) => server.eligible);
   return request.softwareVersion !== undefined && isServiceUp ? VERSION_GONE : SERVICE_DOWN;
 }
 
+/** The failure of a request for which all servers pause longer than its caller can wait. */
+function pauseFailure(milliseconds: number): verdict.RequestFailure {
+  return verdict.failure(
+    verdict.FailureReason.Overloaded,
+    verdict.Verdict.NotRun,
+    'All backend servers of this service have asked for a pause.',
+    { retryAfterMilliseconds: retryAfter.retryAfterMilliseconds(milliseconds) },
+  );
+}
+
 /** A version that has left does not come back, so that callers gain nothing by coming back soon. */
 const VERSION_GONE = verdict.failure(
   verdict.FailureReason.NoBackendServer,
--- a/src/decision/state.ts
+++ b/src/decision/state.ts
@@ -8,6 +8,7 @@
 import type * as event from './event';
 import type * as options from './options';
 import * as refusalLimits from './refusal-limits';
+import * as serverPauses from './server-pauses';
 import * as suspectPartition from './suspect-partition';
 
 /** One dispatch of a request that has not ended yet. */
@@ -154,6 +155,7 @@
   readonly quarantine: health.Quarantine;
   readonly requestLimits: RequestLimits;
   readonly refusalLimits: refusalLimits.RefusalLimits;
+  readonly serverPauses: serverPauses.ServerPauses;
   /** Which parts of prompts crash servers. */
   readonly crashEvidence: health.CrashEvidence;
   /** Number of daemons that share the slack of the retry limits, once it is known. */
@@ -197,6 +199,7 @@
     quarantine: health.EMPTY_QUARANTINE,
     requestLimits: immutable.Map<string, admission.RateShare>(),
     refusalLimits: refusalLimits.NO_REFUSAL_LIMITS,
+    serverPauses: serverPauses.NO_SERVER_PAUSES,
     crashEvidence: health.EMPTY_CRASH_EVIDENCE,
     daemons: decisionOptions.retryLimits === undefined ? 1 : decisionOptions.daemons,
     retryBudgets: immutable.Map<string, admission.RetryBudget>(),
--- a/src/decision/update.ts
+++ b/src/decision/update.ts
@@ -11,6 +11,8 @@
 import * as progress from './progress';
 import * as refusalLimits from './refusal-limits';
 import * as requestLimits from './request-limits';
+import * as serverPauses from './server-pauses';
+import * as serviceAvailability from './service-availability';
 import type * as state from './state';
 import * as stopping from './stopping';
 import * as steps from './step';
@@ -61,6 +63,9 @@
       return requestLimits.applyLimit(step, decisionEvent);
     case event.DecisionEventKind.RefusalLimitChanged:
       return refusalLimits.applyRefusalLimit(step, decisionEvent);
+    case event.DecisionEventKind.ServerPaused:
+      serverPauses.applyPause(step, decisionEvent);
+      return serviceAvailability.failUnavailable(step);
     case event.DecisionEventKind.LoadReported:
       return serverUpdates.applyLoadReport(step, decisionEvent);
     case event.DecisionEventKind.LoadsReported:
--- a/src/gateway/connectivity-observer.ts
+++ b/src/gateway/connectivity-observer.ts
@@ -20,6 +20,10 @@
     this.membership.answeredAsLeaving(answer);
   }
 
+  override paused(serverId: string, pauseMilliseconds: number, incarnation?: string): void {
+    this.membership.paused(serverId, pauseMilliseconds, incarnation);
+  }
+
   override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
     this.membership.attemptFailed(serverId, failure);
     if (CONNECTION_REASONS.has(failure.reason)) {
--- a/src/gateway/relay-execution.ts
+++ b/src/gateway/relay-execution.ts
@@ -13,6 +13,7 @@
 import * as dispatchLog from './dispatch-log';
 import * as forwardExecution from './forward-execution';
 import * as handOver from './hand-over';
+import * as pauseReports from './pause-reports';
 import type * as relayCall from './relay-call';
 import type * as relayContext from './relay-context';
 import type * as relayReply from './relay-reply';
@@ -242,9 +243,11 @@
             context.stallDetector.dataReceived(effect.serverId);
           },
           onLoad: (load) => answerReports.reportLoad(context, lease.machine, load),
-          onLimits: (limits) =>
-            answerReports.reportLimits(context, call.profile.service, effect.serverId, limits),
           onLeaving: () => answerReports.reportLeaving(context, lease.machine, server),
+          onLimits: (limits) => {
+            answerReports.reportLimits(context, call.profile.service, effect.serverId, limits);
+            pauseReports.reportPause(context, server, limits);
+          },
         },
         (failure) => {
           this.receivers.delete(receiver);
--- a/src/membership/event.ts
+++ b/src/membership/event.ts
@@ -6,6 +6,7 @@
   RefusedAsLeaving = 'refused-as-leaving',
   AnsweredAsLeaving = 'answered-as-leaving',
   Refused = 'refused',
+  Paused = 'paused',
   ConnectionFailed = 'connection-failed',
   AnswerMalformed = 'answer-faulty',
   IncarnationObserved = 'incarnation-seen',
@@ -50,6 +51,14 @@
   readonly kind: MembershipEventKind.Refused;
 }
 
+/** A server wants nothing of this daemon for a time. */
+export interface Paused extends ServerEvent {
+  readonly kind: MembershipEventKind.Paused;
+  readonly pauseMilliseconds: number;
+  /** The run of the server's process that said so; absent if it is unknown. */
+  readonly incarnation?: string;
+}
+
 /** A connection attempt failed, a connection broke, or nothing arrived on it for too long. */
 export interface ConnectionFailed extends ServerEvent {
   readonly kind: MembershipEventKind.ConnectionFailed;
@@ -107,6 +116,7 @@
   | RefusedAsLeaving
   | AnsweredAsLeaving
   | Refused
+  | Paused
   | ConnectionFailed
   | AnswerMalformed
   | IncarnationObserved
--- a/src/membership/membership-view.ts
+++ b/src/membership/membership-view.ts
@@ -71,6 +71,8 @@
   readonly isLoadingPresumed?: true;
   /** Last refusal that led to a probe. */
   readonly refusedAt?: number;
+  /** Until when the server, in its present incarnation, wants nothing of this daemon. */
+  readonly pausedUntil?: number;
   readonly leaving?: LeavingMark;
   /** Malformed answers in quick succession. */
   readonly malformedAnswers?: number;
--- a/src/membership/server-change.ts
+++ b/src/membership/server-change.ts
@@ -88,7 +88,8 @@
     return unchanged(server);
   }
   const wasDead = server.condition === membershipView.ServerCondition.Dead;
-  const next = { ...server, incarnation, previousIncarnation: current };
+  const pausedUntil = current === undefined ? server.pausedUntil : undefined;
+  const next = { ...server, incarnation, previousIncarnation: current, pausedUntil };
   const lostRequests = current !== undefined && !wasDead;
   return { server: next, effects: lostRequests ? [crashed(server)] : [] };
 }
--- a/src/membership/update.ts
+++ b/src/membership/update.ts
@@ -7,6 +7,7 @@
 import * as probeOutcome from './probe-outcome';
 import * as report from './report';
 import * as serverChange from './server-change';
+import * as serverPause from './server-pause';
 
 type Step = transaction.Transaction<membershipView.MembershipView, effect.MembershipEffect>;
 
@@ -60,6 +61,8 @@
       return leavingMarks.markAnswered(server, observed);
     case MembershipEventKind.Refused:
       return probeRefusing(server, observed.at, Number.isFinite(intervalMilliseconds));
+    case MembershipEventKind.Paused:
+      return serverPause.pause(server, observed);
     case MembershipEventKind.ConnectionFailed:
       return suspect(server, observed.at);
     case MembershipEventKind.AnswerMalformed:
@@ -226,13 +229,16 @@
 /**
  * Probes a server that refuses a request, to find out why. An overloaded server refuses often, so the rate of
  * these probes is limited. Without probes at intervals, the list contains the state of the weights and will
- * probably soon show that the engine loads some; until then the engine is not used.
+ * probably soon show that the engine loads some; until then the engine is not used. A server that asks for a pause has said why.
  */
 function probeRefusing(
   server: membershipView.ServerState,
   at: number,
   probesPeriodically: boolean,
 ): serverChange.ServerChange {
+  if (serverPause.isPaused(server, at)) {
+    return serverChange.unchanged(server);
+  }
   const { refusedAt = Number.NEGATIVE_INFINITY } = server;
   if (!probesPeriodically) {
     const isEngine = server.machine.kind === backend.BackendKind.ModelEngine;
@@ -302,9 +308,10 @@
 }
 
 /** The next probe or the next report that a server is leaving, whichever comes first. */
-function dueAt({ probeStartedAt, nextProbeAt, leaving }: membershipView.ServerState): number {
+function dueAt(server: membershipView.ServerState): number {
+  const { probeStartedAt, leaving } = server;
   return Math.min(
-    probeStartedAt === undefined ? nextProbeAt : Number.POSITIVE_INFINITY,
+    probeStartedAt === undefined ? serverPause.probeDueAt(server) : Number.POSITIVE_INFINITY,
     leaving?.source === membershipView.LeavingSource.Own
       ? leaving.reportedAt + REPORT_INTERVAL_MILLISECONDS
       : Number.POSITIVE_INFINITY,
@@ -313,7 +320,7 @@
 
 function probeIfDue(server: membershipView.ServerState, at: number): serverChange.ServerChange {
   const isRunning = server.probeStartedAt !== undefined;
-  const isDue = server.nextProbeAt <= at;
+  const isDue = serverPause.probeDueAt(server) <= at;
   return isDue && !isRunning ? serverChange.probeNow(server, at) : serverChange.unchanged(server);
 }
 
--- a/src/routing/membership-task.ts
+++ b/src/routing/membership-task.ts
@@ -143,6 +143,11 @@
     this.apply({ kind, at: this.now(), serverId, host, port, incarnation });
   }
 
+  override paused(serverId: string, pauseMilliseconds: number, incarnation?: string): void {
+    const kind = membership.MembershipEventKind.Paused;
+    this.apply({ kind, at: this.now(), serverId, pauseMilliseconds, incarnation });
+  }
+
   override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
     const at = this.now();
     if (failure.reason === verdict.FailureReason.BackendLeaving) {
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -295,6 +295,54 @@
   },
 );
 
+function paused(
+  view: builder.ViewBuilder,
+  at: number,
+  pauseMilliseconds: number,
+  incarnation?: string,
+): builder.ViewBuilder {
+  const kind = membership.MembershipEventKind.Paused;
+  return view.apply({ kind, at, serverId: 'desk-1', pauseMilliseconds, incarnation });
+}
+
+// Guards against probes of an engine that wants nothing, and against one that seems to load weights instead.
+suite('an engine that refuses with a pause is not probed, nor taken for one that loads', () => {
+  const view = new builder.ViewBuilder();
+  view.view = { ...membership.EMPTY_VIEW, probesPeriodically: false };
+  view.list(0, builder.machine('desk-1'));
+  paused(view, 100, 4_000);
+  view.apply({ kind: membership.MembershipEventKind.Refused, at: 100, serverId: 'desk-1' });
+  view.tick(4_099);
+  assert.equal(view.takeEffects(), []);
+  assert.is(membership.eligibleServer(view.view, 'desk-1')?.loading, undefined);
+  view.apply({ kind: membership.MembershipEventKind.Refused, at: 4_200, serverId: 'desk-1' });
+  view.tick(4_600);
+  assert.ok(isProbed(view, 'desk-1'));
+});
+
+suite('a probe that is due waits for the end of a pause, unless the server may be dead', () => {
+  const view = alive();
+  view.takeEffects();
+  paused(view, 100, 5_000).tick(5_099);
+  assert.not(isProbed(view, 'desk-1'));
+  view.tick(5_100);
+  assert.ok(isProbed(view, 'desk-1'));
+  const suspected = alive();
+  paused(suspected, 100, 5_000).takeEffects();
+  suspected.connectionFailed('desk-1', 200);
+  assert.ok(isProbed(suspected, 'desk-1'));
+});
+
+suite('a pause ends with the run of the server, and one of an earlier run is ignored', () => {
+  const view = alive();
+  paused(view, 100, 60_000, 'a');
+  const kind = membership.MembershipEventKind.IncarnationObserved;
+  view.apply({ kind, at: 200, serverId: 'desk-1', incarnation: 'b' });
+  paused(view, 300, 60_000, 'a').takeEffects();
+  view.tick(2_000);
+  assert.ok(isProbed(view, 'desk-1'));
+});
+
 // Guards against requests that any weights may run: an engine without weights reports an empty version, which engines read as
 // "any" in a request.
 suite('a request never requires the empty weights version of engines that report none', () => {
--- a/test/support/observation-recorder.ts
+++ b/test/support/observation-recorder.ts
@@ -9,6 +9,8 @@
 
   override answeredAsLeaving(): void {}
 
+  override paused(): void {}
+
   override attemptFailed(serverId: string, failure: verdict.RequestFailure): void {
     this.failures.push({ serverId, reason: failure.reason });
   }
