Pauses: the check of a request ends at the first server that takes it

While some servers pause, each check whether a request can be served in time looked at all servers of the service. Mostly one of the first shows that there is no wait; the result is the same, as decision/server-pause shows.

--- a/src/decision/server-pauses.ts
+++ b/src/decision/server-pauses.ts
@@ -75,6 +75,11 @@
   return Math.max(0, Math.min(...usable) - step.at);
 }
 
+/** Whether a server takes requests now, by its pauses and its weights. */
+export function isUsable(step: steps.Step, server: state.ServerState): boolean {
+  return server.loadingSince === undefined && endOf(step, server) <= step.at;
+}
+
 /** Milliseconds for which a request may wait before it starts at a server and is still served in time. */
 export function affordableMilliseconds(step: steps.Step, request: state.RequestState): number {
   const { service, answerDeadline = Infinity, firstTokenDeadline } = request.profile;
--- a/src/decision/service-availability.ts
+++ b/src/decision/service-availability.ts
@@ -31,6 +31,10 @@
     return 0;
   }
   const servers = softwareVersions.compatibleServers(step, request);
+  // Mostly one of the first servers shows that there is no wait.
+  if (servers.some((server) => mayGet(request, server) && serverPauses.isUsable(step, server))) {
+    return 0;
+  }
   return serverPauses.waitMilliseconds(
     step,
     servers.filter((server) => mayGet(request, server)),
