Pauses: they decide only for requests whose servers pause, and outlast a list without the entry

- While any server of any service paused, the time left of each request was compared with a wait of 0: with less time left than a first piece takes, requests and begun streams failed although a server was free.
A request that need not wait is now left to the other checks.
- A server that loads weights counted as one that never takes requests.
If the only server does both, its pause is what is known, so that requests wait for that; a begun stream waits for a server that only loads, as without pauses.
- A server whose run the list does not name got a new record without a run after one list without its entry, and the pause that was kept under the run of a load report was not found.
While the run is unknown, the pauses of all runs count.

--- a/src/decision/server-pauses.ts
+++ b/src/decision/server-pauses.ts
@@ -64,7 +64,7 @@
 
 /**
  * Milliseconds until the first of the servers takes requests; 0 if one takes them now. One that loads weights is left out while
- * others pause, since nobody knows when it ends.
+ * another one only pauses, since nobody knows when the loading ends.
  */
 export function waitMilliseconds(step: steps.Step, servers: readonly state.ServerState[]): number {
   const ends = servers.map((server) => endOf(step, server));
@@ -72,12 +72,16 @@
     return 0;
   }
   const usable = ends.filter((_, index) => servers[index].loadingSince === undefined);
-  return Math.max(0, Math.min(...usable) - step.at);
+  return Math.max(0, Math.min(...(usable.length > 0 ? usable : ends)) - step.at);
 }
 
 /** Whether a server takes requests now, by its pauses and its weights. */
 export function isUsable(step: steps.Step, server: state.ServerState): boolean {
-  return server.loadingSince === undefined && endOf(step, server) <= step.at;
+  return server.loadingSince === undefined && !isPaused(step, server);
+}
+
+export function isPaused(step: steps.Step, server: state.ServerState): boolean {
+  return endOf(step, server) > step.at;
 }
 
 /** Milliseconds for which a request may wait before it starts at a server and is still served in time. */
@@ -89,9 +93,20 @@
   return latest - firstPieceMilliseconds - step.at;
 }
 
-/** Monotonic time in milliseconds at which the pause of a server ends; `-Infinity` if it has none. */
+/**
+ * Monotonic time in milliseconds at which the pause of a server ends; `-Infinity` if it has none. While its run is unknown, as
+ * after a list that lacked it, the pauses of all its runs count.
+ */
 function endOf({ state }: steps.Step, { record, incarnation }: state.ServerState): number {
-  return state.serverPauses.get(keyOf(record.id, incarnation), -Infinity);
+  const { serverPauses } = state;
+  if (incarnation !== undefined || serverPauses.isEmpty()) {
+    return serverPauses.get(keyOf(record.id, incarnation), -Infinity);
+  }
+  const prefix = keyOf(record.id);
+  return serverPauses.reduce(
+    (latest, endsAt, key) => (key.startsWith(prefix) ? Math.max(latest, endsAt) : latest),
+    -Infinity,
+  );
 }
 
 function keyOf(serverId: string, incarnation = ''): string {
--- a/src/decision/service-availability.ts
+++ b/src/decision/service-availability.ts
@@ -20,11 +20,16 @@
   return (
     step.state.services.has(request.profile.service) &&
     softwareVersions.compatibleServers(step, request).some((server) => mayGet(request, server)) &&
-    (step.state.serverPauses.isEmpty() ||
-      pauseMilliseconds(step, request) <= serverPauses.affordableMilliseconds(step, request))
+    mayWaitForPause(step, request)
   );
 }
 
+/** Whether the pauses leave a server that takes the request before its deadline. Without one to wait for, other checks decide. */
+function mayWaitForPause(step: steps.Step, request: state.RequestState): boolean {
+  const pause = pauseMilliseconds(step, request);
+  return pause === 0 || pause <= serverPauses.affordableMilliseconds(step, request);
+}
+
 /** Milliseconds until the first server takes the request; 0 unless all that may get it pause. */
 export function pauseMilliseconds(step: steps.Step, request: state.RequestState): number {
   if (step.state.serverPauses.isEmpty()) {
@@ -32,7 +37,7 @@
   }
   const servers = softwareVersions.compatibleServers(step, request);
   // Mostly one of the first servers shows that there is no wait.
-  if (servers.some((server) => mayGet(request, server) && serverPauses.isUsable(step, server))) {
+  if (servers.some((server) => mayGet(request, server) && isAwaited(step, request, server))) {
     return 0;
   }
   return serverPauses.waitMilliseconds(
@@ -41,6 +46,15 @@
   );
 }
 
+/** A stream that has begun waits for a server that loads weights too, since its caller has no other way to go on. */
+function isAwaited(
+  step: steps.Step,
+  { nextPiece }: state.RequestState,
+  server: state.ServerState,
+): boolean {
+  return nextPiece > 0 ? !serverPauses.isPaused(step, server) : serverPauses.isUsable(step, server);
+}
+
 function mayGet(request: state.RequestState, { eligible, record }: state.ServerState): boolean {
   return eligible && runLimit.mayRunAt(request, record.id);
 }
--- a/test/decision/server-pause.test.ts
+++ b/test/decision/server-pause.test.ts
@@ -227,6 +227,67 @@
   assert.is(driver.takeEffects(DecisionEffectKind.Fail).length, 1);
 });
 
+// Guards against a pause somewhere that ends streams and requests with little time left, for which a server is free.
+suite('a pause of a server that a request does not need decides nothing for it', () => {
+  const driver = builder.createDriver(2).arrive('a', { answerDeadline: 5_000 });
+  const [first] = driver.takeEffects(DecisionEffectKind.Dispatch);
+  driver.wait(1_000).receivePiece(first, 1).wait(3_990);
+  pause(driver, 'elsewhere', 60_000).loseConnection(first, verdict.Verdict.MayHaveRun);
+  assert.is(driver.takeEffects(DecisionEffectKind.Dispatch).length, 1);
+  assert.equal(driver.takeEffects(DecisionEffectKind.Fail), []);
+});
+
+// Guards against requests that are refused for half a minute because the only server pauses a second while it loads weights.
+suite('a request waits for the only server that pauses and loads weights', () => {
+  const [server] = builder.listServers(1);
+  const driver = list(builder.createDriver(1), [{ ...server, loading: true as const }]);
+  pause(driver, 'runner-0', 1_000).arrive('a').wait(1_000);
+  assert.equal(driver.takeEffects(DecisionEffectKind.Fail), []);
+  list(driver, [server]).wait(100);
+  assert.is(driver.takeEffects(DecisionEffectKind.Dispatch).length, 1);
+});
+
+// Guards against streams that are cut although a server will go on with them once it has loaded its weights.
+suite('a started stream waits for a server that loads weights while the others pause', () => {
+  const driver = builder.createDriver(2).arrive('a', { answerDeadline: 30_000 });
+  const [running] = driver.takeEffects(DecisionEffectKind.Dispatch);
+  driver.receivePiece(running, 1);
+  const servers = builder.listServers(2);
+  const loading = servers.map((server) =>
+    server.id === running.serverId ? server : { ...server, loading: true as const },
+  );
+  list(driver, loading);
+  pause(driver, running.serverId, 60_000).loseConnection(running, verdict.Verdict.MayHaveRun);
+  assert.equal(driver.takeEffects(DecisionEffectKind.Fail), []);
+  list(driver, servers).wait(100);
+  const [next] = driver.takeEffects(DecisionEffectKind.Dispatch);
+  assert.is.not(next.serverId, running.serverId);
+});
+
+// Guards against a pause that is forgotten with the run that a load report has told, if the list does not name runs.
+suite(
+  'a list without the entry does not end the pause of a server whose run it does not name',
+  () => {
+    const driver = builder.createDriver(2);
+    const [first, second] = builder.listServers(2);
+    const servers = [{ ...first, incarnation: undefined }, second];
+    list(list(driver, [second]), servers).apply({
+      kind: DecisionEventKind.LoadReported,
+      at: driver.at,
+      serverId: 'runner-0',
+      incarnation: 'runner-0',
+      weightsVersion: '',
+      ageMilliseconds: 0,
+      runningRequests: 0,
+      queuedRequests: 0,
+      queuedPrefillTokens: 0,
+    });
+    pause(driver, 'runner-0', 4_000, null);
+    list(list(driver, [second]), servers);
+    assert.equal(usedServers(driver, 16), ['runner-1']);
+  },
+);
+
 // Guards against late first tokens that are sent a second time to a server which wants nothing.
 suite('a hedge does not go to a server that pauses', () => {
   const driver = builder.createDriver(2);
