Servers that leave: one that comes back under its id is probed and used again

Found by the review; no caller has seen it. The mark of a server that was listed as leaving, was missing from the list and came back at the same address was restored as one that no probe ends, so that without a run in the list the server was never used again; a mark was restored at any age; and a pause held back the only probe that can show the next run.

--- a/src/membership/leaving.ts
+++ b/src/membership/leaving.ts
@@ -70,16 +70,24 @@
     );
 }
 
-/** A server that is listed again with the mark that it had, unless it is known to be another one. */
+/**
+ * A server that is listed again with the mark that it had, unless it is known to be another one. It may have started again under
+ * its id while the list lacked it, so that the mark is one that a probe can end.
+ */
 export function withRemovedMark(
   server: membershipView.ServerState,
   removed: membershipView.RemovedMark | undefined,
   at: number,
 ): membershipView.ServerState {
-  if (removed === undefined || hasMoved(server.machine, removed.address)) {
+  if (
+    removed === undefined ||
+    hasMoved(server.machine, removed.address) ||
+    at - removed.removedAt > REMOVED_MILLISECONDS
+  ) {
     return server;
   }
-  const { mark, incarnation, previousIncarnation } = removed;
+  const { incarnation, previousIncarnation } = removed;
+  const mark = { ...removed.mark, source: membershipView.LeavingSource.Answer };
   const { incarnation: listedRun = incarnation } = server.machine;
   // An entry with the run before comes from a list that is older.
   return listedRun === incarnation || listedRun === previousIncarnation
--- a/src/membership/server-pause.ts
+++ b/src/membership/server-pause.ts
@@ -1,4 +1,5 @@
 import type * as event from './event';
+import * as leavingMarks from './leaving';
 import * as membershipView from './membership-view';
 import * as serverChange from './server-change';
 
@@ -17,13 +18,13 @@
   return at < pausedUntil;
 }
 
-/** Monotonic time in milliseconds of the next probe. Only a server that may be dead is probed while it pauses. */
-export function probeDueAt({
-  condition,
-  nextProbeAt,
-  pausedUntil = 0,
-}: membershipView.ServerState): number {
-  return condition === membershipView.ServerCondition.Alive
-    ? Math.max(nextProbeAt, pausedUntil)
-    : nextProbeAt;
+/**
+ * Monotonic time in milliseconds of the next probe. While a server pauses it is probed only if it may be dead, or if nothing but
+ * a probe can show that it has started again.
+ */
+export function probeDueAt(server: membershipView.ServerState): number {
+  const { condition, nextProbeAt, pausedUntil = 0 } = server;
+  const isHeldBack =
+    condition === membershipView.ServerCondition.Alive && !leavingMarks.isProbedAgain(server);
+  return isHeldBack ? Math.max(nextProbeAt, pausedUntil) : nextProbeAt;
 }
--- a/test/membership/leaving.test.ts
+++ b/test/membership/leaving.test.ts
@@ -1,6 +1,7 @@
 import * as fastCheck from 'fast-check';
 import * as uvu from 'uvu';
 import * as assert from 'uvu/assert';
+import * as backend from '../../src/backend';
 import * as membership from '../../src/membership';
 import * as builder from './builder';
 
@@ -287,4 +288,43 @@
   assert.equal(built.takeEffects(), [MembershipEffectKind.Probe]);
 });
 
+/** The answer to a probe which names no run and says nothing of leaving. */
+function probed(at: number): membership.ProbeSucceeded {
+  const kind = MembershipEventKind.ProbeSucceeded;
+  return { kind, at, serverId: ID, startedAt: at, leaving: false, jitter: 0.5 };
+}
+
+// Guards against a server that is never used again after it has left and come back, if the list does not name its run.
+suite('a server that left the list as leaving and comes back is probed, and then used', () => {
+  const built = view()
+    .list(0, builder.machine(ID))
+    .list(10, builder.machine(ID, { phase: backend.MachinePhase.Leaving }))
+    .list(20)
+    .list(30, builder.machine(ID));
+  built.takeEffects();
+  built.tick(5_030);
+  assert.equal(built.takeEffects(), [MembershipEffectKind.Probe]);
+  assert.equal(built.apply(probed(5_040)).eligibleIds(), [ID]);
+});
+
+suite('an entry that was missing for long comes back without its mark', () => {
+  const built = view().list(0, builder.machine(ID)).apply(answered(10)).list(20);
+  assert.equal(built.list(40_000, builder.machine(ID)).eligibleIds(), [ID]);
+});
+
+// Guards against a server that stays out for its whole pause though it has started again.
+suite('a pause does not hold back the probe that alone can show the next run', () => {
+  const built = view().list(0, builder.machine(ID)).apply(answered(10));
+  built.apply({
+    kind: MembershipEventKind.Paused,
+    at: 20,
+    serverId: ID,
+    pauseMilliseconds: 60_000,
+  });
+  built.takeEffects();
+  built.tick(5_010);
+  assert.equal(built.takeEffects(), [MembershipEffectKind.Probe]);
+  assert.equal(built.apply(probed(5_020)).eligibleIds(), [ID]);
+});
+
 suite.run();
