Cached parts: teams share only while the copy of the documents is known to be recent

What callers could see: a gateway that is out of touch with the control daemons let teams share cached prompt parts for four times config_apply_ms, though a document that isolates one of them has to be in force after that time once (WALL).

Cause: the factor of four was chosen so that elections and short cuts cost no reading of common parts. The rule has no such margin, and the age of a copy is an upper bound, so that the factor only adds to it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -56,10 +56,9 @@
     private readonly random: clock.RandomSource,
     private readonly limits: GatewayLimits,
   ) {
-    const ageLimit = SHARING_AGE_LIMITS * limits.copyAgeLimitMilliseconds;
     this.namespaces = new namespaceAssignment.NamespaceAssignment(
       random,
-      () => context.copyAgeMilliseconds() >= ageLimit,
+      () => context.copyAgeMilliseconds() >= limits.copyAgeLimitMilliseconds,
     );
   }
 
@@ -309,7 +308,10 @@
 /** Limits of one gateway. */
 export interface GatewayLimits {
   readonly maximumRequests: number;
-  /** Age from which the copy of the routing document does not tell that a route or a credential is unknown. */
+  /**
+   * Age from which the copy of the routing document tells neither that a route or a credential is unknown, nor that a team still
+   * shares its cached prompt parts.
+   */
   readonly copyAgeLimitMilliseconds: number;
 }
 
@@ -385,9 +387,6 @@
     .digest('base64');
 }
 
-/** Elections and short cuts are over by then; to keep the teams apart means to read their common parts again. */
-const SHARING_AGE_LIMITS = 4;
-
 /** Prompts have two to four parts on all known platforms. */
 const MAXIMUM_SHARED_PARTS = 16;
 
--- a/test/platform/isolated-team.test.ts
+++ b/test/platform/isolated-team.test.ts
@@ -123,6 +123,26 @@
   });
 });
 
+// Guards against parts that teams share later than a document which isolates one of them has to be in force.
+suite(
+  'teams are kept apart as soon as a document may be in force that this gateway lacks',
+  async () => {
+    const holding = new HoldingServer();
+    const gateway = new builder.GatewayBuilder([holding.server], documentOf(1, false));
+    await gateway.run(async () => {
+      gateway.plane.copyAge = APPLY_MILLISECONDS - 1;
+      await sendFirst(gateway, holding);
+      gateway.plane.copyAge = APPLY_MILLISECONDS;
+      await send(gateway, 'depot', builder.CREDENTIAL);
+      const salts = ['market', 'depot'].map((id) => holding.saltOf(id));
+      assert.equal(salts, ['3.desk-model', '3.desk-model.depot']);
+    });
+  },
+);
+
 suite.run();
 
+/** In which a document has to be in force, by the settings of the test's gateway. */
+const APPLY_MILLISECONDS = 2_500;
+
 const OUT_OF_TOUCH_MILLISECONDS = 10_000;
