Backend: a status outside of 200 to 599 that is no interim one is a malformed answer

Cause: an exchange took every status below 200 for an interim answer and every other one for the answer. Statuses from 600 on reached the callers with the server's body, and with a statement that the request was not run they let a request that may run once be sent again. A health check with such a status counted as passed, and an order as not run. Statuses below 100 were rejected only by an assertion of undici, and counted as a lost connection, which is a sign of a crash.

Change: answerKind tells for every reader of answers what a status stands for: 102 to 199 interim, 200 to 599 final, all others malformed, with the verdict "may have run". 100 and 101 are rejected by undici as before.

--- a/src/backend/exchange.ts
+++ b/src/backend/exchange.ts
@@ -2,6 +2,7 @@
 import * as clock from '../clock';
 import * as logging from '../logging';
 import * as verdict from '../verdict';
+import * as answerStatus from './answer-status';
 import type * as connection from './connection';
 import type * as connectionPool from './connection-pool';
 import * as headerName from './header-name';
@@ -68,7 +69,12 @@
     status: number,
     rawHeaders: Record<string, string | string[] | undefined>,
   ): void {
-    if (this.hasEnded || status < FIRST_FINAL_STATUS) {
+    const kind = answerStatus.answerKind(status);
+    if (this.hasEnded || kind === answerStatus.AnswerKind.Interim) {
+      return;
+    }
+    if (kind === answerStatus.AnswerKind.Malformed) {
+      this.abandonMalformed(INVALID_STATUS);
       return;
     }
     const headers = flatten(rawHeaders);
@@ -285,11 +291,11 @@
 
 const logger = new logging.Logger('backend');
 
-const FIRST_FINAL_STATUS = 200;
 const FIRST_ERROR_STATUS = 400;
 const UNREACHABLE = 'The backend server is not reachable.';
 const ABORTED = 'The request was cancelled.';
 const MISMATCH = 'The backend server answered another request.';
+const INVALID_STATUS = 'The backend server sent an answer with an invalid status.';
 const EXCESS = 'The backend server sent bytes that are no answer.';
 const UNFRAMED = 'The backend server sent an answer without a length.';
 
