Placement: drop old samples of own load without a copy of the rest

Cause: each dispatch and each end of an attempt skipped the old samples of its server's load with `skipWhile`, which builds a new list of all samples that stay.

Change: the old samples are counted, and the list is sliced. A property test holds the size of the history and the load at late reports; it holds before and after.

--- a/src/placement/server-load.ts
+++ b/src/placement/server-load.ts
@@ -60,14 +60,11 @@
     prefillTokens: Math.max(0, load.own.prefillTokens + delta.prefillTokens),
     memoryTokens: Math.max(0, (load.own.memoryTokens ?? 0) + (delta.memoryTokens ?? 0)),
   };
-  const recent = load.samples.skipWhile(
-    (sample, position) => sample.at < at - HISTORY_MILLISECONDS && position < load.samples.size - 1,
-  );
   return {
     ...load,
     own,
     ownLongRequests: load.ownLongRequests + (long ? delta.requests : 0),
-    samples: recent.push({ ...own, at }),
+    samples: recentSamples(load.samples, at).push({ ...own, at }),
   };
 }
 
@@ -120,6 +117,15 @@
   return samples.first() ?? NO_LOAD;
 }
 
+/** The samples that are recent enough, and the last one in any case. They are counted first, as the list would be copied to skip them one by one. */
+function recentSamples(samples: immutable.List<Sample>, at: number): immutable.List<Sample> {
+  let skipped = 0;
+  while (skipped < samples.size - 1 && samples.get(skipped)!.at < at - HISTORY_MILLISECONDS) {
+    skipped += 1;
+  }
+  return samples.slice(skipped);
+}
+
 /** Reports are up to 2 s late, so that older samples are not needed. */
 const HISTORY_MILLISECONDS = 4_000;
 /** Reports come several times a second and are up to 2 s late. */
--- a/test/placement/placement.test.ts
+++ b/test/placement/placement.test.ts
@@ -107,6 +107,31 @@
   assert.is(placement.totalLoad(ended).requests, 2);
 });
 
+// Guards against a history of own load that grows without end, or that lacks the load at the time of a late report.
+suite('the history of own load covers late reports and no more', () => {
+  const changes = fastCheck.array(fastCheck.integer({ min: 0, max: 1_500 }), { minLength: 1 });
+  fastCheck.assert(
+    fastCheck.property(changes, (pauses) => {
+      let at = 0;
+      let load = placement.IDLE_LOAD;
+      const times = pauses.map((pause) => {
+        at += pause;
+        load = placement.changeOwnLoad(load, { requests: 1, prefillTokens: 0 }, false, at);
+        return at;
+      });
+      const firstKept = times.findIndex((time) => time >= at - 4_000);
+      // The last sample before the others holds at the beginning of their time, if it is there when they come.
+      assert.ok(load.samples.size <= times.length - firstKept + 1);
+      for (let age = 0; age <= 2_000; age += 100) {
+        const measuredAt = at - age;
+        const own = Math.max(1, times.filter((time) => time <= measuredAt).length);
+        const measurement = { requests: own + 7, prefillTokens: 0, measuredAt };
+        assert.is(placement.applyMeasurement(load, measurement).others.requests, 7);
+      }
+    }),
+  );
+});
+
 suite('a load report without a successor expires, else its slots stay occupied for ever', () => {
   const measurement = { requests: 8, prefillTokens: 0, measuredAt: 0 };
   const load = placement.applyMeasurement(placement.IDLE_LOAD, measurement);
