Gateways: the more urgent request of a team leaves the queue first

Cause: the ranks of a routing document, of which 0 is the most urgent, were used as priorities of the queue, which serves the highest first. Requests of an urgent route waited behind the others of their team.

Change: priorityOf converts a rank into a priority, and rankOf back for the engine, which gets the same rank as before.

--- a/src/decision/event.ts
+++ b/src/decision/event.ts
@@ -30,6 +30,7 @@
   readonly idempotent: boolean;
   /** Whether the answer is streamed, so that its first piece shows that it has started. */
   readonly isStreamed?: boolean;
+  /** Requests of a team with a higher priority are dispatched first. */
   readonly priority: number;
   /** Limit on the attempts that may have run; `MAXIMUM_ATTEMPTS` by default. */
   readonly maximumAttempts?: number;
--- a/src/gateway/cache-use.ts
+++ b/src/gateway/cache-use.ts
@@ -1,5 +1,6 @@
 import * as decision from '../decision';
 import type * as membership from '../membership';
+import * as routes from '../routes';
 import * as cacheNamespaces from './cache-namespace';
 import type * as headerCodec from './header-codec';
 import type * as relayCall from './relay-call';
@@ -33,7 +34,8 @@
       cacheSalt: cacheNamespaces.cacheSalt(this.currentNamespace, server),
       weightsVersion,
       cacheSource: this.cacheSource(effect, server),
-      priority: isForEngine || weightsVersion !== undefined ? profile.priority : undefined,
+      priority:
+        isForEngine || weightsVersion !== undefined ? routes.rankOf(profile.priority) : undefined,
     };
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -296,7 +296,7 @@
         isStreamed: route.kind === routes.RouteKind.Stream,
         maximumAttempts: Math.max(1, route.maximumAttempts - (forwarded?.runs ?? 0)),
         earlierSends: forwarded?.sends,
-        priority: team?.priority ?? route.priority,
+        priority: routes.priorityOf(route, team),
         firstTokenDeadline: arrivedAt + wait,
         answerDeadline: arrivedAt + wait,
         fingerprint: fingerprintOf(team?.name, method, path, body),
--- a/src/routes/routing-table.ts
+++ b/src/routes/routing-table.ts
@@ -90,7 +90,7 @@
 export interface RoutedTeam {
   readonly name: string;
   readonly credentials: readonly string[];
-  /** Overrides the priority of a route. */
+  /** Overrides the priority of a route; 0 is the most urgent. */
   readonly priority?: number;
   /** Whether its cached prompt parts are separate from those of all other teams. */
   readonly isIsolated: boolean;
