--- a/src/routes/routing-table.ts
+++ b/src/routes/routing-table.ts
@@ -68,24 +68,6 @@
   readonly store?: StoreTraits;
 }
 
-/** What the quota of a team counts. */
-export enum QuotaUnit {
-  Requests = 'requests',
-  /** Prompt tokens and the largest number of output tokens. */
-  Tokens = 'tokens',
-}
-
-/** Limit on what the requests of one team may use at all gateways together. */
-export interface TeamQuota {
-  readonly unit: QuotaUnit;
-  /** Units a second in the long run. */
-  readonly perSecond: number;
-  /** Units that may be used at once beyond the rate. */
-  readonly burst: number;
-  /** Units of a request that names no token counts. */
-  readonly unitsWithoutCounts: number;
-}
-
 /** A team and its credentials. */
 export interface RoutedTeam {
   readonly name: string;
@@ -94,8 +76,6 @@
   readonly priority?: number;
   /** Whether its cached prompt parts are separate from those of all other teams. */
   readonly isIsolated: boolean;
-  /** Absent when the team has no limit. */
-  readonly quota?: TeamQuota;
 }
 
 /** Limits on the size and the duration of a caller's request, and on the idle time of its connection. */
