Gateways: an account of the memory held for callers, and limits drawn from the VM

Cause: bodies were read whole, each inside its limit, with no limit for all connections; single-byte chunks each kept a buffer of 64 KB; requests sent ahead were all begun at once; connections were not limited. V8 let garbage grow without regard to the VM (heap 90 MB and a young generation of up to 48 MB on VMs of 88 MB and more).

Change: `src/memory` counts bytes by kind and draws limits from `limits.memory_mb` and `limits.max_fds`. Bodies are read into segments that are used again; the largest unfinished one is refused first, with 429, which has not run. Requests of a connection run one after the other; those behind wait as heads, and reading pauses at 8. A malformed request behind a running one closes the connection, since an answer would be taken for that of the running one. Connections beyond 60% of the descriptors take the place of the idle one that was used least recently. Near 85% of the VM's memory garbage is collected.

--- a/src/daemon/failure-filter.ts
+++ b/src/daemon/failure-filter.ts
@@ -3,6 +3,7 @@
 import type * as fastify from 'fastify';
 import * as logging from '../logging';
 import * as verdict from '../verdict';
+import * as bodyRefused from './body-refused';
 import * as errorBody from './error-body';
 
 /** Converts errors of Fastify and Nest, such as a body that is too large, into error responses. */
@@ -38,6 +39,9 @@
 function failureOf(
   error: Error & { statusCode?: number; status?: number },
 ): verdict.RequestFailure {
+  if (error instanceof bodyRefused.BodyRefused) {
+    return error.failure;
+  }
   const status = error.statusCode ?? error.status ?? 500;
   if (status === 413) {
     return verdict.failure(
--- a/src/daemon/http-listener.ts
+++ b/src/daemon/http-listener.ts
@@ -4,7 +4,11 @@
 import * as core from '@nestjs/core';
 import type * as fastify from 'fastify';
 import * as fastifyPlatform from '@nestjs/platform-fastify';
+import * as memory from '../memory';
+import * as metrics from '../metrics';
 import * as verdict from '../verdict';
+import * as bodyIntake from './body-intake';
+import * as callerConnections from './caller-connections';
 import type * as callerLimits from './caller-limits';
 import * as errorBody from './error-body';
 
@@ -20,12 +24,22 @@
   'bodyBytes' | 'headersMilliseconds' | 'requestMilliseconds' | 'idleMilliseconds'
 >;
 
+/** How a listener keeps its callers within the memory of the process. */
+export interface IntakeOptions {
+  readonly account: memory.MemoryAccount;
+  readonly meter: metrics.Metrics;
+  readonly maximumConnections: number;
+  /** Called when the head of a request has arrived; its body may follow much later. */
+  readonly onHead: (request: http.IncomingMessage) => void;
+}
+
 /**
  * Starts a Nest application on an address. Handlers receive requests of every method, and bodies of every method and content
  * type as buffers. `request.headers` can name another content type and transfer coding than the caller; `request.raw.headers`
  * has the caller's. Rejects when the address is in use.
  *
  * @param prepare adds hooks to the server before it listens
+ * @param intake limits of memory; the connections and bodies of operators and of other daemons need none
  *
  * @example
  * const listener = await listen(callerModule, address, DEFAULT_LIMITS, filter);
@@ -36,14 +50,16 @@
   limits: ListenerLimits,
   filter: nest.ExceptionFilter,
   prepare: (server: fastify.FastifyInstance) => void = () => {},
+  intake: IntakeOptions = UNLIMITED_INTAKE,
 ): Promise<HttpListener> {
-  const adapter = new fastifyPlatform.FastifyAdapter(serverOptions(limits));
+  const bodies = new bodyIntake.BodyIntake(intake.account, limits.bodyBytes, intake.meter);
+  const adapter = new fastifyPlatform.FastifyAdapter(serverOptions(limits, intake, bodies));
   const application = await core.NestFactory.create<fastifyPlatform.NestFastifyApplication>(
     module,
     adapter,
     { bodyParser: false, logger: false, abortOnError: false },
   );
-  acceptAnyBody(application);
+  acceptAnyBody(application, bodies);
   // The adapter brings its own copy of Fastify, whose types differ in parts that are not used here.
   prepare(application.getHttpAdapter().getInstance() as unknown as fastify.FastifyInstance);
   application.useGlobalFilters(filter);
@@ -54,33 +70,60 @@
 
 function serverOptions(
   limits: ListenerLimits,
+  intake: IntakeOptions,
+  bodies: bodyIntake.BodyIntake,
 ): ConstructorParameters<typeof fastifyPlatform.FastifyAdapter>[0] {
+  let connections: callerConnections.CallerConnections;
   return {
-    bodyLimit: limits.bodyBytes,
-    requestTimeout: limits.requestMilliseconds,
-    keepAliveTimeout: limits.idleMilliseconds,
     forceCloseConnections: 'idle',
-    clientErrorHandler: rejectMalformed,
-    http: {
-      headersTimeout: limits.headersMilliseconds,
-      connectionsCheckingInterval: limits.headersMilliseconds / 4,
-      // Detects callers that disappeared without closing their connection.
-      keepAlive: true,
-      keepAliveInitialDelay: TCP_KEEP_ALIVE_MILLISECONDS,
+    clientErrorHandler: (error, socket) => {
+      if (connections.isAnswering(socket)) {
+        // An answer of its own would be taken for that of the request before.
+        socket.destroy();
+      } else {
+        rejectMalformed(error, socket);
+      }
+    },
+    serverFactory: (handler) => {
+      const onEnded = (request: http.IncomingMessage) => bodies.release(request);
+      connections = new callerConnections.CallerConnections(
+        { ...intake, onEnded },
+        handler as http.RequestListener,
+      );
+      return createServer(limits, connections);
     },
   };
 }
 
-function acceptAnyBody(application: fastifyPlatform.NestFastifyApplication): void {
+function createServer(
+  limits: ListenerLimits,
+  connections: callerConnections.CallerConnections,
+): http.Server {
+  const server = http.createServer({
+    requestTimeout: limits.requestMilliseconds,
+    keepAliveTimeout: limits.idleMilliseconds,
+    headersTimeout: limits.headersMilliseconds,
+    connectionsCheckingInterval: limits.headersMilliseconds / 4,
+    // Detects callers that disappeared without closing their connection.
+    keepAlive: true,
+    keepAliveInitialDelay: TCP_KEEP_ALIVE_MILLISECONDS,
+  });
+  server.on('connection', (socket) => connections.accept(socket));
+  server.on('request', (request, response) => connections.handle(request, response));
+  return server;
+}
+
+function acceptAnyBody(
+  application: fastifyPlatform.NestFastifyApplication,
+  bodies: bodyIntake.BodyIntake,
+): void {
   const server = application.getHttpAdapter().getInstance();
   // Fastify does not read the bodies of GET, HEAD and TRACE requests, and knows no route for some other methods.
   METHODS.forEach((method) =>
     server.addHttpMethod(method, { hasBody: true, overrideExisting: true }),
   );
   server.removeAllContentTypeParsers();
-  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
-    done(null, body),
-  );
+  server.addContentTypeParser('*', (_request, payload, done) => bodies.read(payload, done));
   server.addHook('onRequest', (request, _reply, done) => {
     request.headers = parsedHeaders(request.raw);
     done();
@@ -127,6 +170,13 @@
 /** Node.js opens tunnels for CONNECT itself and closes them, since nothing listens for them. */
 const METHODS = http.METHODS.filter((method) => method !== 'CONNECT');
 
+const UNLIMITED_INTAKE: IntakeOptions = {
+  account: new memory.MemoryAccount(),
+  meter: new metrics.DisabledMetrics(),
+  maximumConnections: Number.POSITIVE_INFINITY,
+  onHead: () => {},
+};
+
 const ANY_CONTENT_TYPE = 'application/octet-stream';
 
 const TCP_KEEP_ALIVE_MILLISECONDS = 15_000;
--- a/src/gateway/buffer-budget.ts
+++ b/src/gateway/buffer-budget.ts
@@ -1,3 +1,5 @@
+import * as memory from '../memory';
+
 /** Kinds of buffered answer bytes. */
 export enum BufferKind {
   /** Small answers, until their callers have read them. */
@@ -15,7 +17,11 @@
 
   private answers = 0;
 
-  constructor(private readonly maximumBytes: number = MAXIMUM_BUFFERED_BYTES) {}
+  constructor(
+    private readonly maximumBytes: number = MAXIMUM_BUFFERED_BYTES,
+    /** Account of the process, which counts these bytes too. */
+    private readonly account = new memory.MemoryAccount(),
+  ) {}
 
   get usedBytes(): number {
     return this.buffered;
@@ -40,10 +46,16 @@
     }
     this.buffered = buffered;
     this.answers = answers;
+    this.account.add(ACCOUNT_KINDS[kind], after - before);
     return true;
   }
 }
 
+const ACCOUNT_KINDS = {
+  [BufferKind.Answer]: memory.MemoryKind.Answers,
+  [BufferKind.Event]: memory.MemoryKind.Events,
+};
+
 const MAXIMUM_ANSWER_SHARE = 0.5;
 
 /** Several times an event of a few tokens; all requests of a daemon together have 4 MB of these at most. */
--- a/src/gateway/caller-request-handler.ts
+++ b/src/gateway/caller-request-handler.ts
@@ -22,6 +22,11 @@
     this.arrivals.set(request, this.time.monotonic());
   }
 
+  /** Limits of a listener whose requests this handler gets. */
+  intake(limits: Omit<daemon.IntakeOptions, 'onHead'>): daemon.IntakeOptions {
+    return { ...limits, onHead: (request) => this.headersArrived(request) };
+  }
+
   protected arrivedAt(request: http.IncomingMessage): number {
     return this.arrivals.get(request) ?? this.time.monotonic();
   }
--- a/src/gateway/connectivity.ts
+++ b/src/gateway/connectivity.ts
@@ -3,7 +3,6 @@
 import * as daemon from '../daemon';
 import * as logging from '../logging';
 import * as routing from '../routing';
-import * as arrivalHook from './arrival-hook';
 import * as connectivityObserver from './connectivity-observer';
 import * as cutDetector from './cut-detector';
 import * as forwardedRequestHandler from './forwarded-request-handler';
@@ -84,6 +83,7 @@
     gateway: gatewayModule.Gateway,
     address: { readonly host: string; readonly port: number },
     limits: daemon.ListenerLimits,
+    intake: Omit<daemon.IntakeOptions, 'onHead'>,
   ): Promise<void> {
     const { readiness, time } = this.ports;
     const handler = new forwardedRequestHandler.ForwardedRequestHandler(gateway, readiness, time);
@@ -93,7 +93,8 @@
         address,
         limits,
         new daemon.FailureFilter(() => 0),
-        (server) => arrivalHook.recordArrivals(server, handler),
+        undefined,
+        handler.intake(intake),
       );
       this.listeningAddress = `${address.host}:${this.listener.port}`;
     } catch (error) {
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -6,6 +6,7 @@
 import * as decision from '../decision';
 import * as lifecycle from '../lifecycle';
 import * as logging from '../logging';
+import * as memory from '../memory';
 import * as metrics from '../metrics';
 import * as placement from '../placement';
 import * as routes from '../routes';
@@ -16,7 +17,6 @@
 import * as callerRequestHandler from './caller-request-handler';
 import * as nestModule from './gateway-module';
 import * as bufferBudget from './buffer-budget';
-import * as arrivalHook from './arrival-hook';
 import * as connectivityModule from './connectivity';
 import * as crashEvidenceExchange from './crash-evidence-exchange';
 import * as loadExchange from './load-exchange';
@@ -65,6 +65,8 @@
   readonly maximumRequests: number;
   /** Time in which an acknowledged routing document has to be in force; an older copy may lack something. */
   readonly copyAgeLimitMilliseconds: number;
+  /** Memory and descriptors of its VM. */
+  readonly vm: memory.VmLimits;
 }
 
 /** A daemon that relays requests of a platform's callers: starts and stops its tasks and listeners in order. */
@@ -85,6 +87,8 @@
 
   private readonly connectivity: connectivityModule.Connectivity;
 
+  private readonly intake: Omit<daemon.IntakeOptions, 'onHead'>;
+
   private listener: daemon.HttpListener | undefined;
 
   private stopping: Promise<void> | undefined;
@@ -95,6 +99,10 @@
   ) {
     const { plane, time, random, meter } = ports;
     this.lifecycle = new lifecycle.LifecycleManager(time);
+    const limits = memory.limitsFor(options.vm);
+    const account = new memory.MemoryAccount(limits.heldBytes);
+    this.intake = { account, meter, maximumConnections: limits.callerConnections };
+    this.watchMemory(account, limits.nearLimitBytes);
     const pool = new routing.BackendPool(ports.backends);
     this.task = new routing.DecisionTask<unknown>(
       coreOf(options, random, time.monotonic()),
@@ -187,7 +195,7 @@
         headerCodec: ports.headerCodec,
         stallDetector: stalls,
         forwarder,
-        bufferBudget: new bufferBudget.BufferBudget(),
+        bufferBudget: new bufferBudget.BufferBudget(limits.bufferedBytes, account),
         placementBuffer: buffer,
         streamOrigins: origins,
         requestLimits: limitExchange,
@@ -216,7 +224,7 @@
     await started.listen();
     const { forwardListen, limits } = options;
     if (forwardListen !== undefined) {
-      await started.connectivity.listen(started.gateway, forwardListen, limits);
+      await started.connectivity.listen(started.gateway, forwardListen, limits, started.intake);
     }
     started.becomeReady();
     return started;
@@ -238,6 +246,15 @@
     return this.stopping;
   }
 
+  private watchMemory(account: memory.MemoryAccount, nearLimitBytes: number): void {
+    const { time, meter } = this.ports;
+    const garbage = memory.garbageCollector();
+    const residentBytes = () => process.memoryUsage.rss();
+    const ports = { account, time, meter, residentBytes, garbage };
+    const watch = new memory.MemoryWatch(ports, nearLimitBytes);
+    this.lifecycle.register('memory watch', () => watch.close());
+  }
+
   private registerResources(
     pool: routing.BackendPool,
     list: sharedMachineList.SharedMachineList,
@@ -326,7 +343,8 @@
       this.options.listen,
       this.options.limits,
       new daemon.FailureFilter(() => 0),
-      (server) => arrivalHook.recordArrivals(server, callers),
+      undefined,
+      callers.intake(this.intake),
     );
     this.listener = listener;
     this.lifecycle.register('caller listener', () => listener.close(), LISTENER_CLOSE_MILLISECONDS);
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -23,6 +23,8 @@
   CutStreams = 'cut_streams',
   /** Attempts at servers whose weights version was unknown; they share cached parts only at that server. */
   UnknownWeights = 'unknown_weights',
+  /** Bodies that were refused, and connections that were closed, to stay within memory and descriptors. */
+  MemoryRefusals = 'memory_refusals',
 }
 
 /** Names of the gauges, each with its unit. */
@@ -38,6 +40,12 @@
   RoutingVersion = 'routing_version',
   /** Revision of the configuration in this daemon's copy. */
   Revision = 'revision',
+  /** Bytes held for callers and servers, by kind (see `MemoryKind`). */
+  HeadBytes = 'held_head_bytes',
+  UnfinishedBodyBytes = 'held_unfinished_body_bytes',
+  RequestBytes = 'held_request_bytes',
+  AnswerBytes = 'held_answer_bytes',
+  EventBytes = 'held_event_bytes',
 }
 
 /** Tags that split a histogram or counter. */
--- a/test/platform/gateway-builder.ts
+++ b/test/platform/gateway-builder.ts
@@ -256,6 +256,7 @@
   isFirstStart: true,
   maximumRequests: 100,
   copyAgeLimitMilliseconds: 2_500,
+  vm: {},
 };
 
 /** A routing document with a resumable stream, a charge that may run once, and a look-up. */
