--- a/src/daemon/body-intake.ts
+++ b/src/daemon/body-intake.ts
@@ -13,17 +13,16 @@
  * refused; its bytes are counted until its request has ended.
  */
 export class BodyIntake {
-  private readonly unfinished = new Set<unfinishedBody.UnfinishedBody>();
+  private readonly unfinished = new Map<http.IncomingMessage, unfinishedBody.UnfinishedBody>();
 
   /** Bytes of the bodies that have arrived. */
   private readonly arrived = new WeakMap<http.IncomingMessage, number>();
 
-  private readonly pool = new memory.SegmentPool(MAXIMUM_FREE_BYTES);
-
   constructor(
     private readonly account: memory.MemoryAccount,
     private readonly maximumBytes: number,
     private readonly meter: metrics.Metrics,
+    private readonly pool = new memory.SegmentPool(),
   ) {}
 
   /**
@@ -42,17 +41,26 @@
       payload,
       new memory.SegmentedBytes(this.pool),
       (error) => {
-        this.forget(body);
+        this.forget(payload, body);
         done(error);
       },
     );
-    this.unfinished.add(body);
+    this.unfinished.set(payload, body);
     payload.on('data', (part: Buffer) => this.receive(body, part));
     payload.once('end', () => this.finish(body, payload, done));
     payload.once('error', (error) => body.fail(Object.assign(error, { statusCode: 400 })));
     payload.resume();
   }
 
+  /** Drops the unfinished body of a request whose handler must not run any more; `done` is never called. */
+  abandon(request: http.IncomingMessage): void {
+    const body = this.unfinished.get(request);
+    if (body !== undefined) {
+      body.drop();
+      this.forget(request, body);
+    }
+  }
+
   /** Frees the body of a request that has ended. */
   release(request: http.IncomingMessage): void {
     const bytes = this.arrived.get(request);
@@ -72,7 +80,7 @@
     }
     body.add(part);
     const grown = body.heldBytes - body.countedBytes;
-    while (!body.isOver && !this.account.tryAdd(MemoryKind.UnfinishedBodies, grown)) {
+    while (!body.isOver && !this.tryAdd(grown)) {
       this.refuseLargest();
     }
     if (!body.isOver) {
@@ -81,8 +89,16 @@
     this.account.noteReceived(part.length);
   }
 
+  /** The only unfinished body may use what others would otherwise keep free, so that it is served in calm on any VM. */
+  private tryAdd(bytes: number): boolean {
+    const { UnfinishedBodies } = MemoryKind;
+    return this.unfinished.size === 1
+      ? this.account.tryAddAlone(UnfinishedBodies, bytes)
+      : this.account.tryAdd(UnfinishedBodies, bytes);
+  }
+
   private refuseLargest(): void {
-    const largest = [...this.unfinished].reduce((first, second) =>
+    const largest = [...this.unfinished.values()].reduce((first, second) =>
       second.heldBytes > first.heldBytes ? second : first,
     );
     this.meter.count(metrics.Counter.MemoryRefusals, { reason: MemoryKind.UnfinishedBodies });
@@ -97,24 +113,21 @@
     if (body.isOver) {
       return;
     }
-    this.forget(body);
+    this.forget(payload, body);
     const bytes = body.take();
     this.account.add(MemoryKind.Requests, bytes.length);
     this.arrived.set(payload, bytes.length);
     done(null, bytes);
   }
 
-  private forget(body: unfinishedBody.UnfinishedBody): void {
-    this.unfinished.delete(body);
+  private forget(payload: http.IncomingMessage, body: unfinishedBody.UnfinishedBody): void {
+    this.unfinished.delete(payload);
     this.account.add(MemoryKind.UnfinishedBodies, -body.countedBytes);
   }
 }
 
 const { MemoryKind } = memory;
 
-/** Segments of the largest body. */
-const MAXIMUM_FREE_BYTES = 4 * 1_024 * 1_024;
-
 const { FailureReason, Verdict } = verdict;
 
 const TOO_LARGE = verdict.failure(
--- a/src/daemon/http-listener.ts
+++ b/src/daemon/http-listener.ts
@@ -9,6 +9,7 @@
 import * as verdict from '../verdict';
 import * as bodyIntake from './body-intake';
 import * as callerConnections from './caller-connections';
+import * as connectionPlaces from './connection-places';
 import type * as callerLimits from './caller-limits';
 import * as errorBody from './error-body';
 
@@ -28,7 +29,10 @@
 export interface IntakeOptions {
   readonly account: memory.MemoryAccount;
   readonly meter: metrics.Metrics;
-  readonly maximumConnections: number;
+  /** Buffers for bodies, shared by the listeners of the process. */
+  readonly segments: memory.SegmentPool;
+  /** Counts the connections of all listeners of the process. */
+  readonly places: connectionPlaces.ConnectionPlaces;
   /** Called when the head of a request has arrived; its body may follow much later. */
   readonly onHead: (request: http.IncomingMessage) => void;
 }
@@ -50,9 +54,14 @@
   limits: ListenerLimits,
   filter: nest.ExceptionFilter,
   prepare: (server: fastify.FastifyInstance) => void = () => {},
-  intake: IntakeOptions = UNLIMITED_INTAKE,
+  intake: IntakeOptions = unlimitedIntake(),
 ): Promise<HttpListener> {
-  const bodies = new bodyIntake.BodyIntake(intake.account, limits.bodyBytes, intake.meter);
+  const bodies = new bodyIntake.BodyIntake(
+    intake.account,
+    limits.bodyBytes,
+    intake.meter,
+    intake.segments,
+  );
   const adapter = new fastifyPlatform.FastifyAdapter(serverOptions(limits, intake, bodies));
   const application = await core.NestFactory.create<fastifyPlatform.NestFastifyApplication>(
     module,
@@ -77,17 +86,19 @@
   return {
     forceCloseConnections: 'idle',
     clientErrorHandler: (error, socket) => {
-      if (connections.isAnswering(socket)) {
-        // An answer of its own would be taken for that of the request before.
+      if (error.code === 'ECONNRESET' || !socket.writable) {
         socket.destroy();
-      } else {
-        rejectMalformed(error, socket);
+        return;
       }
+      const isTimeout = error.code === REQUEST_TIMEOUT;
+      connections.failed(socket, isTimeout, () => rejectMalformed(error, socket));
     },
     serverFactory: (handler) => {
+      const { requestMilliseconds } = limits;
       const onEnded = (request: http.IncomingMessage) => bodies.release(request);
+      const onRejected = (request: http.IncomingMessage) => bodies.abandon(request);
       connections = new callerConnections.CallerConnections(
-        { ...intake, onEnded },
+        { ...intake, requestMilliseconds, onEnded, onRejected },
         handler as http.RequestListener,
       );
       return createServer(limits, connections);
@@ -146,10 +157,6 @@
 
 /** Answers bytes that are not HTTP and requests that do not arrive in time; no handler runs for these. */
 function rejectMalformed(error: NodeJS.ErrnoException, socket: net.Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
   const { status, failure } = CLIENT_ERRORS.get(error.code ?? '') ?? MALFORMED;
   const body = JSON.stringify(errorBody.errorBody(failure));
   const head = [
@@ -170,12 +177,17 @@
 /** Node.js opens tunnels for CONNECT itself and closes them, since nothing listens for them. */
 const METHODS = http.METHODS.filter((method) => method !== 'CONNECT');
 
-const UNLIMITED_INTAKE: IntakeOptions = {
-  account: new memory.MemoryAccount(),
-  meter: new metrics.DisabledMetrics(),
-  maximumConnections: Number.POSITIVE_INFINITY,
-  onHead: () => {},
-};
+function unlimitedIntake(): IntakeOptions {
+  return {
+    account: new memory.MemoryAccount(),
+    meter: new metrics.DisabledMetrics(),
+    segments: new memory.SegmentPool(),
+    places: new connectionPlaces.ConnectionPlaces(),
+    onHead: () => {},
+  };
+}
+
+const REQUEST_TIMEOUT = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 const ANY_CONTENT_TYPE = 'application/octet-stream';
 
@@ -194,7 +206,7 @@
 
 const CLIENT_ERRORS = new Map<string, ClientError>([
   [
-    'ERR_HTTP_REQUEST_TIMEOUT',
+    REQUEST_TIMEOUT,
     {
       status: '408 Request Timeout',
       failure: verdict.failure(
--- a/src/daemon/index.ts
+++ b/src/daemon/index.ts
@@ -2,6 +2,7 @@
 export * from './authentication';
 export * from './caller-limits';
 export * from './daemon';
+export * from './connection-places';
 export * from './copy-monitor';
 export * from './daemon-ports';
 export * from './start-daemon';
--- a/src/daemon/unfinished-body.ts
+++ b/src/daemon/unfinished-body.ts
@@ -7,7 +7,7 @@
 
   isOver = false;
 
-  private chunks = 0;
+  private smallChunks = 0;
 
   constructor(
     private readonly payload: http.IncomingMessage,
@@ -19,9 +19,9 @@
     return this.bytes.size;
   }
 
-  /** The memory of the body, and as much for its chunks as a body may have bytes, so that any body is accepted alone. */
+  /** The memory of the body, and of its small chunks up to a limit. */
   get heldBytes(): number {
-    return this.bytes.capacity + Math.min(this.chunks * CHUNK_BYTES, MAXIMUM_CHUNKS_BYTES);
+    return this.bytes.capacity + Math.min(this.smallChunks * CHUNK_BYTES, MAXIMUM_CHUNKS_BYTES);
   }
 
   /** Bytes that the account counts for this body. */
@@ -35,7 +35,7 @@
   }
 
   add(part: Buffer): void {
-    this.chunks += 1;
+    this.smallChunks += part.length < SMALL_BYTES ? 1 : 0;
     this.bytes.add(part);
   }
 
@@ -47,16 +47,24 @@
   /** What still arrives is discarded until the connection is closed behind the answer. */
   fail(error: Error): void {
     if (!this.isOver) {
-      this.isOver = true;
-      this.bytes.clear();
-      this.payload.removeAllListeners('data');
-      this.payload.resume();
+      this.drop();
       this.onFailure(error);
     }
   }
+
+  /** Frees the body; what still arrives is discarded. */
+  drop(): void {
+    this.isOver = true;
+    this.bytes.clear();
+    this.payload.removeAllListeners('data');
+    this.payload.resume();
+  }
 }
 
-/** A chunk costs processor time and garbage, however small it is; a large one counts for little beside its bytes. */
+/** Larger chunks cost little beside their bytes. */
+const SMALL_BYTES = 1_024;
+
+/** A chunk costs processor time and garbage, however small it is. */
 const CHUNK_BYTES = 256;
 
 const MAXIMUM_CHUNKS_BYTES = 4 * 1_024 * 1_024;
--- a/src/gateway/gateway-daemon.ts
+++ b/src/gateway/gateway-daemon.ts
@@ -87,6 +87,8 @@
 
   private readonly connectivity: connectivityModule.Connectivity;
 
+  private readonly memoryWatch: memory.MemoryWatch;
+
   private readonly intake: Omit<daemon.IntakeOptions, 'onHead'>;
 
   private listener: daemon.HttpListener | undefined;
@@ -99,10 +101,15 @@
   ) {
     const { plane, time, random, meter } = ports;
     this.lifecycle = new lifecycle.LifecycleManager(time);
-    const limits = memory.limitsFor(options.vm);
+    const limits = memory.limitsFor(options.vm, options.maximumRequests);
     const account = new memory.MemoryAccount(limits.heldBytes);
-    this.intake = { account, meter, maximumConnections: limits.callerConnections };
-    this.watchMemory(account, limits.nearLimitBytes);
+    this.intake = {
+      account,
+      meter,
+      places: new daemon.ConnectionPlaces(limits.callerConnections),
+      segments: new memory.SegmentPool(),
+    };
+    this.memoryWatch = this.watchMemory(account, limits.nearLimitBytes);
     const pool = new routing.BackendPool(ports.backends);
     this.task = new routing.DecisionTask<unknown>(
       coreOf(options, random, time.monotonic()),
@@ -246,13 +253,14 @@
     return this.stopping;
   }
 
-  private watchMemory(account: memory.MemoryAccount, nearLimitBytes: number): void {
+  private watchMemory(account: memory.MemoryAccount, nearLimitBytes: number): memory.MemoryWatch {
     const { time, meter } = this.ports;
     const garbage = memory.garbageCollector();
     const residentBytes = () => process.memoryUsage.rss();
     const ports = { account, time, meter, residentBytes, garbage };
     const watch = new memory.MemoryWatch(ports, nearLimitBytes);
     this.lifecycle.register('memory watch', () => watch.close());
+    return watch;
   }
 
   private registerResources(
@@ -355,6 +363,7 @@
     while (this.gateway.tableVersion === undefined && this.stopping === undefined) {
       await this.ports.time.sleep(TABLE_POLL_MILLISECONDS);
     }
+    this.memoryWatch.noteIdle();
     this.readiness.advance(daemon.DaemonStage.Ready);
     this.connectivity.report();
     logger.information('ready', { version: this.gateway.tableVersion });
--- a/src/memory/memory-account.ts
+++ b/src/memory/memory-account.ts
@@ -53,6 +53,20 @@
     return true;
   }
 
+  /**
+   * Counts more bytes of the only one of its kind, within the limit of all kinds and also while the process is short of memory.
+   *
+   * @example
+   * new MemoryAccount(1_000).tryAddAlone(MemoryKind.UnfinishedBodies, 600); // true
+   */
+  tryAddAlone(kind: memoryKind.MemoryKind, bytes: number): boolean {
+    if (this.sum + bytes > this.limitBytes) {
+      return false;
+    }
+    this.add(kind, bytes);
+    return true;
+  }
+
   /**
    * Counts bytes of something that has begun; negative when they are freed.
    *
@@ -79,7 +93,7 @@
   }
 }
 
-/** A tenth of what the smallest VM leaves to its process. */
+/** Little beside what the smallest VM leaves to its process. */
 const REPORTED_BYTES = 2 * 1_024 * 1_024;
 
 /** Parts of the limit that what has not begun may hold, so that it never fills the memory of what has. */
--- a/src/memory/memory-kind.ts
+++ b/src/memory/memory-kind.ts
@@ -1,6 +1,8 @@
 /** What the bytes that a process holds for its callers and servers belong to. */
 export enum MemoryKind {
-  /** Heads of requests that wait behind others on their connection. */
+  /** Connections of callers, and the requests that run on them, without their bodies. */
+  Connections = 'connections',
+  /** What is read of requests that wait behind others on their connection. */
   Heads = 'heads',
   /** Bodies of requests that have not arrived completely. */
   UnfinishedBodies = 'unfinished_bodies',
--- a/src/memory/segment-pool.ts
+++ b/src/memory/segment-pool.ts
@@ -7,7 +7,7 @@
 
   /** @param maximumFreeBytes memory of unused buffers that is kept */
   constructor(
-    private readonly maximumFreeBytes: number,
+    private readonly maximumFreeBytes = POOL_BYTES,
     readonly segmentBytes = SEGMENT_BYTES,
   ) {}
 
@@ -28,5 +28,8 @@
   }
 }
 
+/** Segments of the largest body of a gateway, 4 MiB. */
+export const POOL_BYTES = 4 * 1_024 * 1_024;
+
 /** As large as what is usually read from a connection at once. */
 const SEGMENT_BYTES = 64 * 1_024;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -41,6 +41,7 @@
   /** Revision of the configuration in this daemon's copy. */
   Revision = 'revision',
   /** Bytes held for callers and servers, by kind (see `MemoryKind`). */
+  ConnectionBytes = 'held_connection_bytes',
   HeadBytes = 'held_head_bytes',
   UnfinishedBodyBytes = 'held_unfinished_body_bytes',
   RequestBytes = 'held_request_bytes',
--- a/test/clients/crowd-site.ts
+++ b/test/clients/crowd-site.ts
@@ -22,6 +22,8 @@
   readonly behaviour?: fakeBackendServer.ServerBehaviour;
   /** Size of the ordinary request; that of a small body if absent. */
   readonly bodyBytes?: number;
+  /** How often the ordinary request is sent until it is served; a few times if absent. */
+  readonly attempts?: number;
 }
 
 /**
@@ -95,7 +97,8 @@
   /** Status of a request that is repeated after a failure, as callers do; 0 if none of a few attempts has got an answer. */
   async statusOfOrdinaryRequest(): Promise<number> {
     let status = 0;
-    for (let attempt = 0; attempt < ATTEMPTS && status !== SERVED; attempt += 1) {
+    const { attempts = ATTEMPTS } = this.trial;
+    for (let attempt = 0; attempt < attempts && status !== SERVED; attempt += 1) {
       status = await this.send(attempt).catch(() => 0);
       await callerCrowd.pause(status === SERVED ? 0 : RETRY_MILLISECONDS);
     }
--- a/test/clients/crowds.test.ts
+++ b/test/clients/crowds.test.ts
@@ -82,4 +82,34 @@
   }),
 );
 
+// Guards against a refusal in calm that a repeated request hides.
+suite('the largest body in calm, at the first attempt', () =>
+  crowdSite.withstand(checkout, {
+    ...VM,
+    crowd: { connections: 0, parts: () => [], reads: true },
+    bodyBytes: crowds.MAXIMUM_BODY_BYTES,
+    attempts: 1,
+  }),
+);
+
+// Guards against a process that takes itself for short of memory without any load.
+suite('the largest body in calm on the smallest VM, at the first attempt', () =>
+  crowdSite.withstand(checkout, {
+    ...VM,
+    memoryMegabytes: 88,
+    crowd: { connections: 0, parts: () => [], reads: true },
+    bodyBytes: crowds.MAXIMUM_BODY_BYTES,
+    attempts: 1,
+  }),
+);
+
+// Guards against chunks of waiting bodies that Node.js keeps outside the account.
+suite('bodies in chunks of one byte behind requests that are being answered', () =>
+  crowdSite.withstand(checkout, {
+    ...VM,
+    crowd: { connections: CONNECTIONS, parts: crowds.waitingBody, reads: true },
+    behaviour: crowds.answerSlowly,
+  }),
+);
+
 suite.run();
--- a/test/clients/crowds.ts
+++ b/test/clients/crowds.ts
@@ -54,6 +54,17 @@
   }
 }
 
+/** A body in chunks of one byte behind a request that is being answered. */
+export function* waitingBody(index: number): Parts {
+  yield (
+    callerCrowd.head('GET /balance/7', `crowd-${index}`) +
+    callerCrowd.head('POST /balance/7', `crowd-${index}-behind`, CHUNKED)
+  );
+  for (let count = 0; count < WAITING_CHUNKS; count += SMALL_CHUNKS_AT_ONCE) {
+    yield SMALL_CHUNKS_TOGETHER;
+  }
+}
+
 /** A large head without its end. */
 export function* unfinishedHead(index: number): Parts {
   const head = callerCrowd.head('GET /balance/7', `crowd-${index}`);
@@ -73,6 +84,12 @@
   fakeBackendServer.answer(text)(request, response);
 };
 
+/** Answers GET requests only when the crowd has been sent, and others at once. */
+export const answerSlowly: fakeBackendServer.ServerBehaviour = (request, response) => {
+  const delay = request.method === 'GET' ? SLOW_MILLISECONDS : 0;
+  setTimeout(() => fakeBackendServer.answer('7 sacks')(request, response), delay);
+};
+
 const CHUNKED: Readonly<Record<string, string>> = { 'transfer-encoding': 'chunked' };
 
 /** The largest body of a request that the gateway accepts. */
@@ -92,6 +109,10 @@
 
 const SMALL_CHUNKS_TOGETHER = callerCrowd.chunk(1).toString().repeat(SMALL_CHUNKS_AT_ONCE);
 
+const WAITING_CHUNKS = 20_000;
+
+const SLOW_MILLISECONDS = 4_000;
+
 const REQUESTS = 5_000;
 
 const REQUESTS_AT_ONCE = 250;
--- a/test/memory/body-intake.test.ts
+++ b/test/memory/body-intake.test.ts
@@ -60,4 +60,41 @@
   },
 );
 
+// Guards against a VM so small that one body inside the limits is refused in calm, also if it arrives in small parts.
+suite('the only unfinished body is accepted while memory is short, others are not', async () => {
+  const { heldBytes } = memory.limitsFor({ memoryBytes: 88e6 });
+  const account = new memory.MemoryAccount(heldBytes);
+  account.isShort = true;
+  const limit = 4 * 1_024 * 1_024;
+  const intake = new bodyIntake.BodyIntake(account, limit, new metrics.DisabledMetrics());
+  const alone = new SentBody(intake);
+  for (let left = limit; left > 0; left -= 1_448) {
+    await alone.write(Math.min(left, 1_448));
+  }
+  alone.payload.end();
+  await turn();
+  assert.ok(Buffer.isBuffer(alone.outcome));
+  const crowd = Array.from({ length: 4 }, () => new SentBody(intake));
+  for (const body of crowd) {
+    await body.write(2 * 1_024 * 1_024);
+  }
+  const refused = crowd.filter(({ outcome }) => outcome instanceof Error);
+  assert.ok(refused.length >= 2, String(refused.length));
+  assert.ok(account.total < heldBytes);
+});
+
+// Guards against a body whose request was rejected and that still reaches its handler, or stays counted.
+suite('an abandoned body is dropped without an outcome', async () => {
+  const account = new memory.MemoryAccount(1_000_000);
+  const intake = new bodyIntake.BodyIntake(account, 400_000, new metrics.DisabledMetrics());
+  const body = new SentBody(intake);
+  await body.write(1_000);
+  intake.abandon(body.payload);
+  await body.write(1_000);
+  body.payload.end();
+  await turn();
+  assert.is(body.outcome, undefined);
+  assert.is(account.total, 0);
+});
+
 suite.run();
--- a/test/memory/memory-account.test.ts
+++ b/test/memory/memory-account.test.ts
@@ -41,4 +41,26 @@
   },
 );
 
+// Guards against limits that exceed the VM together. On 88 MB the held bytes do not fit: 78 MB are used without requests.
+suite('on a VM of 120 MB and more all that is held fits beside the process', () => {
+  [120e6, 178e6, 350e6].forEach((memoryBytes) => {
+    const { heldBytes } = memory.limitsFor({ memoryBytes });
+    const join = 4 * 1_024 * 1_024;
+    assert.ok(memory.PROCESS_BYTES + heldBytes + memory.POOL_BYTES + join < memoryBytes);
+  });
+});
+
+// Guards against connections of callers that leave no descriptors for their servers, and against more than the memory takes.
+suite('connections fit into the descriptors and the memory', () => {
+  const usable = 2_212 - 200;
+  const many = memory.limitsFor({ descriptors: usable }, 1_000).callerConnections;
+  assert.ok(many >= 800 && many + Math.min(many, 1_000) < usable - 100, String(many));
+  assert.is(memory.limitsFor({ descriptors: 0 }, 1_000).callerConnections, 64);
+  const { callerConnections, heldBytes } = memory.limitsFor(
+    { memoryBytes: 120e6, descriptors: 100_000 },
+    1_000,
+  );
+  assert.ok(callerConnections * memory.CONNECTION_BYTES <= heldBytes / 2);
+});
+
 suite.run();
--- a/test/memory/memory-watch.test.ts
+++ b/test/memory/memory-watch.test.ts
@@ -22,23 +22,45 @@
 
   recentCollections = 0;
 
+  /** Processor time of a collection. */
+  collectMilliseconds = 0;
+
+  /** Time that has passed during collections; a timer that runs cannot advance the clock itself. */
+  private spentMilliseconds = 0;
+
   readonly watch = new memory.MemoryWatch(
     {
       account: this.account,
-      time: this.time,
+      time: this.spendingTime(),
       meter: this.meter,
       residentBytes: () => this.residentBytes,
       garbage: {
         collectRecent: () => {
+          this.spend();
           this.recentCollections += 1;
         },
         collectAll: () => {
+          this.spend();
           this.fullCollections += 1;
         },
       },
     },
     100e6,
   );
+
+  private spend(): void {
+    this.spentMilliseconds += this.collectMilliseconds;
+  }
+
+  private spendingTime(): clock.Clock {
+    const { time } = this;
+    return {
+      monotonic: () => time.monotonic() + this.spentMilliseconds,
+      now: () => time.now(),
+      setTimer: (milliseconds, action) => time.setTimer(milliseconds, action),
+      sleep: (milliseconds) => time.sleep(milliseconds),
+    };
+  }
 }
 
 // Guards against a collection that takes processor time again and again without freeing anything.
@@ -82,4 +104,39 @@
   watched.watch.close();
 });
 
+// Guards against collections that take a large part of the processor's time.
+suite('the next collection comes no sooner than many times the duration of the last', () => {
+  const watched = new WatchedProcess();
+  watched.collectMilliseconds = 50;
+  watched.residentBytes = 120e6;
+  for (let count = 0; count < 100; count += 1) {
+    watched.residentBytes += 10e6;
+    watched.account.noteReceived(8e6);
+    watched.time.advance(10);
+  }
+  const collections = watched.fullCollections + watched.recentCollections;
+  assert.ok(collections >= 1 && collections <= 3, String(collections));
+  watched.watch.close();
+});
+
+// Guards against an idle process on a small VM that is always short of memory, and against a state that changes with each sample.
+suite('memory of an idle process is not short, and the state has a hysteresis', () => {
+  const watched = new WatchedProcess();
+  watched.residentBytes = 103e6;
+  watched.watch.noteIdle();
+  const admits = () => {
+    watched.time.advance(200);
+    return watched.account.tryAdd(MemoryKind.UnfinishedBodies, 300e6);
+  };
+  assert.ok(admits());
+  watched.account.add(MemoryKind.UnfinishedBodies, -300e6);
+  watched.residentBytes = 114e6;
+  assert.not(admits());
+  watched.residentBytes = 108e6;
+  assert.not(admits(), 'still short a little below the limit');
+  watched.residentBytes = 103e6;
+  assert.ok(admits());
+  watched.watch.close();
+});
+
 suite.run();
