--- a/src/daemon/caller-connections.ts
+++ b/src/daemon/caller-connections.ts
@@ -100,7 +100,6 @@
     exchange: callerConnection.Exchange,
   ): void {
     connection.begin(exchange);
-    connection.reader?.expectBody(Number(exchange.request.headers['content-length']) || 0);
     exchange.response.once('close', () => this.ended(connection, exchange));
     this.handler(exchange.request, exchange.response);
   }
--- a/src/daemon/sliced-reader.ts
+++ b/src/daemon/sliced-reader.ts
@@ -7,10 +7,6 @@
 export class SlicedReader {
   private pending: Buffer = EMPTY;
 
-  private parsed = 0;
-
-  private bodyEnd = 0;
-
   private isFeeding = false;
 
   private isOver = false;
@@ -40,12 +36,6 @@
     return this.pending.length;
   }
 
-  /** Announces that the request whose head was parsed last has a body of a known length, which needs no small slices. */
-  expectBody(bytes: number): void {
-    // Its first bytes may be in the slice of the head.
-    this.bodyEnd = this.parsed - SLICE_BYTES + bytes;
-  }
-
   /** Goes on with what has been read, and then with the connection. */
   resume(): void {
     // Node.js itself resumes a connection that it has paused, when its answers are read.
@@ -80,10 +70,9 @@
     }
     this.isFeeding = true;
     while (this.canParse) {
-      const slice = this.pending.subarray(0, Math.max(SLICE_BYTES, this.bodyEnd - this.parsed));
+      const slice = this.pending.subarray(0, SLICE_BYTES);
       this.pending = this.pending.subarray(slice.length);
       this.parse(slice);
-      this.parsed += slice.length;
     }
     this.isFeeding = false;
     if (this.isHeld() && !this.isOver && !this.socket.destroyed) {
