Tests: the early uploads have a gateway whose VM has room for them

The check is unchanged: 384 uploads, the same attempts and answers.

A comment of the answer buffers named a wrong size.

--- a/src/gateway/buffer-budget.ts
+++ b/src/gateway/buffer-budget.ts
@@ -61,5 +61,5 @@
 /** Several times an event of a few tokens; all requests of a daemon together have 4 MB of these at most. */
 const USUAL_EVENT_BYTES = 4 * 1_024;
 
-/** A fifth of the memory of the smallest VM with a gateway, which has 178 MB. */
+/** A fifth of the memory of a VM with 178 MB, for a process that is not told its memory. */
 const MAXIMUM_BUFFERED_BYTES = 34 * 1_024 * 1_024;
--- a/test/platform/early-answer.test.ts
+++ b/test/platform/early-answer.test.ts
@@ -18,6 +18,9 @@
   idleMilliseconds: 60_000,
 };
 
+/** Enough for the uploads that are sent together, which are larger than the callers of a platform send. */
+const VM = { memoryBytes: 1_000_000_000 };
+
 /** One upload whose first attempt is answered early. */
 interface Upload {
   readonly id: string;
@@ -146,7 +149,7 @@
   const servers = cutCases
     .range(0, 3 * LANES + 1)
     .map((index) => new earlyServer.EarlyServer(`i-${index + 1}`, answers.answer));
-  const gateway = cutCases.buildGateway(servers, { limits: LIMITS });
+  const gateway = cutCases.buildGateway(servers, { limits: LIMITS, vm: VM });
   await gateway.run(() => answers.check(gateway));
 });
 
@@ -163,6 +166,7 @@
   await Promise.all(peers.map((peer) => peer.listen()));
   const gateway = cutCases.buildGateway(UNREACHABLE, {
     limits: LIMITS,
+    vm: VM,
     forwardListen: { host: '127.0.0.1', port: 0 },
   });
   try {
