--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,26 +1,16 @@
-/** Clients send a few requests ahead whose heads have many short fields. */
+/** One request whose number of output tokens has 400 digits. */
 import * as http from 'node:http';
-import * as net from 'node:net';
-import { hasTrouble, residentBytes, runCase, sleep } from '../rig/rig.mjs';
+import { hasTrouble, runCase, sleep } from '../rig/rig.mjs';
 import { manifest, Runner, streamAnswer } from '../rig/runners.mjs';
 import { headersOf, newId, send } from '../rig/callers.mjs';
 
-const CONNECTIONS = 450;
-const REQUESTS_AHEAD = 2;
-const FIELDS = 1_900;
-const MEMORY_MEGABYTES = 200;
+const OUTPUT_TOKENS = hasTrouble ? '9'.repeat(400) : '13';
+const OBSERVED_MILLISECONDS = 30_000;
 
-/** About 10,000 bytes, or one field of the same size. */
-const FIELD_LINES = hasTrouble
-  ? Array.from({ length: FIELDS }, (_unused, index) => `${index.toString(36)}:\r\n`).join('')
-  : `x-note: ${'n'.repeat(10_050)}\r\n`;
-
-await runCase('.', { memoryMegabytes: MEMORY_MEGABYTES }, async (system, record) => {
+await runCase('.', {}, async (system, record) => {
   await system.start(3, 1);
-  const apps = [1, 2, 3].map(
-    () => new Runner(record, system.prefix, 'app', { delayMilliseconds: 800 }),
-  );
-  const answer = streamAnswer({ events: 60, pauseMilliseconds: 200 });
+  const apps = [1, 2, 3].map(() => new Runner(record, system.prefix, 'app'));
+  const answer = streamAnswer({ events: 13, pauseMilliseconds: 20 });
   const desks = [1, 2, 3, 4, 5, 6].map(
     () => new Runner(record, system.prefix, 'desk', { model: 'm1', answer }),
   );
@@ -31,72 +21,70 @@
   await sleep(3_000);
 
   const [gateway] = system.gateways;
-  const { pid } = gateway.process;
-  const outcomes = [];
-  let isOver = false;
-  const ordinary = Array.from({ length: 12 }, async () => {
-    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
-    // Without the process there is nobody to ask.
-    while (!isOver && gateway.exit === undefined) {
-      const id = newId();
-      record.write('sent', { id });
-      const headers = headersOf('app.example', id);
-      const outcome = await send(system.front(), { path: '/charge/1', headers, agent, body: 'a' });
-      const hasRun = apps.some(({ runs }) => runs.has(id));
-      record.write('answered', { id, status: outcome.status, hasRun });
-      outcomes.push({ ...outcome, hasRun });
-      await sleep(20);
-    }
-    agent.destroy();
-  });
-  // Each of them has then been answered more than once on its connection.
-  await sleep(3_000);
-
-  const requestOf = (index) => {
+  const agent = new http.Agent({ keepAlive: true });
+  const callStream = async (outputTokens) => {
+    const id = newId();
+    const waitMilliseconds = 5_000;
     const more = {
       'x-figline-model': 'm1',
-      'x-figline-token-counts': '100,60',
-      'x-figline-prompt-prefix': `aa${index}:50,bb${index}:50`,
-      'content-length': '0',
+      'x-figline-token-counts': `600,${outputTokens}`,
+      'x-figline-prompt-prefix': `5c1e07a2:300,91bd3f06:200,${id.slice(0, 8)}:100`,
     };
-    const headers = headersOf('desk.example', newId(), { waitMilliseconds: 15_000, more });
-    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
-    return `POST /reply/1 HTTP/1.1\r\n${lines.join('')}${FIELD_LINES}\r\n`;
+    const headers = headersOf('desk.example', id, { waitMilliseconds, more });
+    record.write('sent', { kind: 'report', id, outputTokens: outputTokens.slice(0, 20) });
+    const outcome = await send(system.front(), { path: '/report/1', headers, agent });
+    const { status, milliseconds } = outcome;
+    const hasRun = desks.some(({ runs }) => runs.has(id));
+    record.write('answered', { kind: 'report', id, status, milliseconds, hasRun });
+    return { kind: 'report', status, milliseconds };
   };
-  record.write('requests are sent', { connections: CONNECTIONS, headBytes: requestOf(0).length });
-  const sockets = [];
-  for (let index = 0; index < CONNECTIONS; index += 1) {
-    const socket = net.connect(system.front());
-    socket.on('error', () => {});
-    socket.pause();
-    for (let ahead = 0; ahead < REQUESTS_AHEAD; ahead += 1) {
-      socket.write(requestOf(index));
-    }
-    sockets.push(socket);
-    if (index % 20 === 0) {
-      await sleep(20);
-    }
-  }
-  let mostBytes = 0;
-  for (let sample = 0; sample < 100 && gateway.exit === undefined; sample += 1) {
-    await sleep(100);
-    mostBytes = Math.max(mostBytes, residentBytes(pid));
+  const callCharge = async () => {
+    const id = newId();
+    const headers = headersOf('app.example', id);
+    record.write('sent', { kind: 'charge', id });
+    const outcome = await send(system.front(), { path: '/charge/1', headers, agent, body: 'a' });
+    const { status, milliseconds } = outcome;
+    record.write('answered', { kind: 'charge', id, status, milliseconds });
+    return { kind: 'charge', status, milliseconds };
+  };
+
+  const before = await Promise.all(
+    Array.from({ length: 20 }, async (_unused, index) => {
+      await sleep(index * 50);
+      return callStream('13');
+    }),
+  );
+  const firstServed = before.filter(({ status }) => status === 200).length;
+  record.write('before', { sent: before.length, served: firstServed });
+
+  record.write('the request is sent', {});
+  await callStream(OUTPUT_TOKENS);
+  await sleep(1_000);
+
+  const calls = [];
+  const end = performance.now() + OBSERVED_MILLISECONDS;
+  while (performance.now() < end) {
+    calls.push(callStream('13'), callCharge());
+    await sleep(250);
   }
-  isOver = true;
-  await Promise.all(ordinary);
-  const { exit } = gateway;
-  sockets.forEach((socket) => socket.destroy());
-  const cut = outcomes.filter(({ status, hasRun }) => status === 0 && hasRun).length;
-  record.write('seen', {
-    exit,
-    mostMegabytes: Math.round(mostBytes / 1e6),
-    ordinary: outcomes.length,
-    answered: outcomes.filter(({ status }) => status === 200).length,
-    cut,
-  });
+  const outcomes = await Promise.all(calls);
+  agent.destroy();
+  const isReady = await system.isReady(gateway.ip);
+  const shareOf = (chosen) =>
+    chosen.filter(({ status }) => status === 200).length / Math.max(1, chosen.length);
+  const all = shareOf(outcomes);
+  const shares = ['report', 'charge'].map((kind) => ({
+    kind,
+    share: shareOf(outcomes.filter((outcome) => outcome.kind === kind)),
+  }));
+  const late = outcomes.filter(
+    ({ kind, milliseconds }) => kind === 'report' && milliseconds >= 5_000,
+  ).length;
+  record.write('seen', { isReady, exit: gateway.exit, all, shares, late, sent: outcomes.length });
   return [
-    ...(exit === undefined ? [] : [`the gateway ended by itself: ${JSON.stringify(exit)}`]),
-    ...(mostBytes > MEMORY_MEGABYTES * 1e6 ? ['the gateway exceeded the memory of its VM'] : []),
-    ...(cut > 3 ? [`${cut} requests of ordinary clients ran and got no answer`] : []),
+    ...shares
+      .filter(({ share }) => share < all / 4)
+      .map(({ kind, share }) => `${kind}: ${share} of its requests are served, ${all} of all`),
+    ...(late > 0 ? [`${late} requests had no answer within their time budget`] : []),
   ];
 });
