--- a/review/rig/rig.mjs
+++ b/review/rig/rig.mjs
@@ -257,6 +257,12 @@
   const record = new Record(folder);
   const system = new System(record, options);
   let code = 2;
+  ['SIGINT', 'SIGTERM'].forEach((signal) =>
+    process.once(signal, () => {
+      system.stop();
+      process.exit(2);
+    }),
+  );
   const limit = setTimeout(() => {
     record.write('cannot run', { reason: 'the time of the test is over' });
     system.stop();
